Start the workspace: shared types, link protocol, gateway and agent reducers

Cause: nothing existed. Change: crates by stage, the frames between gateways and agents, decisions behind traits with naive versions, and one reducer a role with effects as data.

--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,7 @@
+//! The agent beside a target: the only process that talks to it.
+//!
+//! One [`reducer::AgentReducer`] takes every event and answers with effects; it does no I/O and
+//! reads no clock. The shell turns sockets into events and carries the effects out.
+
+pub mod reducer;
+pub mod state;
--- /dev/null
+++ b/crates/core/src/ids/random.rs
@@ -0,0 +1,94 @@
+//! Random 128-bit ids, written as 32 hexadecimal digits.
+
+use std::fmt;
+use std::str::FromStr;
+
+use quick_error::quick_error;
+use rand::Rng;
+use serde_with::DeserializeFromStr;
+use serde_with::SerializeDisplay;
+
+const HEX_DIGITS: usize = 32;
+
+quick_error! {
+    /// Reason why a text is not a random id.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum IdError {
+        /// The text is not 32 hexadecimal digits.
+        Malformed {
+            display("an id is written as {} hexadecimal digits", HEX_DIGITS)
+        }
+    }
+}
+
+macro_rules! random_id {
+    ($(#[$meta:meta])* $name:ident) => {
+        $(#[$meta])*
+        #[derive(
+            Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, SerializeDisplay, DeserializeFromStr,
+        )]
+        pub struct $name(u128);
+
+        impl $name {
+            /// Draws a fresh id from `generator`.
+            pub fn random(generator: &mut impl Rng) -> Self {
+                Self(generator.random())
+            }
+
+            /// Makes an id from its numeric value.
+            pub const fn from_u128(value: u128) -> Self {
+                Self(value)
+            }
+
+            /// Returns the numeric value.
+            pub const fn as_u128(self) -> u128 {
+                self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                parse_hex(text).map(Self)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(formatter, "{:032x}", self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(formatter, "{:032x}", self.0)
+            }
+        }
+    };
+}
+
+random_id! {
+    /// One try of one call on one target. A generation has the id of its attempt.
+    AttemptId
+}
+random_id! {
+    /// One life of a process: drawn anew at each start.
+    Incarnation
+}
+random_id! {
+    /// A gateway or agent process, for the length of its life.
+    ProcessId
+}
+random_id! {
+    /// The unique part of an idempotency key.
+    Nonce
+}
+
+fn parse_hex(text: &str) -> Result<u128, IdError> {
+    let is_hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    if text.len() != HEX_DIGITS || !is_hex {
+        return Err(IdError::Malformed);
+    }
+    u128::from_str_radix(text, 16).map_err(|_| IdError::Malformed)
+}
--- /dev/null
+++ b/crates/core/src/load/mod.rs
@@ -0,0 +1,45 @@
+//! Load of a target, as its agent tells gateways.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
+
+use crate::measures;
+use crate::work;
+
+/// A cached prefix that the engine reported; a hint that may be out of date.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CachedPrefix {
+    /// Hash of the prefix.
+    pub prefix: work::PrefixHash,
+    /// Length of the prefix.
+    pub tokens: measures::TokenCount,
+}
+
+/// What an agent knows of its target's load.
+#[serde_as]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadSummary {
+    /// Streams that the engine runs.
+    pub running: u32,
+    /// Streams that the agent has paused.
+    pub paused: u32,
+    /// Attempts that wait for admission.
+    pub queued: u32,
+    /// Key-value memory of the engine.
+    pub memory_total: measures::TokenCount,
+    /// Key-value memory in use, corrected by what the agent admitted since the engine's report.
+    pub memory_used: measures::TokenCount,
+    /// Memory that the running and queued streams are forecast to need at their peak.
+    pub memory_forecast: measures::TokenCount,
+    /// Prompt tokens that wait to be processed.
+    pub prefill_backlog: measures::TokenCount,
+    /// Forecast wait of a new attempt of middle priority before it is admitted.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub queue_delay: Duration,
+    /// Most useful cached prefixes; a bounded number.
+    pub cached: Vec<CachedPrefix>,
+}
--- /dev/null
+++ b/crates/document/src/lib.rs
@@ -0,0 +1,3 @@
+//! The configuration document: its sections, their checks and their acceptance.
+
+pub mod sections;
--- /dev/null
+++ b/crates/gateway/src/reducer/targets.rs
@@ -0,0 +1,82 @@
+//! The targets in force, from the document and the VM list.
+
+use std::collections::BTreeSet;
+
+use kingcupfall_core::ids;
+use kingcupfall_core::time;
+
+use super::GatewayEffect;
+use super::GatewayReducer;
+use crate::state;
+
+impl GatewayReducer {
+    /// Replaces the list of targets. One that is missing is left, but finishes what it has.
+    pub(super) fn take_targets(
+        &mut self,
+        now: time::Timestamp,
+        listings: Vec<state::TargetListing>,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let names: BTreeSet<ids::TargetName> = listings
+            .iter()
+            .map(|listing| listing.name.clone())
+            .collect();
+        for name in self.targets.names() {
+            if let Some(target) = self.targets.get_mut(&name)
+                && !names.contains(&name)
+            {
+                target.listed = false;
+            }
+        }
+
+        for listing in listings {
+            self.take_listing(now, listing, effects);
+        }
+        self.mend_links(now, effects);
+    }
+
+    /// Drops targets that are no longer listed and have nothing left to do.
+    pub(super) fn drop_unlisted(&mut self, now: time::Timestamp, effects: &mut Vec<GatewayEffect>) {
+        let idle: Vec<ids::TargetName> = self
+            .targets
+            .iter()
+            .filter(|target| !target.listed && target.in_flight.is_empty())
+            .map(|target| target.listing.name.clone())
+            .collect();
+
+        for name in idle {
+            let link = self
+                .targets
+                .get(&name)
+                .and_then(|target| target.open_link());
+            if let Some(link) = link {
+                self.drop_link(now, link, effects);
+            }
+            self.targets.remove(&name);
+        }
+    }
+
+    fn take_listing(
+        &mut self,
+        now: time::Timestamp,
+        listing: state::TargetListing,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(target) = self.targets.get_mut(&listing.name) else {
+            self.targets.insert(state::TargetState::new(listing, now));
+            return;
+        };
+
+        let has_moved = target.listing.address != listing.address;
+        if listing.leaving {
+            target.mark_leaving();
+        }
+        target.listing = listing;
+        target.listed = true;
+
+        let link = target.open_link();
+        if let Some(link) = link.filter(|_| has_moved) {
+            self.drop_link(now, link, effects);
+        }
+    }
+}
--- /dev/null
+++ b/crates/link/src/frames/mod.rs
@@ -0,0 +1,23 @@
+//! Messages that travel on a link.
+
+mod agent;
+mod gateway;
+
+pub use agent::AgentFrame;
+pub use agent::AgentHello;
+pub use agent::AgentPulse;
+pub use agent::AnswerReport;
+pub use agent::FailureCause;
+pub use agent::FailureReport;
+pub use agent::FinishReport;
+pub use agent::RefusalCode;
+pub use agent::RefusalReport;
+pub use agent::TokenBatch;
+pub use gateway::CancelOrder;
+pub use gateway::GatewayFrame;
+pub use gateway::GatewayHello;
+pub use gateway::ResumeOrder;
+pub use gateway::StartOrder;
+
+/// Version of the protocol; both ends of a link must have the same.
+pub const PROTOCOL_VERSION: u16 = 1;
--- /dev/null
+++ b/crates/policy/src/schedule/naive.rs
@@ -0,0 +1,66 @@
+//! Admits everything at once, and leaves full memory to the engine.
+
+use std::collections::HashMap;
+
+use kingcupfall_core::engine;
+use kingcupfall_core::ids;
+use kingcupfall_core::load;
+use kingcupfall_core::time;
+
+use super::ScheduleDecision;
+use super::WorkEnd;
+use super::WorkScheduler;
+use super::WorkTicket;
+
+/// Scheduler without a plan: first in, first admitted, no limit.
+#[derive(Debug, Default)]
+pub struct NaiveScheduler {
+    waiting: Vec<ids::AttemptId>,
+    running: HashMap<ids::AttemptId, WorkTicket>,
+    report: engine::EngineReport,
+}
+
+impl NaiveScheduler {
+    /// Makes a scheduler with nothing to do.
+    pub fn new() -> Self {
+        Self::default()
+    }
+}
+
+impl WorkScheduler for NaiveScheduler {
+    fn submit(&mut self, _now: time::Timestamp, ticket: WorkTicket) {
+        self.waiting.push(ticket.attempt);
+        self.running.insert(ticket.attempt, ticket);
+    }
+
+    fn record_tokens(&mut self, _now: time::Timestamp, _attempt: ids::AttemptId, _count: u64) {}
+
+    fn end(&mut self, _now: time::Timestamp, attempt: ids::AttemptId, _end: WorkEnd) {
+        self.waiting.retain(|waiting| *waiting != attempt);
+        self.running.remove(&attempt);
+    }
+
+    fn observe_report(&mut self, _now: time::Timestamp, report: &engine::EngineReport) {
+        self.report = *report;
+    }
+
+    fn observe_cache(&mut self, _now: time::Timestamp, _event: &engine::CacheEvent) {}
+
+    fn decide(&mut self, _now: time::Timestamp, decisions: &mut Vec<ScheduleDecision>) {
+        let admitted = self.waiting.drain(..);
+        decisions.extend(admitted.map(|attempt| ScheduleDecision::Admit {
+            attempt,
+            prefill_chunk: None,
+        }));
+    }
+
+    fn summarize(&self, _now: time::Timestamp) -> load::LoadSummary {
+        load::LoadSummary {
+            running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
+            memory_total: self.report.memory_total,
+            memory_used: self.report.memory_used,
+            memory_forecast: self.report.memory_used,
+            ..load::LoadSummary::default()
+        }
+    }
+}
