--- a/crates/agent/src/reducer/delivery.rs
+++ b/crates/agent/src/reducer/delivery.rs
@@ -98,10 +98,17 @@
             return;
         }
 
-        state.subscriber = Some(link);
+        let former = state.subscriber.replace(link);
         state.sent = order.next;
         state.acknowledged = order.next;
         state.end_sent = false;
+        state.end_settled = false;
+        if let Some(former) = former
+            && self.is_held_elsewhere(link, Some(former))
+        {
+            let cause = frames::FailureCause::Superseded;
+            send_failure(effects, former, order.attempt, cause);
+        }
         self.deliver(order.attempt, effects);
     }
 
@@ -123,6 +130,16 @@
         self.deliver(attempt, effects);
     }
 
+    /// Notes that the subscriber has taken the end of an attempt.
+    pub(super) fn take_settlement(&mut self, link: ids::LinkId, attempt: ids::AttemptId) {
+        let Some(state) = self.attempts.get_mut(attempt) else {
+            return;
+        };
+        if state.subscriber == Some(link) && state.end_sent {
+            state.end_settled = true;
+        }
+    }
+
     /// Notes that an attempt's caller has gone.
     pub(super) fn take_detach(
         &mut self,
--- a/crates/agent/src/reducer/mod.rs
+++ b/crates/agent/src/reducer/mod.rs
@@ -64,6 +64,7 @@
     identity: AgentIdentity,
     scheduler: Box<dyn policy::WorkScheduler>,
     links: BTreeMap<ids::LinkId, LinkState>,
+    gateways: departure::GatewayRoll,
     attempts: state::AttemptTable,
     executions: state::ExecutionTable,
     /// Attempts that never started and never will.
@@ -83,6 +84,7 @@
             identity,
             scheduler,
             links: BTreeMap::new(),
+            gateways: departure::GatewayRoll::default(),
             attempts: state::AttemptTable::default(),
             executions: state::ExecutionTable::default(),
             tombstones: state::TombstoneTable::default(),
@@ -128,6 +130,7 @@
         }
 
         self.run_schedule(now, effects);
+        self.note_answers(now, effects);
         self.check_exit(now, effects);
     }
 
@@ -205,6 +208,9 @@
             return;
         };
         state.last_heard = now;
+        if let Some(gateway) = state.gateway {
+            self.gateways.record_sign(now, gateway);
+        }
         if state.gateway.is_none() && !matches!(frame, frames::GatewayFrame::Hello(_)) {
             self.drop_link(now, link, effects);
             return;
@@ -219,6 +225,8 @@
             frames::GatewayFrame::Acknowledge { attempt, next } => {
                 self.take_acknowledgement(link, attempt, next, effects);
             }
+            frames::GatewayFrame::Settled { attempt } => self.take_settlement(link, attempt),
+            frames::GatewayFrame::LeavingSeen { pulse } => self.note_farewell(link, pulse),
             frames::GatewayFrame::Heartbeat | frames::GatewayFrame::Fleet(_) => {}
         }
     }
@@ -236,6 +244,7 @@
         }
         if let Some(state) = self.links.get_mut(&link) {
             state.gateway = Some(hello.gateway);
+            self.gateways.record_hello(now, hello.gateway);
         }
     }
 
--- a/crates/agent/src/reducer/upkeep.rs
+++ b/crates/agent/src/reducer/upkeep.rs
@@ -32,6 +32,7 @@
         self.drop_silent_links(now, effects);
         self.drop_detached(now, effects);
         self.drop_ended(now);
+        self.gateways.expire(now);
         self.tombstones.expire(now);
         self.settled.expire(now);
         self.executions.expire(now);
--- a/crates/agent/src/state/attempts.rs
+++ b/crates/agent/src/state/attempts.rs
@@ -65,6 +65,8 @@
     pub acknowledged: measures::Sequence,
     /// Whether the end was sent to the subscriber.
     pub end_sent: bool,
+    /// Whether the subscriber has taken the end.
+    pub end_settled: bool,
 }
 
 impl AttemptState {
@@ -79,6 +81,7 @@
             sent: measures::Sequence::ZERO,
             acknowledged: measures::Sequence::ZERO,
             end_sent: false,
+            end_settled: false,
         }
     }
 
@@ -95,17 +98,6 @@
         self.phase == AttemptPhase::Running
     }
 
-    /// Says whether the caller has taken everything, or can't take it any more.
-    pub fn is_delivered(&self) -> bool {
-        match &self.phase {
-            AttemptPhase::Queued | AttemptPhase::Running => false,
-            AttemptPhase::Ended { end, .. } => match end {
-                AttemptEnd::Finished(_) => self.end_sent && self.acknowledged >= self.buffer.next(),
-                AttemptEnd::Answered(_) | AttemptEnd::Failed { .. } => self.end_sent,
-            },
-        }
-    }
-
     /// Says whether the attempt ended so long ago that its answer need not be kept.
     pub fn has_expired(&self, now: time::Timestamp) -> bool {
         match &self.phase {
--- a/crates/gateway/src/reducer/answers.rs
+++ b/crates/gateway/src/reducer/answers.rs
@@ -36,7 +36,7 @@
 
         match frame {
             frames::AgentFrame::Hello(hello) => self.take_hello(now, link, &hello, effects),
-            frames::AgentFrame::Pulse(pulse) => self.take_pulse(now, &name, *pulse),
+            frames::AgentFrame::Pulse(pulse) => self.take_pulse(now, &name, *pulse, effects),
             frames::AgentFrame::Accepted { .. } | frames::AgentFrame::Fleet(_) => {}
             frames::AgentFrame::Refused(report) => {
                 self.take_refusal(now, &name, &report, effects);
@@ -68,6 +68,7 @@
             self.release_attempt(placed);
             if let Some(state) = self.calls.get_mut(call) {
                 state.avoided = Some(placed.target.clone());
+                state.may_have_run = true;
             }
         }
         if is_restartable {
@@ -93,6 +94,7 @@
             return;
         };
         state.avoided = Some(name.clone());
+        state.key_checked |= is_after_key_check(report.code);
         if let Some(placed) = state.placed().cloned() {
             self.release_attempt(&placed);
         }
@@ -136,15 +138,16 @@
                 self.wait(now, call, std::time::Duration::ZERO);
                 self.place(now, call, effects);
             }
+            frames::RefusalCode::Overloaded => {
+                let cause = retry::RetryCause::Overloaded;
+                self.retry(now, call, cause, report.retry_after, effects);
+            }
             frames::RefusalCode::Leaving
             | frames::RefusalCode::TargetDown
-            | frames::RefusalCode::Overloaded
             | frames::RefusalCode::TooLate
             | frames::RefusalCode::SuspectBusy
-            | frames::RefusalCode::Duplicate
-            | frames::RefusalCode::KeyExpired
-            | frames::RefusalCode::NotFound => {
-                let cause = retry::RetryCause::Refused;
+            | frames::RefusalCode::KeyExpired => {
+                let cause = retry::RetryCause::Unavailable;
                 self.retry(now, call, cause, report.retry_after, effects);
             }
         }
@@ -204,6 +207,7 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         let Some(call) = self.expected_call(name, report.attempt) else {
+            self.settle(name, report.attempt, effects);
             return;
         };
         let Some(state) = self.calls.get_mut(call) else {
@@ -230,12 +234,7 @@
         let fingerprint = state.request.fingerprint;
         self.policies.quarantine.record_completion(now, fingerprint);
 
-        // A whole answer is acknowledged by the gateway; a stream's end needs no more resuming.
-        let frame = frames::GatewayFrame::Acknowledge {
-            attempt: report.attempt,
-            next: report.total,
-        };
-        self.send_to(name, frame, effects);
+        self.settle(name, report.attempt, effects);
         self.finish(now, call, answer, effects);
     }
 
@@ -247,6 +246,7 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         let Some(call) = self.expected_call(name, report.attempt) else {
+            self.settle(name, report.attempt, effects);
             return;
         };
         let Some(state) = self.calls.get(call) else {
@@ -260,6 +260,7 @@
         });
 
         self.policies.quarantine.record_completion(now, fingerprint);
+        self.settle(name, report.attempt, effects);
         self.finish(now, call, answer, effects);
     }
 
@@ -271,8 +272,10 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         let Some(call) = self.expected_call(name, report.attempt) else {
+            self.settle(name, report.attempt, effects);
             return;
         };
+        self.settle(name, report.attempt, effects);
         if report.suspect
             && let Some(state) = self.calls.get(call)
             && !state.resumed
@@ -289,12 +292,14 @@
             frames::FailureCause::Cancelled => ProblemCode::TargetLost,
             frames::FailureCause::Expired => ProblemCode::ResumeExpired,
             frames::FailureCause::AnswerLost => ProblemCode::AnswerLost,
+            frames::FailureCause::Superseded => ProblemCode::Superseded,
         };
         let is_final = match report.cause {
             frames::FailureCause::TargetLost | frames::FailureCause::Expired => false,
             frames::FailureCause::TargetError
             | frames::FailureCause::Cancelled
-            | frames::FailureCause::AnswerLost => true,
+            | frames::FailureCause::AnswerLost
+            | frames::FailureCause::Superseded => true,
         };
         if is_final {
             let outcome = work::CallOutcome::Unknown;
@@ -304,6 +309,17 @@
         self.lose_call(now, call, code, effects);
     }
 
+    /// Tells an agent that the end of an attempt has come in.
+    fn settle(
+        &self,
+        name: &ids::TargetName,
+        attempt: ids::AttemptId,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let frame = frames::GatewayFrame::Settled { attempt };
+        self.send_to(name, frame, effects);
+    }
+
     /// Returns the call that waits for `attempt` from the target `name`.
     ///
     /// Frames for attempts that were given up, moved, or are another target's are counted.
@@ -329,6 +345,7 @@
         now: time::Timestamp,
         name: &ids::TargetName,
         pulse: frames::AgentPulse,
+        effects: &mut Vec<GatewayEffect>,
     ) {
         let Some(target) = self.targets.get_mut(name) else {
             return;
@@ -340,6 +357,23 @@
         target.placed_tokens = measures::TokenCount::ZERO;
         if pulse.leaving {
             target.mark_leaving();
+            let frame = frames::GatewayFrame::LeavingSeen { pulse: pulse.now };
+            self.send_to(name, frame, effects);
         }
     }
 }
+
+/// Says whether an agent refuses with `code` only after it looked the key up.
+fn is_after_key_check(code: frames::RefusalCode) -> bool {
+    match code {
+        frames::RefusalCode::Leaving
+        | frames::RefusalCode::TargetDown
+        | frames::RefusalCode::Overloaded
+        | frames::RefusalCode::SuspectBusy
+        | frames::RefusalCode::Unfit => true,
+        frames::RefusalCode::TooLate
+        | frames::RefusalCode::Cancelled
+        | frames::RefusalCode::KeyExpired
+        | frames::RefusalCode::KeyMismatch => false,
+    }
+}
--- a/crates/gateway/src/reducer/placing.rs
+++ b/crates/gateway/src/reducer/placing.rs
@@ -99,14 +99,16 @@
             retry::RetryDecision::After(wait) => self.wait(now, call, wait),
             retry::RetryDecision::GiveUp { retry_after } => {
                 let code = match cause {
-                    retry::RetryCause::Refused => ProblemCode::Overloaded,
-                    retry::RetryCause::NoTarget => ProblemCode::NoTarget,
+                    retry::RetryCause::Overloaded => ProblemCode::Overloaded,
+                    retry::RetryCause::Unavailable | retry::RetryCause::NoTarget => {
+                        ProblemCode::NoTarget
+                    }
                     retry::RetryCause::Lost => ProblemCode::TargetLost,
                 };
                 let outcome = match cause {
-                    retry::RetryCause::Refused | retry::RetryCause::NoTarget => {
-                        self.unsent_outcome(call)
-                    }
+                    retry::RetryCause::Overloaded
+                    | retry::RetryCause::Unavailable
+                    | retry::RetryCause::NoTarget => self.unplaced_outcome(call),
                     retry::RetryCause::Lost => work::CallOutcome::Unknown,
                 };
                 self.finish_problem(now, call, outcome, code, Some(retry_after), effects);
@@ -159,17 +161,12 @@
         self.issue_key(now, &name)
     }
 
-    /// Returns the outcome of a call of which no attempt ran.
-    pub(super) fn unsent_outcome(&self, call: ids::CallId) -> work::CallOutcome {
-        // A caller's own key may have been used through another gateway.
-        let has_key = self
-            .calls
-            .get(call)
-            .is_some_and(|state| state.request.key.is_some());
-        match has_key {
-            true => work::CallOutcome::Unknown,
-            false => work::CallOutcome::NotRun,
-        }
+    /// Returns what is known of a call that no attempt has now.
+    pub(super) fn unplaced_outcome(&self, call: ids::CallId) -> work::CallOutcome {
+        self.calls.get(call).map_or(
+            work::CallOutcome::Unknown,
+            state::CallState::unplaced_outcome,
+        )
     }
 
     pub(super) fn wait(&mut self, now: time::Timestamp, call: ids::CallId, wait: Duration) {
@@ -186,7 +183,7 @@
         retry_after: Option<Duration>,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let outcome = self.unsent_outcome(call);
+        let outcome = self.unplaced_outcome(call);
         self.finish_problem(now, call, outcome, code, retry_after, effects);
     }
 
@@ -422,7 +419,9 @@
 /// Says whether another try may follow at once without turning in a circle.
 fn can_place_now(cause: retry::RetryCause) -> bool {
     match cause {
-        retry::RetryCause::Refused | retry::RetryCause::Lost => true,
+        retry::RetryCause::Overloaded
+        | retry::RetryCause::Unavailable
+        | retry::RetryCause::Lost => true,
         retry::RetryCause::NoTarget => false,
     }
 }
--- a/crates/gateway/src/state/calls.rs
+++ b/crates/gateway/src/state/calls.rs
@@ -58,6 +58,10 @@
     pub collected: Vec<Box<str>>,
     /// Key that the gateway issued for this call.
     pub issued_key: Option<keys::ExecutionKey>,
+    /// Whether an attempt was lost after it may have started.
+    pub may_have_run: bool,
+    /// Whether the agent said that the caller's key has run nothing.
+    pub key_checked: bool,
     /// Whether the stream was resumed from another connection of its caller.
     pub resumed: bool,
 }
@@ -74,6 +78,8 @@
             acknowledged: measures::Sequence::ZERO,
             collected: Vec::new(),
             issued_key: None,
+            may_have_run: false,
+            key_checked: false,
             resumed: false,
         }
     }
@@ -91,6 +97,16 @@
         self.resumed || (self.request.stream && self.received > measures::Sequence::ZERO)
     }
 
+    /// Returns what is known of a call that no attempt has now.
+    pub fn unplaced_outcome(&self) -> work::CallOutcome {
+        // A caller's own key may have been used through another gateway.
+        let is_key_open = self.request.key.is_some() && !self.key_checked;
+        match self.may_have_run || is_key_open {
+            true => work::CallOutcome::Unknown,
+            false => work::CallOutcome::NotRun,
+        }
+    }
+
     /// Says whether another attempt would be the same to the caller.
     pub fn is_restartable(&self) -> bool {
         self.request.repeatable && !self.is_released()
--- a/crates/link/src/frames/agent.rs
+++ b/crates/link/src/frames/agent.rs
@@ -87,14 +87,10 @@
     Cancelled,
     /// Another suspect runs here.
     SuspectBusy,
-    /// The attempt id was seen before.
-    Duplicate,
     /// The key names another incarnation or has expired.
     KeyExpired,
     /// The key was used with another request.
     KeyMismatch,
-    /// The attempt is not known here, or belongs to another organisation.
-    NotFound,
     /// The target cannot run the request, such as one longer than its memory.
     Unfit,
 }
@@ -126,6 +122,8 @@
     Expired,
     /// A call with this key ran, and its answer is not known.
     AnswerLost,
+    /// The caller took the stream over through another gateway.
+    Superseded,
 }
 
 /// An attempt that failed after it started.
--- a/crates/link/src/frames/gateway.rs
+++ b/crates/link/src/frames/gateway.rs
@@ -88,6 +88,17 @@
         /// First token that was not taken yet.
         next: measures::Sequence,
     },
+    /// Says that the gateway has taken the end of an attempt.
+    Settled {
+        /// Attempt that ended.
+        attempt: ids::AttemptId,
+    },
+    /// Answers a pulse of a leaving agent: everything before it has come in, and the gateway starts
+    /// nothing new on this link.
+    LeavingSeen {
+        /// Time in the pulse, on the agent's clock.
+        pulse: time::Timestamp,
+    },
     /// Shows that the gateway is alive.
     Heartbeat,
     /// Frame of the fleet crate, encoded by it.
--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -1,5 +1,6 @@
 //! How much of the system one organisation may use at a gateway.
 
+mod bucket;
 mod unlimited;
 
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
 
+pub use bucket::BucketLimit;
 pub use unlimited::NoLimit;
 
 /// Limits of one organisation at one gateway, from the document.
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -1,5 +1,6 @@
 //! Requests that may crash the targets that run them.
 
+mod suspects;
 mod trusting;
 
 use kingcupfall_core::ids;
@@ -8,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use suspects::SuspectQuarantine;
 pub use trusting::TrustingQuarantine;
 
 /// What is held against a request.
--- a/crates/policy/src/retry/mod.rs
+++ b/crates/policy/src/retry/mod.rs
@@ -1,6 +1,7 @@
 //! Whether and when a gateway tries a call again.
 
 mod blind;
+mod budgeted;
 
 use std::time::Duration;
 
@@ -8,12 +9,15 @@
 use kingcupfall_core::time;
 
 pub use blind::BlindRetry;
+pub use budgeted::BudgetedRetry;
 
 /// Why the last attempt of a call ended without an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RetryCause {
-    /// The agent refused it; it did not run.
-    Refused,
+    /// The agent refused it for load; it did not run.
+    Overloaded,
+    /// The agent refused it because its target takes no such work now; it did not run.
+    Unavailable,
     /// No target can be reached or chosen now; it did not run.
     NoTarget,
     /// It was running, is repeatable, and nothing of it was released to the caller.
