Add typed settings of gateway and agent

Cause: the binaries need their addresses, keys and limits as checked values.

Change: a reader of TOML tables that collects all findings with line and column, in the document crate, and the settings of both binaries on top of it. Durations and sizes are written with a unit.

Conclusion: load::<GatewaySettings>(text) gives the settings or all findings.

--- a/crates/document/src/lib.rs
+++ b/crates/document/src/lib.rs
@@ -1,3 +1,4 @@
 //! The configuration document: its sections, their checks and their acceptance.
 
+pub mod reader;
 pub mod sections;
--- /dev/null
+++ b/crates/settings/src/agent/platform.rs
@@ -0,0 +1,32 @@
+//! Section `platform` of an agent.
+
+use std::net;
+
+use kingcupfall_document::reader;
+
+use crate::sections;
+
+/// Services of the platform that an agent reads.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AgentPlatform {
+    /// Configuration service.
+    pub configuration_service: net::SocketAddr,
+    /// VM list.
+    pub vm_list: net::SocketAddr,
+    /// Weight store.
+    pub weight_store: net::SocketAddr,
+}
+
+impl reader::TableValue for AgentPlatform {
+    fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
+        let configuration_service = sections::read_address(reader, "configuration_service");
+        let vm_list = sections::read_address(reader, "vm_list");
+        let weight_store = sections::read_address(reader, "weight_store");
+
+        Some(Self {
+            configuration_service: configuration_service?,
+            vm_list: vm_list?,
+            weight_store: weight_store?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/settings/src/agent/target.rs
@@ -0,0 +1,46 @@
+//! Section `target` of an agent.
+
+use std::net;
+
+use kingcupfall_core::ids;
+use kingcupfall_document::reader;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::sections;
+
+/// What a target is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TargetKind {
+    /// A model engine.
+    Engine,
+    /// A replica of a plain service.
+    Service,
+}
+
+/// The target beside an agent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetSettings {
+    /// Name, as the document's section `targets` has it.
+    pub name: ids::TargetName,
+    /// What it is.
+    pub kind: TargetKind,
+    /// Loopback address at which it takes requests.
+    pub address: net::SocketAddr,
+}
+
+impl reader::TableValue for TargetSettings {
+    fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
+        let name = reader.required("name");
+        let kind = reader.required("kind");
+        let address = sections::read_address(reader, "address");
+        sections::check_loopback(reader, "address", address);
+
+        Some(Self {
+            name: name?,
+            kind: kind?,
+            address: address?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/settings/src/gateway/listen.rs
@@ -0,0 +1,38 @@
+//! Section `listen` of a gateway.
+
+use std::net;
+
+use kingcupfall_document::reader;
+
+use crate::sections;
+
+/// Addresses a gateway listens at.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GatewayPorts {
+    /// Callers' API.
+    pub callers: net::SocketAddr,
+    /// Administration API and metrics.
+    pub administration: net::SocketAddr,
+    /// Links from other gateways.
+    pub peers: net::SocketAddr,
+}
+
+impl reader::TableValue for GatewayPorts {
+    fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
+        let callers = sections::read_address(reader, "callers");
+        let administration = sections::read_address(reader, "administration");
+        let peers = sections::read_address(reader, "peers");
+        let all = [
+            ("callers", callers),
+            ("administration", administration),
+            ("peers", peers),
+        ];
+        sections::report_shared(reader, &all);
+
+        Some(Self {
+            callers: callers?,
+            administration: administration?,
+            peers: peers?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/settings/src/gateway/platform.rs
@@ -0,0 +1,28 @@
+//! Section `platform` of a gateway.
+
+use std::net;
+
+use kingcupfall_document::reader;
+
+use crate::sections;
+
+/// Services of the platform that a gateway reads.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GatewayPlatform {
+    /// Configuration service.
+    pub configuration_service: net::SocketAddr,
+    /// VM list.
+    pub vm_list: net::SocketAddr,
+}
+
+impl reader::TableValue for GatewayPlatform {
+    fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
+        let configuration_service = sections::read_address(reader, "configuration_service");
+        let vm_list = sections::read_address(reader, "vm_list");
+
+        Some(Self {
+            configuration_service: configuration_service?,
+            vm_list: vm_list?,
+        })
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder.
+//! Settings of the binaries: typed values that are read from TOML and checked as a whole.
+
+pub mod agent;
+pub mod gateway;
+mod load;
+pub mod sections;
+pub mod units;
+
+use std::result;
+
+use kingcupfall_core::findings;
+
+pub use agent::AgentSettings;
+pub use gateway::GatewaySettings;
+pub use load::load;
+
+/// Result of loading settings: the value, or everything that is wrong with the text.
+pub type Result<T> = result::Result<T, findings::FindingList>;
--- /dev/null
+++ b/crates/settings/src/sections/administration.rs
@@ -0,0 +1,21 @@
+//! Section `administration`: who may read the administration API.
+
+use kingcupfall_core::keys;
+use kingcupfall_document::reader;
+
+/// Access to the administration API.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdministrationSettings {
+    /// SHA-256 of the bearer key that opens the administration API.
+    pub key_hash: keys::KeyHash,
+}
+
+impl reader::TableValue for AdministrationSettings {
+    fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
+        let key_hash = reader.required("key_hash");
+
+        Some(Self {
+            key_hash: key_hash?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/settings/src/sections/ports.rs
@@ -0,0 +1,47 @@
+//! Addresses: an IP number and a port.
+
+use std::net;
+
+use kingcupfall_document::reader;
+
+/// Reads the address under `key`; its port must not be zero.
+pub fn read_address(
+    reader: &mut reader::TableReader<'_, '_, '_>,
+    key: &str,
+) -> Option<net::SocketAddr> {
+    let text: Box<str> = reader.required(key)?;
+
+    let Ok(address) = text.parse::<net::SocketAddr>() else {
+        let message = format!("{text:?} is not an IP number with a port, such as 10.0.0.7:8080");
+        reader.report(key, message);
+        return None;
+    };
+    reader.check(key, address.port() != 0, "must not have port 0");
+    Some(address)
+}
+
+/// Reports each of `addresses`, given by key, that another one before it has too.
+pub fn report_shared(
+    reader: &mut reader::TableReader<'_, '_, '_>,
+    addresses: &[(&str, Option<net::SocketAddr>)],
+) {
+    for (index, (key, address)) in addresses.iter().enumerate() {
+        let earlier = &addresses[..index];
+        let twin = earlier
+            .iter()
+            .find(|(_, other)| address.is_some() && other == address);
+        if let Some((twin, _)) = twin {
+            reader.report(key, format!("is the same address as {twin}"));
+        }
+    }
+}
+
+/// Reports the address under `key` when it is not on loopback.
+pub fn check_loopback(
+    reader: &mut reader::TableReader<'_, '_, '_>,
+    key: &str,
+    address: Option<net::SocketAddr>,
+) {
+    let is_loopback = address.is_none_or(|address| address.ip().is_loopback());
+    reader.check(key, is_loopback, "must be a loopback address");
+}
