Check documents with all findings and their places

Cause: operators need everything that is wrong with a document at once.

Change: sections are read key by key by the shared reader. Ranges, names, addresses, shared keys and addresses, VMs in two zones and references to missing entries are findings with line and column; syntax errors are recovered from. check_section checks the text of one section. Key hashes have an error of their own in the core crate.

Conclusion: check_document gives the document, all findings and, by DocumentSummary, counts for the command line.

--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -6,6 +6,7 @@
 
 pub use names::ClassName;
 pub use names::ModelName;
+pub use names::NAME_LIMIT_BYTES;
 pub use names::NameError;
 pub use names::OrganisationName;
 pub use names::ServiceName;
--- a/crates/core/src/keys/bearer.rs
+++ b/crates/core/src/keys/bearer.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::str::FromStr;
 
+use quick_error::quick_error;
 use serde_with::DeserializeFromStr;
 use serde_with::SerializeDisplay;
 use sha2::Digest;
@@ -11,6 +12,17 @@
 
 const HASH_BYTES: usize = 32;
 
+quick_error! {
+    /// Reason why a text is not the hash of a key.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum HashError {
+        /// The text is not 64 hexadecimal digits.
+        Malformed {
+            display("a key hash is written as {} hexadecimal digits", 2 * HASH_BYTES)
+        }
+    }
+}
+
 /// SHA-256 of a bearer key, written as 64 hexadecimal digits.
 #[derive(Clone, Copy, PartialEq, Eq, SerializeDisplay, DeserializeFromStr)]
 pub struct KeyHash([u8; HASH_BYTES]);
@@ -28,11 +40,11 @@
 }
 
 impl FromStr for KeyHash {
-    type Err = hex::FromHexError;
+    type Err = HashError;
 
-    fn from_str(text: &str) -> Result<Self, hex::FromHexError> {
+    fn from_str(text: &str) -> Result<Self, HashError> {
         let mut bytes = [0; HASH_BYTES];
-        hex::decode_to_slice(text, &mut bytes)?;
+        hex::decode_to_slice(text, &mut bytes).map_err(|_| HashError::Malformed)?;
         Ok(Self(bytes))
     }
 }
--- a/crates/core/src/keys/mod.rs
+++ b/crates/core/src/keys/mod.rs
@@ -3,6 +3,7 @@
 mod bearer;
 mod execution;
 
+pub use bearer::HashError;
 pub use bearer::KeyHash;
 pub use execution::ExecutionKey;
 pub use execution::KeyError;
--- a/crates/document/src/lib.rs
+++ b/crates/document/src/lib.rs
@@ -1,4 +1,5 @@
 //! The configuration document: its sections, their checks and their acceptance.
 
+pub mod check;
 pub mod reader;
 pub mod sections;
--- a/crates/document/src/reader/context.rs
+++ b/crates/document/src/reader/context.rs
@@ -9,6 +9,8 @@
 use super::ReadOutcome;
 use super::SourceText;
 use super::TEXT_PATH;
+use super::ValueReference;
+use super::ties::ValueTies;
 
 /// Most findings that one reading keeps; the rest is only counted.
 const FINDING_LIMIT: usize = 1_000;
@@ -21,6 +23,8 @@
     /// Findings beyond [`FINDING_LIMIT`].
     omitted: usize,
     places: PlaceMap,
+    references: Vec<ValueReference>,
+    ties: ValueTies,
     /// Lines with a syntax error. What was recovered of them says nothing.
     broken_lines: BTreeSet<u32>,
 }
@@ -33,6 +37,8 @@
             findings: Vec::new(),
             omitted: 0,
             places: PlaceMap::new(),
+            references: Vec::new(),
+            ties: ValueTies::default(),
             broken_lines: BTreeSet::new(),
         }
     }
@@ -74,6 +80,36 @@
         self.places.insert(path.into(), position);
     }
 
+    /// Adds a finding about the value at `path`, which was read before.
+    pub fn report_value(&mut self, path: &str, message: impl Into<Box<str>>) {
+        let position = self.places.get(path).copied();
+        self.push(path, position, message.into());
+    }
+
+    /// Reports the value at `path` when another path has the same `value`.
+    pub fn claim(&mut self, path: &str, noun: &'static str, value: Box<str>) {
+        if let Some(owner) = self.ties.claim(noun, value, path) {
+            self.report_value(path, format!("is the same {noun} as {owner}"));
+        }
+    }
+
+    /// Reports the value at `path` when `subject` has been bound to another value.
+    pub fn bind(&mut self, path: &str, noun: &'static str, subject: Box<str>, value: Box<str>) {
+        if let Some(other) = self.ties.bind(noun, subject.clone(), value) {
+            let message = format!("differs from {other}, which {noun} {subject} has elsewhere");
+            self.report_value(path, message);
+        }
+    }
+
+    /// Notes that the value at `path` refers to the one at `referent`.
+    pub fn refer(&mut self, path: &str, referent: Box<str>) {
+        self.references.push(ValueReference {
+            path: path.into(),
+            position: self.places.get(path).copied(),
+            referent,
+        });
+    }
+
     /// Ends the reading.
     pub fn finish<T>(mut self, value: Option<T>) -> ReadOutcome<T> {
         self.findings.sort_by_key(|finding| finding.position);
@@ -90,6 +126,8 @@
             value,
             findings: list,
             places: self.places,
+            references: self.references,
+            is_broken: !self.broken_lines.is_empty(),
         }
     }
 
--- a/crates/document/src/reader/mod.rs
+++ b/crates/document/src/reader/mod.rs
@@ -6,12 +6,17 @@
 mod context;
 mod source;
 mod table;
+mod ties;
+mod values;
 
 pub use context::ReadContext;
 pub use source::SourceText;
+pub use table::ListItem;
 pub use table::TableReader;
 pub use table::TableValue;
 pub use table::join_path;
+pub use ties::ValueReference;
+pub use ties::find_missing;
 
 use std::collections::BTreeMap;
 
@@ -37,6 +42,10 @@
     pub findings: findings::FindingList,
     /// Places of the values that were seen.
     pub places: PlaceMap,
+    /// References to other values, which may be in other texts.
+    pub references: Vec<ValueReference>,
+    /// Whether the text has syntax errors, so that values may be missing that are in it.
+    pub is_broken: bool,
 }
 
 /// Reads `text` as a `T`.
--- a/crates/document/src/reader/table.rs
+++ b/crates/document/src/reader/table.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fmt;
-use std::ops::RangeInclusive;
 use std::str::FromStr;
 
 use serde::de::DeserializeOwned;
@@ -18,6 +17,22 @@
     fn read(reader: &mut TableReader<'_, '_, '_>) -> Option<Self>;
 }
 
+/// An item of a list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListItem<T> {
+    /// Dotted path of the item.
+    pub path: Box<str>,
+    /// The item.
+    pub value: T,
+}
+
+impl<T> ListItem<T> {
+    /// Takes the values out of `items`.
+    pub fn into_values(items: Vec<Self>) -> Vec<T> {
+        items.into_iter().map(|item| item.value).collect()
+    }
+}
+
 /// A table that is being read, key by key.
 ///
 /// Keys that nobody asked for are reported by [`TableReader::finish`].
@@ -74,28 +89,9 @@
         self.optional(key).unwrap_or(default)
     }
 
-    /// Reads a value that must lie in `range`, or is `default` when it is left out or wrong.
-    pub fn ranged<T>(&mut self, key: &str, default: T, range: &RangeInclusive<T>) -> T
-    where
-        T: DeserializeOwned + PartialOrd + fmt::Display,
-    {
-        let value = self.or_default(key, default);
-        self.check_range(key, &value, range);
-        value
-    }
-
-    /// Reports `key` when its `value` lies outside `range`.
-    pub fn check_range<T>(&mut self, key: &str, value: &T, range: &RangeInclusive<T>)
-    where
-        T: PartialOrd + fmt::Display,
-    {
-        let (start, end) = (range.start(), range.end());
-        let message = format!("is {value}, must be from {start} to {end}");
-        self.check(key, range.contains(value), message);
-    }
-
-    /// Reads a list, which is empty when it is left out; wrong items are reported one by one.
-    pub fn list<T: DeserializeOwned>(&mut self, key: &str) -> Vec<T> {
+    /// Reads the items of a list, which is empty when it is left out; wrong items are reported one
+    /// by one and left out.
+    pub fn list<T: DeserializeOwned>(&mut self, key: &str) -> Vec<ListItem<T>> {
         let Some(node) = self.find(key) else {
             return Vec::new();
         };
@@ -107,12 +103,23 @@
 
         let mut values = Vec::new();
         for (index, item) in items.iter().enumerate() {
-            let path = format!("{path}[{index}]");
-            values.extend(self.decode(&path, item));
+            let path: Box<str> = format!("{path}[{index}]").into();
+            if let Some(value) = self.decode(&path, item) {
+                values.push(ListItem { path, value });
+            }
         }
         values
     }
 
+    /// Reads a list that must be there.
+    pub fn required_list<T: DeserializeOwned>(&mut self, key: &str) -> Option<Vec<ListItem<T>>> {
+        if self.find(key).is_none() {
+            self.report_missing(key);
+            return None;
+        }
+        Some(self.list(key))
+    }
+
     /// Reads a table that must be there.
     pub fn table<T: TableValue>(&mut self, key: &str) -> Option<T> {
         if self.find(key).is_none() {
@@ -163,6 +170,25 @@
         entries
     }
 
+    /// Returns the keys of the table under `key`, which are none when there is no table.
+    pub fn entry_names(&self, key: &str) -> Vec<Box<str>> {
+        let table = self
+            .table
+            .get(key)
+            .and_then(|node| node.get_ref().as_table());
+        let keys = table.into_iter().flat_map(|table| table.keys());
+        keys.map(|key| key.get_ref().as_ref().into()).collect()
+    }
+
+    /// Reports `key` when it is missing or an empty list.
+    pub fn check_filled(&mut self, key: &str) {
+        match self.find(key).and_then(|node| node.get_ref().as_array()) {
+            Some(items) => self.check(key, !items.is_empty(), "must not be empty"),
+            None if self.find(key).is_none() => self.report_missing(key),
+            None => {}
+        }
+    }
+
     /// Reports `message` about `key` unless `is_valid`.
     pub fn check(&mut self, key: &str, is_valid: bool, message: impl Into<Box<str>>) {
         if !is_valid {
@@ -177,6 +203,21 @@
         self.context.report(&path, Some(offset), message);
     }
 
+    /// Returns what the whole reading collects.
+    pub fn context(&mut self) -> &mut ReadContext<'source> {
+        self.context
+    }
+
+    /// Returns the dotted path of the table.
+    pub fn path(&self) -> &str {
+        &self.path
+    }
+
+    /// Takes `keys` for known, whatever they hold.
+    pub fn ignore(&mut self, keys: &[&str]) {
+        self.known.extend(keys.iter().map(|key| Box::from(*key)));
+    }
+
     /// Reports the keys that nobody asked for.
     pub fn finish(self) {
         for (key, _) in self.table {
@@ -259,6 +300,17 @@
     }
 }
 
+impl<K, V> TableValue for BTreeMap<K, V>
+where
+    K: FromStr + Ord,
+    K::Err: fmt::Display,
+    V: TableValue,
+{
+    fn read(reader: &mut TableReader<'_, '_, '_>) -> Option<Self> {
+        Some(reader.entries())
+    }
+}
+
 /// Appends `key` to a dotted path, in quotes where TOML would need them.
 pub fn join_path(path: &str, key: &str) -> Box<str> {
     let is_bare = |character: char| character.is_ascii_alphanumeric() || "_-".contains(character);
--- a/crates/document/src/sections/limits.rs
+++ b/crates/document/src/sections/limits.rs
@@ -1,7 +1,9 @@
 //! Section `limits`.
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 
+use crate::reader;
 use kingcupfall_core::ids;
 use serde::Deserialize;
 use serde::Serialize;
@@ -23,6 +25,29 @@
     pub concurrent_calls: u32,
 }
 
+impl reader::TableValue for LimitEntry {
+    fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
+        let calls_per_s: Option<f64> = reader.required("calls_per_s");
+        let burst = reader.ranged("burst", DEFAULT_BURST, &COUNT_RANGE);
+        let concurrent_calls = reader.ranged("concurrent_calls", DEFAULT_CONCURRENCY, &COUNT_RANGE);
+
+        let is_valid = calls_per_s.is_none_or(|rate| rate > 0.0 && rate <= RATE_LIMIT_PER_S);
+        let message = format!("must be more than 0 and at most {RATE_LIMIT_PER_S}");
+        reader.check("calls_per_s", is_valid, message);
+        Some(Self {
+            calls_per_s: calls_per_s?,
+            burst,
+            concurrent_calls,
+        })
+    }
+}
+
+/// Most calls a second that an entry may allow.
+const RATE_LIMIT_PER_S: f64 = 1_000_000.0;
+
+/// Calls that an entry may allow.
+const COUNT_RANGE: RangeInclusive<u32> = 1..=1_000_000;
+
 /// New calls that may come at once unless the entry says otherwise.
 const DEFAULT_BURST: u32 = 100;
 
--- a/crates/document/src/sections/mod.rs
+++ b/crates/document/src/sections/mod.rs
@@ -5,6 +5,7 @@
 
 mod limits;
 mod models;
+mod name;
 mod organisations;
 mod priorities;
 mod services;
@@ -18,6 +19,8 @@
 pub use models::ModelEntry;
 pub use models::ModelSection;
 pub use models::UpgradeWindow;
+pub use name::SectionError;
+pub use name::SectionName;
 pub use organisations::OrganisationEntry;
 pub use organisations::OrganisationSection;
 pub use priorities::ClassEntry;
@@ -28,6 +31,8 @@
 pub use targets::TargetKind;
 pub use targets::TargetSection;
 
+use crate::reader;
+
 /// All sections with their accepted values.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -45,3 +50,43 @@
     /// Limits of each organisation.
     pub limits: LimitSection,
 }
+
+impl OperatorDocument {
+    /// Takes the value of `section` from `other`.
+    pub fn adopt(&mut self, section: SectionName, other: Self) {
+        match section {
+            SectionName::Models => self.models = other.models,
+            SectionName::Organisations => self.organisations = other.organisations,
+            SectionName::Targets => self.targets = other.targets,
+            SectionName::Priorities => self.priorities = other.priorities,
+            SectionName::Services => self.services = other.services,
+            SectionName::Limits => self.limits = other.limits,
+        }
+    }
+}
+
+impl reader::TableValue for OperatorDocument {
+    fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
+        let document = Self {
+            models: reader.optional_table("models").unwrap_or_default(),
+            organisations: reader.optional_table("organisations").unwrap_or_default(),
+            targets: reader.optional_table("targets").unwrap_or_default(),
+            priorities: reader.optional_table("priorities").unwrap_or_default(),
+            services: reader.optional_table("services").unwrap_or_default(),
+            limits: reader.optional_table("limits").unwrap_or_default(),
+        };
+
+        refer_owners(reader, SectionName::Priorities);
+        refer_owners(reader, SectionName::Limits);
+        Some(document)
+    }
+}
+
+/// Notes that each entry of `section` refers to the organisation it is called after.
+fn refer_owners(reader: &mut reader::TableReader<'_, '_, '_>, section: SectionName) {
+    for name in reader.entry_names(section.as_str()) {
+        let path = section.path_of(&name);
+        let referent = SectionName::Organisations.path_of(&name);
+        reader.context().refer(&path, referent);
+    }
+}
--- a/crates/document/src/sections/models.rs
+++ b/crates/document/src/sections/models.rs
@@ -1,8 +1,10 @@
 //! Section `models`.
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use crate::reader;
 use kingcupfall_core::ids;
 use kingcupfall_core::measures;
 use serde::Deserialize;
@@ -47,14 +49,62 @@
     pub length_minutes: u32,
 }
 
-/// Time between tokens that a model keeps unless its entry says otherwise.
-const DEFAULT_GAP: Duration = Duration::from_millis(38);
+impl reader::TableValue for ModelEntry {
+    fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
+        let version = reader.required_label("version");
+        let adapters = reader.label_list("adapters");
+        let max_tokens = reader.required_ranged("max_tokens", &TOKEN_RANGE);
+        let gap_millis = reader.ranged("gap_target_ms", DEFAULT_GAP_MS, &GAP_RANGE_MS);
+        let capacity_floor = reader.ranged("capacity_floor", DEFAULT_FLOOR, &FLOOR_RANGE);
+        let upgrade_window = reader.optional_table("upgrade_window");
+
+        Some(Self {
+            version: version?,
+            adapters,
+            max_tokens: max_tokens?,
+            gap_target: Duration::from_millis(gap_millis),
+            capacity_floor,
+            upgrade_window,
+        })
+    }
+}
+
+impl reader::TableValue for UpgradeWindow {
+    fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
+        let start_minute = reader.required_ranged("start_minute", &START_RANGE);
+        let length_minutes = reader.required_ranged("length_minutes", &LENGTH_RANGE);
+
+        Some(Self {
+            start_minute: start_minute?,
+            length_minutes: length_minutes?,
+        })
+    }
+}
+
+/// Tokens that one request may generate at most.
+const TOKEN_RANGE: RangeInclusive<measures::TokenCount> =
+    measures::TokenCount::new(1)..=measures::TokenCount::new(1_000_000);
+
+/// Milliseconds between tokens that a model may keep.
+const GAP_RANGE_MS: RangeInclusive<u64> = 1..=60_000;
+
+/// Shares of the targets that may have to serve.
+const FLOOR_RANGE: RangeInclusive<f64> = 0.0..=1.0;
+
+/// Minutes after midnight at which a window may start.
+const START_RANGE: RangeInclusive<u32> = 0..=1_439;
+
+/// Minutes that a window may last.
+const LENGTH_RANGE: RangeInclusive<u32> = 1..=1_440;
+
+/// Milliseconds between tokens that a model keeps unless its entry says otherwise.
+const DEFAULT_GAP_MS: u64 = 38;
 
 /// Share of a model's targets that serve during an upgrade unless its entry says otherwise.
 const DEFAULT_FLOOR: f64 = 0.7;
 
 fn default_gap() -> Duration {
-    DEFAULT_GAP
+    Duration::from_millis(DEFAULT_GAP_MS)
 }
 
 fn default_floor() -> f64 {
--- a/crates/document/src/sections/organisations.rs
+++ b/crates/document/src/sections/organisations.rs
@@ -1,7 +1,9 @@
 //! Section `organisations`.
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 
+use crate::reader;
 use kingcupfall_core::ids;
 use kingcupfall_core::keys;
 use kingcupfall_core::measures;
@@ -22,6 +24,32 @@
     pub weight: measures::Weight,
 }
 
+impl reader::TableValue for OrganisationEntry {
+    fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
+        let key_hashes = read_key_hashes(reader);
+        let weight = reader.ranged("weight", default_weight(), &WEIGHT_RANGE);
+
+        Some(Self {
+            key_hashes: key_hashes?,
+            weight,
+        })
+    }
+}
+
+fn read_key_hashes(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Vec<keys::KeyHash>> {
+    let items: Vec<reader::ListItem<keys::KeyHash>> = reader.required_list("key_hashes")?;
+
+    for item in &items {
+        let hash = item.value.to_string();
+        reader.context().claim(&item.path, "key", hash.into());
+    }
+    Some(reader::ListItem::into_values(items))
+}
+
+/// Shares that an organisation may have.
+const WEIGHT_RANGE: RangeInclusive<measures::Weight> =
+    measures::Weight::new(1)..=measures::Weight::new(1_000);
+
 fn default_weight() -> measures::Weight {
     measures::Weight::new(1)
 }
--- a/crates/document/src/sections/priorities.rs
+++ b/crates/document/src/sections/priorities.rs
@@ -1,7 +1,9 @@
 //! Section `priorities`.
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 
+use crate::reader;
 use kingcupfall_core::ids;
 use kingcupfall_core::measures;
 use serde::Deserialize;
@@ -17,3 +19,17 @@
     /// Priority from 0 to 9; a higher number goes first.
     pub priority: measures::Priority,
 }
+
+/// Priorities that a class may have.
+const PRIORITY_RANGE: RangeInclusive<measures::Priority> =
+    measures::Priority::new(0)..=measures::Priority::new(9);
+
+impl reader::TableValue for ClassEntry {
+    fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
+        let priority = reader.required_ranged("priority", &PRIORITY_RANGE);
+
+        Some(Self {
+            priority: priority?,
+        })
+    }
+}
--- a/crates/document/src/sections/targets.rs
+++ b/crates/document/src/sections/targets.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::net;
 
+use super::SectionName;
+use crate::reader;
 use kingcupfall_core::engine;
 use kingcupfall_core::ids;
 use serde::Deserialize;
@@ -46,3 +48,70 @@
         service: ids::ServiceName,
     },
 }
+
+impl reader::TableValue for TargetEntry {
+    fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
+        let kind = read_kind(reader);
+        let vm: Option<ids::VmName> = reader.required("vm");
+        let zone: Option<ids::ZoneName> = reader.required("zone");
+        let agent = reader.required_address("agent");
+        let leaving = reader.or_default("leaving", false);
+
+        if let (Some(vm), Some(zone)) = (&vm, &zone) {
+            let path = reader.path_of("zone");
+            let (vm, zone) = (vm.as_str().into(), zone.as_str().into());
+            reader.context().bind(&path, "VM", vm, zone);
+        }
+        if let Some(agent) = &agent {
+            reader.claim("agent", "address", agent);
+        }
+        Some(Self {
+            kind: kind?,
+            vm: vm?,
+            zone: zone?,
+            agent: agent?,
+            leaving,
+        })
+    }
+}
+
+/// The key `kind` alone.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum KindName {
+    Engine,
+    Service,
+}
+
+fn read_kind(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<TargetKind> {
+    let Some(name) = reader.required("kind") else {
+        reader.ignore(&["models", "fencing", "service"]);
+        return None;
+    };
+
+    match name {
+        KindName::Engine => read_engine(reader),
+        KindName::Service => {
+            let service: ids::ServiceName = reader.required("service")?;
+            let path = reader.path_of("service");
+            let referent = SectionName::Services.path_of(service.as_str());
+            reader.context().refer(&path, referent);
+            Some(TargetKind::Service { service })
+        }
+    }
+}
+
+fn read_engine(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<TargetKind> {
+    let items: Vec<reader::ListItem<ids::ModelName>> = reader.unique_list("models");
+    let fencing = reader.or_default("fencing", engine::FencingMode::default());
+    reader.check_filled("models");
+
+    for item in &items {
+        let referent = SectionName::Models.path_of(item.value.as_str());
+        reader.context().refer(&item.path, referent);
+    }
+    Some(TargetKind::Engine {
+        models: reader::ListItem::into_values(items),
+        fencing,
+    })
+}
--- a/crates/settings/src/agent/listen.rs
+++ b/crates/settings/src/agent/listen.rs
@@ -19,9 +19,9 @@
 
 impl reader::TableValue for AgentPorts {
     fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
-        let links = sections::read_address(reader, "links");
-        let administration = sections::read_address(reader, "administration");
-        let fence = sections::read_address(reader, "fence");
+        let links = reader.required_address("links");
+        let administration = reader.required_address("administration");
+        let fence = reader.required_address("fence");
         let all = [
             ("links", links),
             ("administration", administration),
--- a/crates/settings/src/agent/platform.rs
+++ b/crates/settings/src/agent/platform.rs
@@ -4,8 +4,6 @@
 
 use kingcupfall_document::reader;
 
-use crate::sections;
-
 /// Services of the platform that an agent reads.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AgentPlatform {
@@ -19,9 +17,9 @@
 
 impl reader::TableValue for AgentPlatform {
     fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
-        let configuration_service = sections::read_address(reader, "configuration_service");
-        let vm_list = sections::read_address(reader, "vm_list");
-        let weight_store = sections::read_address(reader, "weight_store");
+        let configuration_service = reader.required_address("configuration_service");
+        let vm_list = reader.required_address("vm_list");
+        let weight_store = reader.required_address("weight_store");
 
         Some(Self {
             configuration_service: configuration_service?,
--- a/crates/settings/src/agent/target.rs
+++ b/crates/settings/src/agent/target.rs
@@ -34,7 +34,7 @@
     fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
         let name = reader.required("name");
         let kind = reader.required("kind");
-        let address = sections::read_address(reader, "address");
+        let address = reader.required_address("address");
         sections::check_loopback(reader, "address", address);
 
         Some(Self {
--- a/crates/settings/src/gateway/listen.rs
+++ b/crates/settings/src/gateway/listen.rs
@@ -19,9 +19,9 @@
 
 impl reader::TableValue for GatewayPorts {
     fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
-        let callers = sections::read_address(reader, "callers");
-        let administration = sections::read_address(reader, "administration");
-        let peers = sections::read_address(reader, "peers");
+        let callers = reader.required_address("callers");
+        let administration = reader.required_address("administration");
+        let peers = reader.required_address("peers");
         let all = [
             ("callers", callers),
             ("administration", administration),
--- a/crates/settings/src/gateway/platform.rs
+++ b/crates/settings/src/gateway/platform.rs
@@ -4,8 +4,6 @@
 
 use kingcupfall_document::reader;
 
-use crate::sections;
-
 /// Services of the platform that a gateway reads.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GatewayPlatform {
@@ -17,8 +15,8 @@
 
 impl reader::TableValue for GatewayPlatform {
     fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
-        let configuration_service = sections::read_address(reader, "configuration_service");
-        let vm_list = sections::read_address(reader, "vm_list");
+        let configuration_service = reader.required_address("configuration_service");
+        let vm_list = reader.required_address("vm_list");
 
         Some(Self {
             configuration_service: configuration_service?,
--- a/crates/settings/src/sections/link.rs
+++ b/crates/settings/src/sections/link.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 use std::str::FromStr;
 
-use hex::FromHexError;
 use kingcupfall_document::reader;
+use quick_error::quick_error;
 use serde_with::DeserializeFromStr;
 
 /// Fewest bytes of a key.
@@ -13,6 +13,17 @@
 /// Most bytes of a key.
 const KEY_MAX_BYTES: usize = 64;
 
+quick_error! {
+    /// Reason why a text is not a key.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum KeyError {
+        /// The text is not pairs of hexadecimal digits.
+        Malformed {
+            display("a key is written as pairs of hexadecimal digits")
+        }
+    }
+}
+
 /// Secret that links and idempotency keys are authenticated with; never shown in logs.
 #[derive(Clone, PartialEq, Eq, DeserializeFromStr)]
 pub struct LinkKey(Box<[u8]>);
@@ -30,10 +41,11 @@
 }
 
 impl FromStr for LinkKey {
-    type Err = FromHexError;
+    type Err = KeyError;
 
-    fn from_str(text: &str) -> Result<Self, FromHexError> {
-        hex::decode(text).map(|secret| Self(secret.into()))
+    fn from_str(text: &str) -> Result<Self, KeyError> {
+        let secret = hex::decode(text).map_err(|_| KeyError::Malformed)?;
+        Ok(Self(secret.into()))
     }
 }
 
@@ -56,10 +68,7 @@
 
         let length = key.as_bytes().len();
         let is_valid = (KEY_MIN_BYTES..=KEY_MAX_BYTES).contains(&length);
-        let message = format!(
-            "has {length} bytes, must have {KEY_MIN_BYTES} to {KEY_MAX_BYTES} (two hexadecimal \
-             digits each)"
-        );
+        let message = format!("has {length} bytes, must have {KEY_MIN_BYTES} to {KEY_MAX_BYTES}");
         reader.check("key", is_valid, message);
         Some(Self { key })
     }
--- a/crates/settings/src/sections/mod.rs
+++ b/crates/settings/src/sections/mod.rs
@@ -15,5 +15,4 @@
 pub use link::LinkSettings;
 pub use node::NodeSettings;
 pub use ports::check_loopback;
-pub use ports::read_address;
 pub use ports::report_shared;
--- a/crates/settings/src/sections/ports.rs
+++ b/crates/settings/src/sections/ports.rs
@@ -1,25 +1,9 @@
-//! Addresses: an IP number and a port.
+//! Checks of addresses.
 
 use std::net;
 
 use kingcupfall_document::reader;
 
-/// Reads the address under `key`; its port must not be zero.
-pub fn read_address(
-    reader: &mut reader::TableReader<'_, '_, '_>,
-    key: &str,
-) -> Option<net::SocketAddr> {
-    let text: Box<str> = reader.required(key)?;
-
-    let Ok(address) = text.parse::<net::SocketAddr>() else {
-        let message = format!("{text:?} is not an IP number with a port, such as 10.0.0.7:8080");
-        reader.report(key, message);
-        return None;
-    };
-    reader.check(key, address.port() != 0, "must not have port 0");
-    Some(address)
-}
-
 /// Reports each of `addresses`, given by key, that another one before it has too.
 pub fn report_shared(
     reader: &mut reader::TableReader<'_, '_, '_>,
