--- a/crates/document/src/sections/name.rs
+++ b/crates/document/src/sections/name.rs
@@ -62,6 +62,12 @@
         }
     }
 
+    /// Says whether the dotted `path` is that of a value in this section.
+    pub fn holds(self, path: &str) -> bool {
+        path.strip_prefix(self.as_str())
+            .is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
+    }
+
     /// Returns the dotted path of this section's entry `name`.
     pub fn path_of(self, name: &str) -> Box<str> {
         reader::join_path(self.as_str(), name)
