--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -5,3 +5,4 @@
 
 pub mod codec;
 pub mod frames;
+pub mod transport;
--- /dev/null
+++ b/crates/link/src/transport/connect.rs
@@ -0,0 +1,80 @@
+//! Opening links from either end.
+
+use std::net;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+use tokio::time;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+
+use super::HANDSHAKE_TIMEOUT;
+use super::LinkKey;
+use super::LinkSocket;
+use super::Result;
+use super::TransportError;
+use super::handshake;
+use crate::codec;
+
+/// Buffers of each direction of a socket, kept small because an agent has many links.
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// Opens a link to the process that accepts links at `address`.
+///
+/// # Errors
+///
+/// Any [`TransportError`]; among them [`TransportError::HandshakeTimeout`] when the peer is silent.
+pub async fn connect<O, I>(address: net::SocketAddr, key: &LinkKey) -> Result<LinkSocket<O, I>>
+where
+    O: Serialize,
+    I: DeserializeOwned,
+{
+    within_timeout(async {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+
+        let request = format!("ws://{address}/link");
+        let (mut socket, _) =
+            tokio_tungstenite::client_async_with_config(request, stream, Some(socket_config()))
+                .await?;
+        handshake::run_client(&mut socket, key).await?;
+        Ok(LinkSocket::new(socket))
+    })
+    .await
+}
+
+/// Opens the other end of a link on a connection that was just accepted.
+///
+/// # Errors
+///
+/// Any [`TransportError`]; the peer may be anyone.
+pub async fn accept<O, I>(stream: TcpStream, key: &LinkKey) -> Result<LinkSocket<O, I>>
+where
+    O: Serialize,
+    I: DeserializeOwned,
+{
+    within_timeout(async {
+        stream.set_nodelay(true)?;
+
+        let mut socket =
+            tokio_tungstenite::accept_async_with_config(stream, Some(socket_config())).await?;
+        handshake::run_server(&mut socket, key).await?;
+        Ok(LinkSocket::new(socket))
+    })
+    .await
+}
+
+async fn within_timeout<T>(opening: impl Future<Output = Result<T>>) -> Result<T> {
+    match time::timeout(HANDSHAKE_TIMEOUT, opening).await {
+        Ok(opened) => opened,
+        Err(_) => Err(TransportError::HandshakeTimeout),
+    }
+}
+
+fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
+        .max_message_size(Some(codec::FRAME_LIMIT_BYTES))
+        .max_frame_size(Some(codec::FRAME_LIMIT_BYTES))
+}
