Add the agent's shell

Cause: the agent's reducer had no sockets, timers or HTTP around it. Change: one task owns the reducer and takes events from a bounded channel; links, engine streams, service calls and probes of the target run as tasks of their own. Frames of one turn go out as one message a link. Orders about a stream reach the engine in their order. Only a refused connection counts as not sent.

--- /dev/null
+++ b/crates/agent/src/shell/driver.rs
@@ -0,0 +1,24 @@
+//! The border between the shell and the target.
+
+use kingcupfall_core::ids;
+use kingcupfall_core::work;
+
+use crate::reducer;
+
+/// Carries out work on a target and reports it as events. No method waits.
+pub trait TargetDriver {
+    /// Starts a generation.
+    fn generate(&self, command: reducer::GenerateCommand);
+
+    /// Pauses a stream.
+    fn pause(&self, attempt: ids::AttemptId);
+
+    /// Resumes a paused stream.
+    fn resume(&self, attempt: ids::AttemptId);
+
+    /// Cancels a stream; no event of it follows.
+    fn cancel(&self, attempt: ids::AttemptId);
+
+    /// Calls the plain service.
+    fn call(&self, attempt: ids::AttemptId, request: work::ServiceRequest);
+}
--- /dev/null
+++ b/crates/agent/src/shell/turn.rs
@@ -0,0 +1,280 @@
+//! The loop that owns the reducer.
+
+use std::net;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kingcupfall_core::ids;
+use kingcupfall_link::frames;
+use kingcupfall_link::transport;
+use kingcupfall_policy::schedule;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time;
+
+use super::AgentConfig;
+use super::HttpDriver;
+use super::Result;
+use super::ShellClock;
+use super::ShellError;
+use super::TargetAddress;
+use super::TargetDriver;
+use super::http;
+use super::links;
+use super::probe;
+use crate::reducer;
+
+/// Events that wait for the reducer; senders wait when there are more.
+const EVENT_QUEUE: usize = 1_024;
+
+/// Events taken in one turn.
+const TURN_EVENTS: usize = 256;
+
+/// Something for the loop.
+pub(super) enum ShellEvent {
+    /// An event for the reducer.
+    Reducer(reducer::AgentEvent),
+    /// A gateway has opened a link.
+    LinkAccepted {
+        /// The link.
+        link: ids::LinkId,
+        /// Its sending half.
+        sender: transport::LinkSender<frames::AgentFrame>,
+    },
+    /// Frames came in.
+    Frames {
+        /// Link they came on.
+        link: ids::LinkId,
+        /// The frames, in order.
+        frames: Vec<frames::GatewayFrame>,
+    },
+    /// A link ended.
+    LinkEnded {
+        /// The link.
+        link: ids::LinkId,
+    },
+}
+
+/// Sends an event to the reducer; it is lost when the agent has ended.
+pub(super) async fn report(events: &mpsc::Sender<ShellEvent>, event: reducer::AgentEvent) {
+    let _ = events.send(ShellEvent::Reducer(event)).await;
+}
+
+/// Controls a running agent from outside.
+#[derive(Clone)]
+pub struct AgentHandle {
+    events: mpsc::Sender<ShellEvent>,
+    address: net::SocketAddr,
+    counters: Arc<links::LinkCounters>,
+}
+
+impl AgentHandle {
+    /// Returns where the agent takes links.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Returns the counts of its listening port.
+    pub fn link_counters(&self) -> &links::LinkCounters {
+        &self.counters
+    }
+
+    /// Tells the agent that its target leaves.
+    pub async fn leave(&self) {
+        report(&self.events, reducer::AgentEvent::Leave).await;
+    }
+
+    /// Asks the agent to end when all its work has ended.
+    pub async fn stop(&self) {
+        report(&self.events, reducer::AgentEvent::Stop).await;
+    }
+}
+
+/// One agent with its sockets.
+pub struct AgentShell {
+    reducer: reducer::AgentReducer,
+    clock: ShellClock,
+    driver: Box<dyn TargetDriver>,
+    links: links::LinkTable,
+    incoming: mpsc::Receiver<ShellEvent>,
+    effects: Vec<reducer::AgentEffect>,
+    tasks: Vec<ntex::rt::JoinHandle<()>>,
+    /// Held for life; the kernel frees it only when the process is dead.
+    _exclusion: Option<net::TcpListener>,
+}
+
+impl AgentShell {
+    /// Binds the agent's ports and starts its tasks. Must be called in an ntex system.
+    ///
+    /// # Errors
+    ///
+    /// [`ShellError::Occupied`] when another agent of the target lives on this VM, and
+    /// [`ShellError::Bind`] when the link address can't be bound.
+    pub async fn open(
+        config: AgentConfig,
+        incarnation: ids::Incarnation,
+        scheduler: Box<dyn schedule::WorkScheduler>,
+    ) -> Result<(Self, AgentHandle)> {
+        let exclusion = hold_exclusion(config.exclusion)?;
+        let listener = TcpListener::bind(config.listen)
+            .await
+            .map_err(|error| ShellError::Bind(config.listen, error))?;
+        let address = listener
+            .local_addr()
+            .map_err(|error| ShellError::Bind(config.listen, error))?;
+        let client = http::make_client().await?;
+        let clock = ShellClock::start();
+        let (events, incoming) = mpsc::channel(EVENT_QUEUE);
+        let counters = Arc::new(links::LinkCounters::default());
+
+        let listening = links::LinkListener {
+            listener,
+            key: config.link_key,
+            events: events.clone(),
+            counters: Arc::clone(&counters),
+        };
+        let probing = probe::TargetProbe {
+            client: client.clone(),
+            target: config.address.clone(),
+            clock,
+            events: events.clone(),
+        };
+        let driver = HttpDriver::new(
+            client,
+            config.address.address(),
+            service_timeout(&config.address),
+            events.clone(),
+        );
+        let identity = reducer::AgentIdentity {
+            target: config.target,
+            incarnation,
+            zone: config.zone,
+        };
+
+        let shell = Self {
+            reducer: reducer::AgentReducer::new(identity, scheduler),
+            clock,
+            driver: Box::new(driver),
+            links: links::LinkTable::default(),
+            incoming,
+            effects: Vec::new(),
+            tasks: vec![
+                ntex::rt::spawn(listening.run()),
+                ntex::rt::spawn(probing.run()),
+            ],
+            _exclusion: exclusion,
+        };
+        let handle = AgentHandle {
+            events,
+            address,
+            counters,
+        };
+        Ok((shell, handle))
+    }
+
+    /// Runs until a stop was asked for and all work has ended.
+    pub async fn run(mut self) {
+        let mut ticks = time::interval(reducer::TICK_INTERVAL);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        let mut events = Vec::with_capacity(TURN_EVENTS);
+
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.apply(reducer::AgentEvent::Tick),
+                _ = self.incoming.recv_many(&mut events, TURN_EVENTS) => {
+                    for event in events.drain(..) {
+                        self.take(event);
+                    }
+                }
+            }
+            self.flush_links();
+
+            if self.reducer.departure() == reducer::DeparturePhase::Exited {
+                break;
+            }
+        }
+        self.close().await;
+    }
+
+    fn take(&mut self, event: ShellEvent) {
+        match event {
+            ShellEvent::Reducer(event) => self.apply(event),
+            ShellEvent::LinkAccepted { link, sender } => {
+                self.links.insert(link, sender);
+                self.apply(reducer::AgentEvent::LinkOpened { link });
+            }
+            ShellEvent::Frames { link, frames } => {
+                for frame in frames {
+                    self.apply(reducer::AgentEvent::Frame { link, frame });
+                }
+            }
+            ShellEvent::LinkEnded { link } => {
+                self.links.remove(link);
+                self.apply(reducer::AgentEvent::LinkClosed { link });
+            }
+        }
+    }
+
+    fn apply(&mut self, event: reducer::AgentEvent) {
+        let now = self.clock.now();
+        let mut effects = std::mem::take(&mut self.effects);
+        self.reducer.apply(now, event, &mut effects);
+
+        for effect in effects.drain(..) {
+            self.carry_out(effect);
+        }
+        self.effects = effects;
+    }
+
+    fn carry_out(&mut self, effect: reducer::AgentEffect) {
+        match effect {
+            reducer::AgentEffect::Send { link, frame } => self.links.push(link, frame),
+            reducer::AgentEffect::CloseLink { link } => self.links.remove(link),
+            reducer::AgentEffect::Generate(command) => self.driver.generate(*command),
+            reducer::AgentEffect::Pause { attempt } => self.driver.pause(attempt),
+            reducer::AgentEffect::Resume { attempt } => self.driver.resume(attempt),
+            reducer::AgentEffect::Cancel { attempt } => self.driver.cancel(attempt),
+            reducer::AgentEffect::CallService { attempt, request } => {
+                self.driver.call(attempt, *request);
+            }
+            // The loop ends when the reducer says that it has exited.
+            reducer::AgentEffect::Exit => {}
+        }
+    }
+
+    fn flush_links(&mut self) {
+        loop {
+            let broken = self.links.flush();
+            if broken.is_empty() {
+                return;
+            }
+            for link in broken {
+                self.apply(reducer::AgentEvent::LinkClosed { link });
+            }
+        }
+    }
+
+    async fn close(self) {
+        for task in self.tasks {
+            task.cancel();
+        }
+        self.links.close().await;
+    }
+}
+
+fn hold_exclusion(address: Option<net::SocketAddr>) -> Result<Option<net::TcpListener>> {
+    match address {
+        Some(address) => net::TcpListener::bind(address)
+            .map(Some)
+            .map_err(|error| ShellError::Occupied(address, error)),
+        None => Ok(None),
+    }
+}
+
+fn service_timeout(target: &TargetAddress) -> Duration {
+    match target {
+        // Engines are not called as services.
+        TargetAddress::Engine(_) => Duration::ZERO,
+        TargetAddress::Service { timeout, .. } => *timeout,
+    }
+}
