Take link keys of the length that settings allow

Cause: settings allow 16 to 64 bytes, the transport wanted 32. Change: LinkKey holds any secret of 16 bytes or more; a test reflects the server's proof and is refused.

--- a/crates/link/src/transport/key.rs
+++ b/crates/link/src/transport/key.rs
@@ -9,8 +9,8 @@
 use quick_error::quick_error;
 use sha2::Sha256;
 
-/// Length of a link key.
-const KEY_BYTES: usize = 32;
+/// Fewest bytes of a key that is read from text.
+const KEY_MIN_BYTES: usize = 16;
 
 /// Length of a proof.
 pub(super) const PROOF_BYTES: usize = 32;
@@ -19,26 +19,21 @@
     /// Reason why a text is not a link key.
     #[derive(Debug, Clone, PartialEq, Eq)]
     pub enum LinkKeyError {
-        /// The text is not hexadecimal, or has another length.
+        /// The text is not hexadecimal, or too short.
         Malformed {
-            display("a link key is written as {} hexadecimal digits", 2 * KEY_BYTES)
+            display("a link key is written as {} or more hexadecimal digits", 2 * KEY_MIN_BYTES)
         }
     }
 }
 
-/// Secret of 32 bytes, written as 64 hexadecimal digits, that both ends of a link hold.
+/// Secret, written in hexadecimal digits, that both ends of a link hold.
 #[derive(Clone, PartialEq, Eq)]
-pub struct LinkKey([u8; KEY_BYTES]);
+pub struct LinkKey(Box<[u8]>);
 
 impl LinkKey {
     /// Takes the secret's bytes.
-    pub const fn new(secret: [u8; KEY_BYTES]) -> Self {
-        Self(secret)
-    }
-
-    /// Returns the secret's bytes, from which other keys may be derived.
-    pub const fn as_bytes(&self) -> &[u8; KEY_BYTES] {
-        &self.0
+    pub fn new(secret: &[u8]) -> Self {
+        Self(secret.into())
     }
 
     /// Computes the proof of the end named `role` over both nonces.
@@ -67,9 +62,11 @@
     type Err = LinkKeyError;
 
     fn from_str(text: &str) -> result::Result<Self, LinkKeyError> {
-        let mut bytes = [0; KEY_BYTES];
-        hex::decode_to_slice(text, &mut bytes).map_err(|_| LinkKeyError::Malformed)?;
-        Ok(Self(bytes))
+        let secret = hex::decode(text).map_err(|_| LinkKeyError::Malformed)?;
+        match secret.len() >= KEY_MIN_BYTES {
+            true => Ok(Self(secret.into())),
+            false => Err(LinkKeyError::Malformed),
+        }
     }
 }
 
--- a/crates/link/tests/transport.rs
+++ b/crates/link/tests/transport.rs
@@ -1,20 +1,39 @@
 //! Links over real sockets on loopback.
 
 use futures_util::SinkExt;
+use futures_util::StreamExt;
 use kingcupfall_link::codec;
 use kingcupfall_link::transport;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_tungstenite::tungstenite::Message;
 
+#[derive(Serialize)]
+struct NonceMessage {
+    nonce: [u8; 32],
+}
+
+/// The proof of the server without its nonce, as a peer without the key could send it back.
+#[derive(Serialize, Deserialize)]
+struct ProofMessage {
+    proof: [u8; 32],
+}
+
 type Outgoing = Box<str>;
 type Incoming = u64;
 type ClientSocket = transport::LinkSocket<Outgoing, Incoming>;
 type ServerSocket = transport::LinkSocket<Incoming, Outgoing>;
 
-const KEY: transport::LinkKey = transport::LinkKey::new([7; 32]);
-const OTHER_KEY: transport::LinkKey = transport::LinkKey::new([8; 32]);
+fn link_key() -> transport::LinkKey {
+    transport::LinkKey::new(&[7; 32])
+}
+
+fn other_key() -> transport::LinkKey {
+    transport::LinkKey::new(&[8; 32])
+}
 
 async fn open_pair(
     client_key: &transport::LinkKey,
@@ -35,7 +54,7 @@
 
 #[tokio::test]
 async fn link_frames_both_ways_in_order() {
-    let (client, server) = open_pair(&KEY, &KEY).await;
+    let (client, server) = open_pair(&link_key(), &link_key()).await;
     let (client_sender, mut client_receiver) = client.unwrap().split();
     let (server_sender, mut server_receiver) = server.unwrap().split();
 
@@ -53,7 +72,7 @@
 
 #[tokio::test]
 async fn link_closed_after_flush() {
-    let (client, server) = open_pair(&KEY, &KEY).await;
+    let (client, server) = open_pair(&link_key(), &link_key()).await;
     let (client_sender, _client_receiver) = client.unwrap().split();
     let (_server_sender, mut server_receiver) = server.unwrap().split();
 
@@ -66,7 +85,7 @@
 
 #[tokio::test]
 async fn link_aborted_ends_receiver() {
-    let (client, _server) = open_pair(&KEY, &KEY).await;
+    let (client, _server) = open_pair(&link_key(), &link_key()).await;
     let (sender, mut receiver) = client.unwrap().split();
 
     sender.abort();
@@ -76,7 +95,7 @@
 
 #[tokio::test]
 async fn link_other_key_refused() {
-    let (client, server) = open_pair(&OTHER_KEY, &KEY).await;
+    let (client, server) = open_pair(&other_key(), &link_key()).await;
 
     assert!(matches!(
         client.err().unwrap(),
@@ -87,7 +106,7 @@
 
 #[tokio::test]
 async fn link_large_batch_split() {
-    let (client, server) = open_pair(&KEY, &KEY).await;
+    let (client, server) = open_pair(&link_key(), &link_key()).await;
     let (client_sender, _client_receiver) = client.unwrap().split();
     let (_server_sender, mut server_receiver) = server.unwrap().split();
     let part: Box<str> = "x".repeat(codec::FRAME_LIMIT_BYTES / 3).into();
@@ -103,7 +122,7 @@
 
 #[tokio::test]
 async fn link_oversized_frame_aborts() {
-    let (client, _server) = open_pair(&KEY, &KEY).await;
+    let (client, _server) = open_pair(&link_key(), &link_key()).await;
     let (sender, mut receiver) = client.unwrap().split();
     let frame: Box<str> = "x".repeat(codec::FRAME_LIMIT_BYTES + 1).into();
 
@@ -113,7 +132,7 @@
 
 #[tokio::test]
 async fn link_full_queue_aborts() {
-    let (client, _server) = open_pair(&KEY, &KEY).await;
+    let (client, _server) = open_pair(&link_key(), &link_key()).await;
     let (sender, mut receiver) = client.unwrap().split();
     let frame: Box<str> = "x".repeat(1024).into();
 
@@ -132,10 +151,11 @@
     let address = listener.local_addr().unwrap();
     let serving = async {
         let (stream, _) = listener.accept().await.unwrap();
-        transport::accept::<Incoming, Outgoing>(stream, &KEY).await
+        transport::accept::<Incoming, Outgoing>(stream, &link_key()).await
     };
     // Numbers are no list of frames for a receiver of texts.
-    let connecting = transport::connect::<u64, Incoming>(address, &KEY);
+    let key = link_key();
+    let connecting = transport::connect::<u64, Incoming>(address, &key);
     let (client, server) = tokio::join!(connecting, serving);
     let (sender, _receiver) = client.unwrap().split();
     let (_server_sender, mut server_receiver) = server.unwrap().split();
@@ -164,7 +184,7 @@
     };
     let server = async {
         let (stream, _) = listener.accept().await.unwrap();
-        transport::accept::<Incoming, Outgoing>(stream, &KEY).await
+        transport::accept::<Incoming, Outgoing>(stream, &link_key()).await
     };
 
     let (_socket, accepted) = tokio::join!(client, server);
@@ -172,6 +192,47 @@
     assert!(accepted.err().unwrap().is_junk());
 }
 
+#[yare::parameterized(
+    not_hexadecimal = { "zz" },
+    odd_digits = { "abc" },
+    short = { "00112233" },
+)]
+fn key_malformed_refused(text: &str) {
+    assert!(text.parse::<transport::LinkKey>().is_err());
+}
+
+#[tokio::test]
+async fn handshake_reflected_proof_refused() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let client = async {
+        let stream = TcpStream::connect(address).await.unwrap();
+        let url = format!("ws://{address}/link");
+        let (mut socket, _) = tokio_tungstenite::client_async(url, stream).await.unwrap();
+        let nonce = codec::encode(&NonceMessage { nonce: [1; 32] }).unwrap();
+        socket.send(Message::Binary(nonce.into())).await.unwrap();
+
+        let Some(Ok(Message::Binary(answer))) = socket.next().await else {
+            panic!("the server answers a nonce");
+        };
+        let proof: ProofMessage = codec::decode(&answer).unwrap();
+        let echo = codec::encode(&proof).unwrap();
+        socket.send(Message::Binary(echo.into())).await.unwrap();
+        socket
+    };
+    let server = async {
+        let (stream, _) = listener.accept().await.unwrap();
+        transport::accept::<Incoming, Outgoing>(stream, &link_key()).await
+    };
+
+    let (_socket, accepted) = tokio::join!(client, server);
+
+    assert!(matches!(
+        accepted.err().unwrap(),
+        transport::TransportError::Unauthenticated
+    ));
+}
+
 #[tokio::test]
 async fn handshake_plain_bytes_refused() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -186,7 +247,7 @@
     };
     let server = async {
         let (stream, _) = listener.accept().await.unwrap();
-        transport::accept::<Incoming, Outgoing>(stream, &KEY).await
+        transport::accept::<Incoming, Outgoing>(stream, &link_key()).await
     };
 
     let (_stream, accepted) = tokio::join!(client, server);
