Add the stand-ins and tests of the agent over sockets

Cause: nothing took the place of engine, service and platform in tests. Change: stand-ins of the model engine, a plain service that counts its runs, the configuration service, the VM list and the weight store; tests of one agent between a link and the stand-in engine.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! Small stand-ins for everything around the system: model engine, plain service, configuration
+//! service, VM list and weight store.
+//!
+//! They are for demonstrations, tests and measurements on loopback. Each listens on its own
+//! address and is controlled by a handle.
+
+pub mod configuration;
+pub mod engine;
+pub mod server;
+pub mod service;
+pub mod text;
+pub mod vms;
+pub mod weights;
--- /dev/null
+++ b/crates/standin/tests/agent.rs
@@ -0,0 +1,131 @@
+//! One agent between a link and a stand-in target, over real sockets.
+
+mod common;
+
+use kingcupfall_agent::shell;
+use kingcupfall_core::work;
+use kingcupfall_link::frames;
+
+use common::link;
+
+#[ntex::test]
+async fn generation_whole_and_in_order() {
+    let engine = common::start_engine();
+    let address = shell::TargetAddress::Engine(engine.address());
+    let agent = common::start_agent("engine-1", address).await;
+    let mut link = link::GatewayLink::open(agent.handle.address()).await;
+
+    let attempt = link.start("duct 7, thick deposits", 300);
+    let reading = link.read_tokens(attempt, 300).await;
+
+    assert_eq!(reading.text, common::expected_text(attempt, 300));
+    let Some(frames::AgentFrame::Finished(report)) = link.next().await else {
+        panic!("a finish report follows the last token");
+    };
+    assert_eq!(report.attempt, attempt);
+    assert_eq!(report.total.get(), 300);
+    assert_eq!(report.reason, work::FinishReason::Length);
+}
+
+#[ntex::test]
+async fn cancel_running_frees_engine() {
+    let engine = common::start_engine();
+    let address = shell::TargetAddress::Engine(engine.address());
+    let agent = common::start_agent("engine-1", address).await;
+    let mut link = link::GatewayLink::open(agent.handle.address()).await;
+    let attempt = link.start("a long one", 1_000_000);
+    link.read_tokens(attempt, 3).await;
+
+    link.send(frames::GatewayFrame::Cancel(frames::CancelOrder {
+        attempt,
+        start_by: link.agent_now,
+        only_waiting: false,
+    }));
+
+    common::wait_until("the engine is free", || engine.streams() == 0).await;
+    assert_eq!(engine.counters().cancelled, 1);
+}
+
+#[ntex::test]
+async fn engine_death_ends_stream_as_suspect() {
+    let engine = common::start_engine();
+    let address = shell::TargetAddress::Engine(engine.address());
+    let agent = common::start_agent("engine-1", address).await;
+    let mut link = link::GatewayLink::open(agent.handle.address()).await;
+    let attempt = link.start("a long one", 1_000_000);
+    link.read_tokens(attempt, 3).await;
+
+    engine.kill().await;
+
+    loop {
+        match link.next().await.expect("the link outlives the engine") {
+            frames::AgentFrame::Tokens(_) => {}
+            frames::AgentFrame::Failed(report) => {
+                assert_eq!(report.cause, frames::FailureCause::TargetLost);
+                assert!(report.suspect);
+                break;
+            }
+            frame => panic!("unexpected frame {frame:?}"),
+        }
+    }
+}
+
+#[ntex::test]
+async fn stop_finishes_running_stream_first() {
+    let engine = common::start_engine();
+    let address = shell::TargetAddress::Engine(engine.address());
+    let agent = common::start_agent("engine-1", address).await;
+    let mut link = link::GatewayLink::open(agent.handle.address()).await;
+    let attempt = link.start("runs while the agent stops", 200);
+    let mut next = link.read_tokens(attempt, 1).await.next.get();
+
+    agent.handle.stop().await;
+    let late = link.start("comes too late", 5);
+
+    let mut refused = false;
+    while let Some(frame) = link.next().await {
+        match frame {
+            frames::AgentFrame::Tokens(batch) => {
+                assert_eq!(batch.first.get(), next);
+                next += batch.tokens.len() as u64;
+                link.send(frames::GatewayFrame::Acknowledge {
+                    attempt,
+                    next: kingcupfall_core::measures::Sequence::new(next),
+                });
+            }
+            frames::AgentFrame::Refused(report) => {
+                assert_eq!(report.attempt, late);
+                assert_eq!(report.code, frames::RefusalCode::Leaving);
+                refused = true;
+            }
+            frames::AgentFrame::Finished(report) => assert_eq!(report.total.get(), 200),
+            frame => panic!("unexpected frame {frame:?}"),
+        }
+    }
+    assert_eq!(next, 200);
+    assert!(refused);
+    common::within("the agent ends", agent.ended).await.unwrap();
+}
+
+#[ntex::test]
+async fn second_agent_of_target_refused() {
+    let engine = common::start_engine();
+    let holder = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let config = shell::AgentConfig {
+        target: "engine-1".parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        listen: "127.0.0.1:0".parse().unwrap(),
+        exclusion: Some(holder.local_addr().unwrap()),
+        link_key: common::link_key(),
+        address: shell::TargetAddress::Engine(engine.address()),
+    };
+    let incarnation = kingcupfall_core::ids::Incarnation::from_u128(1);
+    let scheduler = Box::new(kingcupfall_policy::schedule::NaiveScheduler::new());
+
+    let opened = shell::AgentShell::open(config, incarnation, scheduler).await;
+
+    assert!(matches!(
+        opened.err().unwrap(),
+        shell::ShellError::Occupied(..)
+    ));
+}
