--- /dev/null
+++ b/crates/gateway/src/administration/report.rs
@@ -0,0 +1,213 @@
+//! What the administration API reports, as it stands in its JSON.
+
+use kingcupfall_core::ids;
+use kingcupfall_core::load;
+use kingcupfall_core::measures;
+use kingcupfall_core::time;
+use kingcupfall_policy::quarantine;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::reducer;
+use crate::state;
+
+/// Why a target can't be chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ObstacleReport {
+    /// It takes no new work.
+    Leaving,
+    /// There is no link to its agent.
+    NoLink,
+    /// Its agent has been silent too long.
+    Silent,
+    /// Its agent says that it does not answer.
+    TargetDown,
+}
+
+impl From<state::TargetObstacle> for ObstacleReport {
+    fn from(obstacle: state::TargetObstacle) -> Self {
+        match obstacle {
+            state::TargetObstacle::Leaving => Self::Leaving,
+            state::TargetObstacle::NoLink => Self::NoLink,
+            state::TargetObstacle::Silent => Self::Silent,
+            state::TargetObstacle::TargetDown => Self::TargetDown,
+        }
+    }
+}
+
+/// State of the link to a target's agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LinkReport {
+    /// There is none.
+    Closed,
+    /// It is being opened.
+    Connecting,
+    /// It is open.
+    Open,
+}
+
+/// Load of a target, from its agent's last pulse.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Streams that the engine runs.
+    pub running: u32,
+    /// Streams that the agent has paused.
+    pub paused: u32,
+    /// Attempts that wait for admission.
+    pub queued: u32,
+    /// Key-value memory in use, in tokens.
+    pub memory_used: measures::TokenCount,
+    /// Key-value memory in all, in tokens.
+    pub memory_total: measures::TokenCount,
+    /// Forecast wait before admission, in milliseconds.
+    pub queue_delay_ms: u64,
+}
+
+impl LoadReport {
+    fn new(load: &load::LoadSummary) -> Self {
+        Self {
+            running: load.running,
+            paused: load.paused,
+            queued: load.queued,
+            memory_used: load.memory_used,
+            memory_total: load.memory_total,
+            queue_delay_ms: millis(load.queue_delay),
+        }
+    }
+}
+
+/// One target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetReport {
+    /// Name of the target.
+    pub target: ids::TargetName,
+    /// Its availability zone.
+    pub zone: ids::ZoneName,
+    /// Models or service that it serves.
+    pub serves: Vec<Box<str>>,
+    /// The link to its agent.
+    pub link: LinkReport,
+    /// Why it can't be chosen; `None` when it can.
+    pub obstacle: Option<ObstacleReport>,
+    /// Time since the last frame of its agent, in milliseconds.
+    pub silent_ms: u64,
+    /// Life of its agent.
+    pub incarnation: Option<ids::Incarnation>,
+    /// Attempts of this gateway that have not ended there.
+    pub in_flight: usize,
+    /// Its load.
+    pub load: LoadReport,
+}
+
+impl TargetReport {
+    /// Reports on a target at the time `now`.
+    pub fn new(
+        now: time::Timestamp,
+        target: &state::TargetState,
+        obstacle: Option<state::TargetObstacle>,
+    ) -> Self {
+        Self {
+            target: target.listing.name.clone(),
+            zone: target.listing.zone.clone(),
+            serves: served_names(&target.listing.serves),
+            link: link_report(target.link),
+            obstacle: obstacle.map(ObstacleReport::from),
+            silent_ms: millis(now.since(target.last_heard)),
+            incarnation: target.incarnation,
+            in_flight: target.in_flight.len(),
+            load: LoadReport::new(&target.load),
+        }
+    }
+}
+
+/// How one target stands for a piece of work.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StandingReport {
+    /// The target.
+    pub target: ids::TargetName,
+    /// Why it can't be chosen; `None` when it can.
+    pub obstacle: Option<ObstacleReport>,
+    /// Expected cost in seconds; the lowest is chosen.
+    pub cost_s: Option<f64>,
+    /// The parts of the cost, in words.
+    pub reason: Option<Box<str>>,
+}
+
+impl StandingReport {
+    /// Reports on a standing.
+    pub fn new(standing: &reducer::TargetStanding) -> Self {
+        let score = standing.score.as_ref();
+        Self {
+            target: standing.target.clone(),
+            obstacle: standing.obstacle.map(ObstacleReport::from),
+            cost_s: score.map(|score| score.cost_s),
+            reason: score.map(|score| score.reason.clone()),
+        }
+    }
+}
+
+/// Answer to `GET /v1/explain`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ExplainReport {
+    /// Model or service that was asked about.
+    pub wanted: Box<str>,
+    /// Organisation that was asked about.
+    pub organisation: ids::OrganisationName,
+    /// Class that was asked about.
+    pub class: ids::ClassName,
+    /// Priority of the class.
+    pub priority: measures::Priority,
+    /// Targets that serve it, by name.
+    pub targets: Vec<StandingReport>,
+}
+
+/// A suspected or quarantined request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineReport {
+    /// Fingerprint of the request.
+    pub fingerprint: Box<str>,
+    /// Crashes of targets that ran it.
+    pub crashes: usize,
+    /// Whether it is refused.
+    pub quarantined: bool,
+    /// How much longer the entry is kept, in seconds.
+    pub seconds_left: u32,
+}
+
+impl QuarantineReport {
+    /// Reports on a record.
+    pub fn new(record: &quarantine::SuspectRecord) -> Self {
+        let crashes = record.crashes.iter().flatten().count();
+        Self {
+            fingerprint: display(&record.fingerprint),
+            crashes,
+            quarantined: crashes == record.crashes.len(),
+            seconds_left: record.seconds_left,
+        }
+    }
+}
+
+fn served_names(serves: &state::ServedWork) -> Vec<Box<str>> {
+    match serves {
+        state::ServedWork::Models(models) => models.iter().map(|name| display(name)).collect(),
+        state::ServedWork::Service(service) => vec![display(service)],
+    }
+}
+
+fn display(value: &dyn std::fmt::Display) -> Box<str> {
+    value.to_string().into()
+}
+
+fn link_report(phase: state::LinkPhase) -> LinkReport {
+    match phase {
+        state::LinkPhase::Closed { .. } => LinkReport::Closed,
+        state::LinkPhase::Connecting { .. } => LinkReport::Connecting,
+        state::LinkPhase::Open { .. } => LinkReport::Open,
+    }
+}
+
+fn millis(duration: std::time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/gateway/src/intake/problem.rs
@@ -0,0 +1,227 @@
+//! Problems as callers see them: RFC 9457 objects with an outcome and a stable code.
+
+use std::fmt;
+use std::time::Duration;
+
+use kingcupfall_core::findings;
+use kingcupfall_core::ids;
+use kingcupfall_core::keys;
+use kingcupfall_core::work;
+use serde::Serialize;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
+use serde_with::skip_serializing_none;
+
+use crate::reducer;
+
+/// Why a request was refused before it became a call; stable text for callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum IntakeCode {
+    /// There is no bearer key, or it belongs to no organisation.
+    Unauthorized,
+    /// The body, a header or the path is not what the endpoint takes.
+    InvalidRequest,
+    /// The body is larger than the limit.
+    BodyTooLarge,
+    /// The body did not arrive in time.
+    BodyTimeout,
+    /// The document has no such model.
+    UnknownModel,
+    /// The document has no such service.
+    UnknownService,
+    /// There is no such endpoint.
+    UnknownPath,
+    /// The endpoint does not take this method.
+    MethodNotAllowed,
+    /// The idempotency key is not one of this system.
+    InvalidKey,
+    /// The idempotency key belongs to another service.
+    KeyMismatch,
+    /// The gateway has as many calls in progress as it takes.
+    GatewayBusy,
+    /// The gateway ends.
+    GatewayStopping,
+}
+
+impl IntakeCode {
+    /// Returns the stable text.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Unauthorized => "unauthorized",
+            Self::InvalidRequest => "invalid_request",
+            Self::BodyTooLarge => "body_too_large",
+            Self::BodyTimeout => "body_timeout",
+            Self::UnknownModel => "unknown_model",
+            Self::UnknownService => "unknown_service",
+            Self::UnknownPath => "unknown_path",
+            Self::MethodNotAllowed => "method_not_allowed",
+            Self::InvalidKey => "invalid_key",
+            Self::KeyMismatch => "key_mismatch",
+            Self::GatewayBusy => "gateway_busy",
+            Self::GatewayStopping => "gateway_stopping",
+        }
+    }
+
+    /// Returns the HTTP status.
+    pub const fn status(self) -> u16 {
+        match self {
+            Self::InvalidRequest | Self::InvalidKey => 400,
+            Self::Unauthorized => 401,
+            Self::UnknownModel | Self::UnknownService | Self::UnknownPath => 404,
+            Self::MethodNotAllowed => 405,
+            Self::BodyTimeout => 408,
+            Self::BodyTooLarge => 413,
+            Self::KeyMismatch => 422,
+            Self::GatewayBusy | Self::GatewayStopping => 503,
+        }
+    }
+}
+
+/// Body of an answer that is a problem.
+#[serde_as]
+#[skip_serializing_none]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct ProblemDetails {
+    /// Short text of the status.
+    pub title: &'static str,
+    /// HTTP status.
+    pub status: u16,
+    /// Stable code.
+    pub code: &'static str,
+    /// What is known of the call.
+    pub outcome: work::CallOutcome,
+    /// What happened, for people.
+    pub detail: Box<str>,
+    /// When the caller may try again, in milliseconds.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(rename = "retry_after_ms")]
+    pub retry_after: Option<Duration>,
+    /// Key under which the call ran or may have run.
+    pub idempotency_key: Option<Box<str>>,
+    /// Everything that is wrong with the body.
+    #[serde(skip_serializing_if = "findings::FindingList::is_empty")]
+    pub findings: findings::FindingList,
+}
+
+impl ProblemDetails {
+    /// Makes the problem of a request that did not become a call.
+    pub fn new(code: IntakeCode, outcome: work::CallOutcome, detail: &str) -> Self {
+        Self {
+            title: status_title(code.status()),
+            status: code.status(),
+            code: code.as_str(),
+            outcome,
+            detail: detail.into(),
+            retry_after: None,
+            idempotency_key: None,
+            findings: findings::FindingList::default(),
+        }
+    }
+
+    /// Makes the problem of a request whose parts are wrong.
+    pub fn of_findings(outcome: work::CallOutcome, findings: findings::FindingList) -> Self {
+        let detail = "the request has mistakes";
+        let mut problem = Self::new(IntakeCode::InvalidRequest, outcome, detail);
+        problem.findings = findings;
+        problem
+    }
+
+    /// Makes the problem that ended a call of `organisation`.
+    pub fn of_call(
+        problem: &reducer::CallProblem,
+        signing_key: &keys::SigningKey,
+        organisation: &ids::OrganisationName,
+    ) -> Self {
+        let status = call_status(problem.code);
+        Self {
+            title: status_title(status),
+            status,
+            code: problem.code.as_str(),
+            outcome: problem.outcome,
+            detail: call_detail(problem.code).into(),
+            retry_after: problem.retry_after,
+            idempotency_key: problem
+                .key
+                .as_ref()
+                .map(|key| signing_key.write(key, organisation)),
+            findings: findings::FindingList::default(),
+        }
+    }
+
+    /// Tells the caller when to come back.
+    #[must_use]
+    pub fn with_retry_after(mut self, retry_after: Duration) -> Self {
+        self.retry_after = Some(retry_after);
+        self
+    }
+}
+
+impl fmt::Display for ProblemDetails {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: {}", self.code, self.detail)
+    }
+}
+
+impl std::error::Error for ProblemDetails {}
+
+const fn call_status(code: reducer::ProblemCode) -> u16 {
+    match code {
+        reducer::ProblemCode::Superseded => 409,
+        reducer::ProblemCode::KeyExpired | reducer::ProblemCode::ResumeExpired => 410,
+        reducer::ProblemCode::Quarantined
+        | reducer::ProblemCode::KeyMismatch
+        | reducer::ProblemCode::Unfit => 422,
+        reducer::ProblemCode::LimitReached => 429,
+        reducer::ProblemCode::TargetLost
+        | reducer::ProblemCode::TargetError
+        | reducer::ProblemCode::TargetUnreachable
+        | reducer::ProblemCode::AnswerLost => 502,
+        reducer::ProblemCode::Overloaded
+        | reducer::ProblemCode::NoTarget
+        | reducer::ProblemCode::GatewayStopping => 503,
+        reducer::ProblemCode::DeadlinePassed => 504,
+    }
+}
+
+const fn call_detail(code: reducer::ProblemCode) -> &'static str {
+    match code {
+        reducer::ProblemCode::Overloaded => "every target that fits is busy",
+        reducer::ProblemCode::LimitReached => "the organisation is over its limits",
+        reducer::ProblemCode::NoTarget => "no target that fits can be reached",
+        reducer::ProblemCode::DeadlinePassed => "the call was not started in time",
+        reducer::ProblemCode::Quarantined => {
+            "the request has crashed targets and is refused for a time"
+        }
+        reducer::ProblemCode::GatewayStopping => "this gateway is stopping; use another",
+        reducer::ProblemCode::TargetLost => "the target was lost while it ran the call",
+        reducer::ProblemCode::TargetError => "the target answered with an error",
+        reducer::ProblemCode::TargetUnreachable => "the target can't be reached",
+        reducer::ProblemCode::KeyExpired => {
+            "the idempotency key has expired, or its target is gone"
+        }
+        reducer::ProblemCode::KeyMismatch => "the idempotency key was used with another request",
+        reducer::ProblemCode::AnswerLost => "the call ran, and its answer is lost",
+        reducer::ProblemCode::ResumeExpired => "the rest of the stream is not kept any more",
+        reducer::ProblemCode::Unfit => "the target can't run a request like this",
+        reducer::ProblemCode::Superseded => "the stream goes on at another connection",
+    }
+}
+
+const fn status_title(status: u16) -> &'static str {
+    match status {
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        410 => "Gone",
+        413 => "Content Too Large",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Error",
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shell/callers/body.rs
@@ -0,0 +1,70 @@
+//! Reading the body of a request within its limits.
+
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use kingcupfall_core::work;
+use ntex::http;
+use ntex::web;
+
+use super::context;
+use crate::intake;
+
+/// Reads the whole body.
+///
+/// # Errors
+///
+/// A [`intake::ProblemDetails`] when the body is too large, too slow or breaks off.
+pub async fn read_body(
+    context: &context::ServerContext,
+    request: &web::HttpRequest,
+    payload: web::types::Payload,
+    outcome: work::CallOutcome,
+) -> intake::Result<Vec<u8>> {
+    let limits = context.limits();
+    if announced_length(request).is_some_and(|length| length > limits.body_bytes as u64) {
+        return Err(too_large(outcome, limits.body_bytes));
+    }
+
+    let reading = collect(payload, limits.body_bytes, outcome);
+    match tokio::time::timeout(limits.body_timeout, reading).await {
+        Ok(result) => result,
+        Err(_) => Err(too_slow(outcome, limits.body_timeout)),
+    }
+}
+
+async fn collect(
+    mut payload: web::types::Payload,
+    limit: usize,
+    outcome: work::CallOutcome,
+) -> intake::Result<Vec<u8>> {
+    let mut body = Vec::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|_| broken(outcome))?;
+        if body.len() + chunk.len() > limit {
+            return Err(too_large(outcome, limit));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body)
+}
+
+fn announced_length(request: &web::HttpRequest) -> Option<u64> {
+    let header = request.headers().get(http::header::CONTENT_LENGTH)?;
+    header.to_str().ok()?.parse().ok()
+}
+
+fn too_large(outcome: work::CallOutcome, limit: usize) -> intake::ProblemDetails {
+    let detail = format!("a body has at most {limit} bytes");
+    intake::ProblemDetails::new(intake::IntakeCode::BodyTooLarge, outcome, &detail)
+}
+
+fn too_slow(outcome: work::CallOutcome, timeout: Duration) -> intake::ProblemDetails {
+    let detail = format!("the body did not arrive within {} s", timeout.as_secs());
+    intake::ProblemDetails::new(intake::IntakeCode::BodyTimeout, outcome, &detail)
+}
+
+fn broken(outcome: work::CallOutcome) -> intake::ProblemDetails {
+    let detail = "the body broke off or is wrongly framed";
+    intake::ProblemDetails::new(intake::IntakeCode::InvalidRequest, outcome, detail)
+}
--- /dev/null
+++ b/crates/gateway/src/shell/callers/generations.rs
@@ -0,0 +1,138 @@
+//! `/v1/generations`.
+
+use kingcupfall_core::ids;
+use kingcupfall_core::measures;
+use kingcupfall_core::work;
+use ntex::http;
+use ntex::web;
+use serde::Serialize;
+
+use super::body;
+use super::context;
+use super::respond;
+use super::session;
+use super::stream;
+use crate::intake;
+use crate::reducer;
+
+/// Answer to a generation that was not streamed.
+#[derive(Debug, Serialize)]
+struct WholeAnswer<'a> {
+    outcome: work::CallOutcome,
+    generation: ids::AttemptId,
+    text: &'a str,
+    total: measures::Sequence,
+    reason: work::FinishReason,
+}
+
+/// Takes a generation, or resumes a stream when there is a `Last-Event-ID`.
+pub async fn post_generation(
+    request: web::HttpRequest,
+    payload: web::types::Payload,
+    context: web::types::State<context::ServerContext>,
+) -> web::HttpResponse {
+    let head = respond::request_head(&request);
+    if head.last_event_id.is_some() {
+        return resume_stream(&request, &context).await;
+    }
+    match take_generation(&request, payload, &context).await {
+        Ok(response) => response,
+        Err(problem) => respond::problem_response(&context, &problem),
+    }
+}
+
+/// Resumes a stream.
+pub async fn get_generation(
+    request: web::HttpRequest,
+    context: web::types::State<context::ServerContext>,
+) -> web::HttpResponse {
+    resume_stream(&request, &context).await
+}
+
+async fn take_generation(
+    request: &web::HttpRequest,
+    payload: web::types::Payload,
+    context: &context::ServerContext,
+) -> intake::Result<web::HttpResponse> {
+    let head = respond::request_head(request);
+    let document = context.document();
+    let caller = intake::authenticate(&document.document, &head)?;
+    let Some(slot) = context.take_slot() else {
+        return Ok(respond::busy_response(context, head.refusal_outcome()));
+    };
+    let outcome = head.refusal_outcome();
+    let body = body::read_body(context, request, payload, outcome).await?;
+
+    let call = context.next_call();
+    let intake_context = context.intake(&document.document);
+    let call_request = intake::read_generation(&intake_context, &caller, &head, call, &body)?;
+    let is_stream = call_request.stream;
+    let event = reducer::GatewayEvent::Call(Box::new(call_request));
+    let session = context.open_call(slot, call, event);
+
+    let organisation = caller.organisation;
+    Ok(match is_stream {
+        true => stream::stream_response(context, request, organisation, session).await,
+        false => whole_response(context, &organisation, session).await,
+    })
+}
+
+async fn resume_stream(
+    request: &web::HttpRequest,
+    context: &context::ServerContext,
+) -> web::HttpResponse {
+    match take_resume(request, context).await {
+        Ok(response) => response,
+        Err(problem) => respond::problem_response(context, &problem),
+    }
+}
+
+async fn take_resume(
+    request: &web::HttpRequest,
+    context: &context::ServerContext,
+) -> intake::Result<web::HttpResponse> {
+    let head = respond::request_head(request);
+    let document = context.document();
+    let caller = intake::authenticate(&document.document, &head)?;
+    let Some(slot) = context.take_slot() else {
+        return Ok(respond::busy_response(context, head.refusal_outcome()));
+    };
+
+    let call = context.next_call();
+    let intake_context = context.intake(&document.document);
+    let resume = intake::read_resume(&intake_context, &caller, &head, call)?;
+    let event = reducer::GatewayEvent::Resume(Box::new(resume));
+    let session = context.open_call(slot, call, event);
+
+    Ok(stream::stream_response(context, request, caller.organisation, session).await)
+}
+
+async fn whole_response(
+    context: &context::ServerContext,
+    organisation: &ids::OrganisationName,
+    mut session: session::CallSession,
+) -> web::HttpResponse {
+    match session.next().await {
+        Some(reducer::CallReply::Whole(whole)) => {
+            let text = whole.tokens.concat();
+            let answer = WholeAnswer {
+                outcome: work::CallOutcome::Completed,
+                generation: whole.attempt,
+                text: &text,
+                total: measures::Sequence::new(whole.tokens.len() as u64),
+                reason: whole.reason,
+            };
+            respond::json_response(context, http::StatusCode::OK, &answer)
+        }
+        Some(reducer::CallReply::Problem(problem)) => {
+            respond::call_problem_response(context, organisation, &problem)
+        }
+        Some(
+            reducer::CallReply::Tokens(_)
+            | reducer::CallReply::Finished { .. }
+            | reducer::CallReply::Service(_)
+            | reducer::CallReply::Key(_),
+        )
+        | None => respond::lost_response(context, work::CallOutcome::Unknown),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shell/callers/keys.rs
@@ -0,0 +1,77 @@
+//! `/v1/idempotency-keys`.
+
+use kingcupfall_core::ids;
+use kingcupfall_core::work;
+use ntex::http;
+use ntex::web;
+use serde::Serialize;
+
+use super::body;
+use super::context;
+use super::respond;
+use crate::intake;
+use crate::reducer;
+
+/// A key for the caller.
+#[derive(Debug, Serialize)]
+struct KeyAnswer<'a> {
+    idempotency_key: &'a str,
+    service: &'a ids::ServiceName,
+    target: &'a ids::TargetName,
+}
+
+/// Issues a key.
+pub async fn post_key(
+    request: web::HttpRequest,
+    payload: web::types::Payload,
+    context: web::types::State<context::ServerContext>,
+) -> web::HttpResponse {
+    match issue_key(&request, payload, &context).await {
+        Ok(response) => response,
+        Err(problem) => respond::problem_response(&context, &problem),
+    }
+}
+
+async fn issue_key(
+    request: &web::HttpRequest,
+    payload: web::types::Payload,
+    context: &context::ServerContext,
+) -> intake::Result<web::HttpResponse> {
+    let head = respond::request_head(request);
+    let document = context.document();
+    let caller = intake::authenticate(&document.document, &head)?;
+    let Some(slot) = context.take_slot() else {
+        return Ok(respond::busy_response(context, head.refusal_outcome()));
+    };
+    let outcome = head.refusal_outcome();
+    let body = body::read_body(context, request, payload, outcome).await?;
+
+    let call = context.next_call();
+    let intake_context = context.intake(&document.document);
+    let wish = intake::read_key_request(&intake_context, &caller, &head, call, &body)?;
+    let service = wish.service.clone();
+    let event = reducer::GatewayEvent::IssueKey(Box::new(wish));
+    let mut session = context.open_call(slot, call, event);
+
+    Ok(match session.next().await {
+        Some(reducer::CallReply::Key(key)) => {
+            let text = context.signing_key().write(&key, &caller.organisation);
+            let answer = KeyAnswer {
+                idempotency_key: &text,
+                service: &service,
+                target: &key.target,
+            };
+            respond::json_response(context, http::StatusCode::CREATED, &answer)
+        }
+        Some(reducer::CallReply::Problem(problem)) => {
+            respond::call_problem_response(context, &caller.organisation, &problem)
+        }
+        Some(
+            reducer::CallReply::Tokens(_)
+            | reducer::CallReply::Finished { .. }
+            | reducer::CallReply::Whole(_)
+            | reducer::CallReply::Service(_),
+        )
+        | None => respond::lost_response(context, work::CallOutcome::NotRun),
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/shell/callers/respond.rs
@@ -0,0 +1,131 @@
+//! Answers as HTTP responses.
+
+use std::time::Duration;
+
+use kingcupfall_core::ids;
+use kingcupfall_core::work;
+use ntex::http;
+use ntex::web;
+use serde::Serialize;
+
+use super::context;
+use crate::intake;
+use crate::reducer;
+
+/// Header with the outcome of the call.
+pub const OUTCOME_HEADER: &str = "kingcupfall-outcome";
+
+/// Header with the key under which a call ran.
+pub const KEY_HEADER: &str = "idempotency-key";
+
+/// Header of an answer that an earlier call with the key produced.
+pub const REPLAYED_HEADER: &str = "idempotency-replayed";
+
+const PROBLEM_TYPE: &str = "application/problem+json";
+const JSON_TYPE: &str = "application/json";
+
+/// Wait that callers are told when the gateway can take no more calls.
+const BUSY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Returns the headers of a request that matter.
+pub fn request_head(request: &web::HttpRequest) -> intake::RequestHead<'_> {
+    intake::RequestHead {
+        authorization: header_text(request, "authorization"),
+        idempotency_key: header_text(request, KEY_HEADER),
+        last_event_id: header_text(request, "last-event-id"),
+        content_type: header_text(request, "content-type"),
+    }
+}
+
+/// Makes the response of a problem.
+pub fn problem_response(
+    context: &context::ServerContext,
+    problem: &intake::ProblemDetails,
+) -> web::HttpResponse {
+    let status = http::StatusCode::from_u16(problem.status)
+        .unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
+    let mut builder = response_builder(context, status, problem.outcome);
+    if let Some(retry_after) = problem.retry_after {
+        builder.set_header("retry-after", whole_seconds(retry_after).to_string());
+    }
+    if let Some(key) = &problem.idempotency_key {
+        builder.set_header(KEY_HEADER, key.as_ref());
+    }
+    if status == http::StatusCode::UNAUTHORIZED {
+        builder.set_header("www-authenticate", "Bearer");
+    }
+
+    builder.content_type(PROBLEM_TYPE).body(json_text(problem))
+}
+
+/// Makes the response of a call that ended in a problem.
+pub fn call_problem_response(
+    context: &context::ServerContext,
+    organisation: &ids::OrganisationName,
+    problem: &reducer::CallProblem,
+) -> web::HttpResponse {
+    let details = intake::ProblemDetails::of_call(problem, context.signing_key(), organisation);
+    problem_response(context, &details)
+}
+
+/// Makes the response of a call whose reply never came, because the process ends.
+pub fn lost_response(
+    context: &context::ServerContext,
+    outcome: work::CallOutcome,
+) -> web::HttpResponse {
+    let code = intake::IntakeCode::GatewayStopping;
+    let problem = intake::ProblemDetails::new(code, outcome, "the gateway ends");
+    problem_response(context, &problem)
+}
+
+/// Makes the response to a call beyond those that the gateway takes.
+pub fn busy_response(
+    context: &context::ServerContext,
+    outcome: work::CallOutcome,
+) -> web::HttpResponse {
+    let code = intake::IntakeCode::GatewayBusy;
+    let detail = "the gateway has as many calls in progress as it takes";
+    let problem =
+        intake::ProblemDetails::new(code, outcome, detail).with_retry_after(BUSY_RETRY_AFTER);
+    problem_response(context, &problem)
+}
+
+/// Makes a JSON response.
+pub fn json_response(
+    context: &context::ServerContext,
+    status: http::StatusCode,
+    value: &impl Serialize,
+) -> web::HttpResponse {
+    response_builder(context, status, work::CallOutcome::Completed)
+        .content_type(JSON_TYPE)
+        .body(json_text(value))
+}
+
+/// Starts a response; while the gateway stops, each tells its caller to close the connection.
+pub fn response_builder(
+    context: &context::ServerContext,
+    status: http::StatusCode,
+    outcome: work::CallOutcome,
+) -> web::HttpResponseBuilder {
+    let mut builder = web::HttpResponse::build(status);
+    builder.set_header(OUTCOME_HEADER, outcome.to_string());
+    builder.set_header("cache-control", "no-store");
+    if context.is_stopping() {
+        builder.force_close();
+    }
+    builder
+}
+
+/// Writes a value as JSON.
+pub fn json_text(value: &impl Serialize) -> String {
+    serde_json::to_string(value).expect("the types of this API can be written as JSON")
+}
+
+fn header_text<'a>(request: &'a web::HttpRequest, name: &str) -> Option<&'a str> {
+    request.headers().get(name)?.to_str().ok()
+}
+
+/// Rounds up, so that a caller who obeys does not come too early.
+fn whole_seconds(duration: Duration) -> u64 {
+    duration.as_secs() + u64::from(duration.subsec_nanos() > 0)
+}
--- /dev/null
+++ b/crates/gateway/src/shell/callers/services.rs
@@ -0,0 +1,94 @@
+//! `/v1/services/{service}/{path}`.
+
+use kingcupfall_core::ids;
+use kingcupfall_core::work;
+use ntex::http;
+use ntex::web;
+
+use super::body;
+use super::context;
+use super::respond;
+use crate::intake;
+use crate::reducer;
+
+const PREFIX: &str = "/v1/services/";
+
+/// Calls a plain service.
+pub async fn post_service(
+    request: web::HttpRequest,
+    payload: web::types::Payload,
+    context: web::types::State<context::ServerContext>,
+) -> web::HttpResponse {
+    match call_service(&request, payload, &context).await {
+        Ok(response) => response,
+        Err(problem) => respond::problem_response(&context, &problem),
+    }
+}
+
+async fn call_service(
+    request: &web::HttpRequest,
+    payload: web::types::Payload,
+    context: &context::ServerContext,
+) -> intake::Result<web::HttpResponse> {
+    let head = respond::request_head(request);
+    let document = context.document();
+    let caller = intake::authenticate(&document.document, &head)?;
+    let Some(slot) = context.take_slot() else {
+        return Ok(respond::busy_response(context, head.refusal_outcome()));
+    };
+    let outcome = head.refusal_outcome();
+    let body = body::read_body(context, request, payload, outcome).await?;
+
+    let call = context.next_call();
+    let intake_context = context.intake(&document.document);
+    let target = service_path(request.uri());
+    let call_request = intake::read_service(&intake_context, &caller, &head, call, target, &body)?;
+    let event = reducer::GatewayEvent::Call(Box::new(call_request));
+    let mut session = context.open_call(slot, call, event);
+
+    let organisation = caller.organisation;
+    Ok(match session.next().await {
+        Some(reducer::CallReply::Service(reply)) => service_response(context, &organisation, reply),
+        Some(reducer::CallReply::Problem(problem)) => {
+            respond::call_problem_response(context, &organisation, &problem)
+        }
+        Some(
+            reducer::CallReply::Tokens(_)
+            | reducer::CallReply::Finished { .. }
+            | reducer::CallReply::Whole(_)
+            | reducer::CallReply::Key(_),
+        )
+        | None => respond::lost_response(context, work::CallOutcome::Unknown),
+    })
+}
+
+/// Takes service and path from the address as it was sent, not decoded.
+///
+/// A query counts as part of the path, where its question mark is refused.
+fn service_path(uri: &http::Uri) -> intake::ServicePath<'_> {
+    let whole = uri.path_and_query().map_or("", |path| path.as_str());
+    let rest = whole.strip_prefix(PREFIX).unwrap_or_default();
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    intake::ServicePath { service, path }
+}
+
+fn service_response(
+    context: &context::ServerContext,
+    organisation: &ids::OrganisationName,
+    reply: reducer::ServiceReply,
+) -> web::HttpResponse {
+    let status =
+        http::StatusCode::from_u16(reply.answer.status).unwrap_or(http::StatusCode::BAD_GATEWAY);
+    let mut builder = respond::response_builder(context, status, work::CallOutcome::Completed);
+    if let Some(key) = &reply.key {
+        let text = context.signing_key().write(key, organisation);
+        builder.set_header(respond::KEY_HEADER, text.as_ref());
+    }
+    if reply.replayed {
+        builder.set_header(respond::REPLAYED_HEADER, "true");
+    }
+
+    builder
+        .content_type(reply.answer.content_type.as_ref())
+        .body(reply.answer.body)
+}
--- /dev/null
+++ b/crates/gateway/src/shell/callers/stream.rs
@@ -0,0 +1,207 @@
+//! Streams as server-sent events.
+
+use std::time::Duration;
+
+use futures_util::stream;
+use kingcupfall_core::ids;
+use kingcupfall_core::keys;
+use kingcupfall_core::measures;
+use kingcupfall_core::work;
+use ntex::http;
+use ntex::util;
+use ntex::web;
+use quick_error::quick_error;
+use serde::Serialize;
+
+use super::context;
+use super::respond;
+use super::session;
+use crate::intake;
+use crate::reducer;
+use crate::state;
+
+const STREAM_TYPE: &str = "text/event-stream";
+
+/// Comment that keeps a silent connection alive.
+const COMMENT: &[u8] = b": waiting\n\n";
+
+quick_error! {
+    /// Reason why a stream breaks off.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum StreamError {
+        /// The call was dropped without its final reply.
+        Dropped {
+            display("the stream was dropped")
+        }
+    }
+}
+
+/// Data of an event `tokens`.
+#[derive(Debug, Serialize)]
+struct TokensData<'a> {
+    index: measures::Sequence,
+    tokens: &'a [Box<str>],
+}
+
+/// Data of an event `end`.
+#[derive(Debug, Serialize)]
+struct EndData {
+    outcome: work::CallOutcome,
+    total: measures::Sequence,
+    reason: work::FinishReason,
+}
+
+/// Waits for the first reply, and makes the response that streams it and the rest.
+///
+/// A call that fails before its first token is answered with the status of its problem.
+pub async fn stream_response(
+    context: &context::ServerContext,
+    request: &web::HttpRequest,
+    organisation: ids::OrganisationName,
+    mut session: session::CallSession,
+) -> web::HttpResponse {
+    let first = match session.next().await {
+        Some(reducer::CallReply::Problem(problem)) => {
+            return respond::call_problem_response(context, &organisation, &problem);
+        }
+        Some(reply) => reply,
+        None => return respond::lost_response(context, work::CallOutcome::Unknown),
+    };
+    close_when_stuck(request, &mut session);
+
+    let writer = EventWriter {
+        session,
+        first: Some(first),
+        given: None,
+        has_ended: false,
+        organisation,
+        signing_key: context.signing_key().clone(),
+        comment_interval: context.limits().stream_comment_interval,
+    };
+    // The outcome is not known before the last event.
+    let mut builder = web::HttpResponse::build(http::StatusCode::OK);
+    builder.set_header("cache-control", "no-store");
+    if context.is_stopping() {
+        builder.force_close();
+    }
+    builder
+        .content_type(STREAM_TYPE)
+        .streaming(Box::pin(stream::unfold(writer, EventWriter::next_chunk)))
+}
+
+/// Closes the caller's connection when it has read nothing for too long.
+///
+/// A connection whose buffer is full does not ask for the next chunk, so the stream by itself
+/// could not end it.
+fn close_when_stuck(request: &web::HttpRequest, session: &mut session::CallSession) {
+    let Some(connection) = request.io().cloned() else {
+        return;
+    };
+    let Some(abort) = session.take_abort() else {
+        return;
+    };
+    ntex::rt::spawn(async move {
+        if abort.await.is_ok() {
+            connection.terminate();
+        }
+    });
+}
+
+/// Turns the replies of a call into server-sent events.
+struct EventWriter {
+    session: session::CallSession,
+    first: Option<reducer::CallReply>,
+    /// Place after the tokens of the last chunk, which is taken when the next is asked for.
+    given: Option<measures::Sequence>,
+    has_ended: bool,
+    organisation: ids::OrganisationName,
+    signing_key: keys::SigningKey,
+    comment_interval: Duration,
+}
+
+/// What the connection gets next.
+type ChunkResult = std::result::Result<util::Bytes, StreamError>;
+
+impl EventWriter {
+    async fn next_chunk(mut self) -> Option<(ChunkResult, Self)> {
+        if let Some(next) = self.given.take() {
+            self.session.report_taken(next);
+        }
+        if self.has_ended {
+            return None;
+        }
+
+        let chunk = match self.next_reply().await {
+            Ok(Some(reply)) => Ok(self.write_event(&reply)),
+            Ok(None) => {
+                self.has_ended = true;
+                Err(StreamError::Dropped)
+            }
+            Err(_) => Ok(util::Bytes::from_static(COMMENT)),
+        };
+        Some((chunk, self))
+    }
+
+    async fn next_reply(
+        &mut self,
+    ) -> std::result::Result<Option<reducer::CallReply>, tokio::time::error::Elapsed> {
+        if let Some(first) = self.first.take() {
+            return Ok(Some(first));
+        }
+        tokio::time::timeout(self.comment_interval, self.session.next()).await
+    }
+
+    fn write_event(&mut self, reply: &reducer::CallReply) -> util::Bytes {
+        match reply {
+            reducer::CallReply::Tokens(tokens) => self.write_tokens(tokens),
+            reducer::CallReply::Finished { total, reason } => {
+                self.has_ended = true;
+                let data = EndData {
+                    outcome: work::CallOutcome::Completed,
+                    total: *total,
+                    reason: *reason,
+                };
+                event_text(None, "end", &data)
+            }
+            reducer::CallReply::Problem(problem) => {
+                self.has_ended = true;
+                let organisation = &self.organisation;
+                let details =
+                    intake::ProblemDetails::of_call(problem, &self.signing_key, organisation);
+                event_text(None, "problem", &details)
+            }
+            reducer::CallReply::Whole(_)
+            | reducer::CallReply::Service(_)
+            | reducer::CallReply::Key(_) => {
+                // The reducer gives streams no such reply; the stream breaks off without an end.
+                self.has_ended = true;
+                util::Bytes::new()
+            }
+        }
+    }
+
+    fn write_tokens(&mut self, reply: &reducer::TokenReply) -> util::Bytes {
+        let count = measures::Sequence::new(reply.tokens.len() as u64);
+        let next = reply.first + count;
+        self.given = Some(next);
+
+        let id = state::ResumeToken {
+            target: reply.target.clone(),
+            incarnation: reply.incarnation,
+            attempt: reply.attempt,
+            sequence: next.saturating_sub(measures::Sequence::new(1)),
+        };
+        let data = TokensData {
+            index: reply.first,
+            tokens: &reply.tokens,
+        };
+        event_text(Some(&id), "tokens", &data)
+    }
+}
+
+fn event_text(id: Option<&state::ResumeToken>, name: &str, data: &impl Serialize) -> util::Bytes {
+    let id = id.map_or(String::new(), |id| format!("id: {id}\n"));
+    // JSON escapes line ends, so that the data is one line.
+    let data = respond::json_text(data);
+    format!("{id}event: {name}\ndata: {data}\n\n").into()
+}
--- /dev/null
+++ b/crates/gateway/src/shell/command.rs
@@ -0,0 +1,77 @@
+//! What the servers and links tell the task that owns the reducer.
+
+use kingcupfall_core::ids;
+use kingcupfall_link::frames;
+use kingcupfall_policy::quarantine;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use super::document;
+use crate::administration;
+use crate::reducer;
+
+/// Sends commands to the task that owns the reducer; its callers are bounded by call slots.
+pub type CommandSender = mpsc::UnboundedSender<DriverCommand>;
+
+/// Sends what happens on links; a full channel holds the links back.
+pub type LinkSender = mpsc::Sender<LinkNotice>;
+
+/// Where the replies to one call go.
+#[derive(Debug)]
+pub struct CallOutlet {
+    /// Replies, in order.
+    pub replies: mpsc::Sender<reducer::CallReply>,
+    /// Told when the caller has read nothing for too long.
+    pub abort: oneshot::Sender<()>,
+}
+
+/// A command to the task that owns the reducer.
+#[derive(Debug)]
+pub enum DriverCommand {
+    /// A new call, resumed stream or wish for a key.
+    Open {
+        /// Id of the call.
+        call: ids::CallId,
+        /// Event that opens it.
+        event: reducer::GatewayEvent,
+        /// Where its replies go.
+        outlet: CallOutlet,
+    },
+    /// Something that a caller's connection did.
+    Event(reducer::GatewayEvent),
+    /// A document to put in force.
+    Document(Box<document::DocumentInForce>),
+    /// Suspects that other gateways know of.
+    Suspects(Vec<quarantine::SuspectRecord>),
+    /// A question of the administration API.
+    Query {
+        /// The question.
+        query: administration::StateQuery,
+        /// Where the answer goes.
+        answer: oneshot::Sender<administration::StateAnswer>,
+    },
+    /// Stop when all calls have ended.
+    Stop,
+}
+
+/// Something that happened on a link.
+#[derive(Debug)]
+pub enum LinkNotice {
+    /// The link is open.
+    Opened {
+        /// The link.
+        link: ids::LinkId,
+    },
+    /// Frames came in.
+    Frames {
+        /// The link.
+        link: ids::LinkId,
+        /// The frames, in order.
+        frames: Vec<frames::AgentFrame>,
+    },
+    /// The link is closed, or could not be opened.
+    Closed {
+        /// The link.
+        link: ids::LinkId,
+    },
+}
--- /dev/null
+++ b/crates/gateway/src/shell/driver.rs
@@ -0,0 +1,217 @@
+//! The task that owns the reducer: takes commands and notices in, and carries effects out.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kingcupfall_core::ids;
+use kingcupfall_core::time;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use super::clock;
+use super::command;
+use super::document;
+use super::links;
+use super::replies;
+use crate::administration;
+use crate::reducer;
+
+/// Commands and notices that one turn takes before its effects are carried out.
+const TURN_LIMIT: usize = 256;
+
+/// Notices of links that may wait before the links are held back.
+pub const NOTICE_LIMIT: usize = 1_024;
+
+/// Ends of the channels that the driver reads and writes.
+pub struct DriverChannels {
+    /// Commands of the servers.
+    pub commands: mpsc::UnboundedReceiver<command::DriverCommand>,
+    /// Notices of the links.
+    pub notices: mpsc::Receiver<command::LinkNotice>,
+    /// The document in force, for the servers.
+    pub documents: watch::Sender<Arc<document::DocumentInForce>>,
+}
+
+/// Owner of the reducer.
+pub struct ReducerDriver {
+    reducer: reducer::GatewayReducer,
+    clock: clock::ShellClock,
+    channels: DriverChannels,
+    links: links::LinkTable,
+    replies: replies::ReplyTable,
+    effects: Vec<reducer::GatewayEffect>,
+    write_timeout: Duration,
+    exited: bool,
+}
+
+impl ReducerDriver {
+    /// Makes a driver that has not started.
+    pub fn new(
+        reducer: reducer::GatewayReducer,
+        clock: clock::ShellClock,
+        channels: DriverChannels,
+        links: links::LinkTable,
+        write_timeout: Duration,
+    ) -> Self {
+        Self {
+            reducer,
+            clock,
+            channels,
+            links,
+            replies: replies::ReplyTable::default(),
+            effects: Vec::new(),
+            write_timeout,
+            exited: false,
+        }
+    }
+
+    /// Runs until the reducer asks to exit, or nobody can send commands any more.
+    pub async fn run(mut self) {
+        let mut ticker = tokio::time::interval(reducer::TICK_INTERVAL);
+        ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+
+        while !self.exited {
+            tokio::select! {
+                command = self.channels.commands.recv() => match command {
+                    Some(command) => self.take_command(command),
+                    None => return,
+                },
+                Some(notice) = self.channels.notices.recv() => self.take_notice(notice),
+                _ = ticker.tick() => self.tick(),
+            }
+            self.take_waiting();
+            self.finish_turn();
+        }
+    }
+
+    /// Takes what has come in meanwhile, so that its effects are carried out together.
+    fn take_waiting(&mut self) {
+        for _ in 0..TURN_LIMIT {
+            if let Ok(command) = self.channels.commands.try_recv() {
+                self.take_command(command);
+            } else if let Ok(notice) = self.channels.notices.try_recv() {
+                self.take_notice(notice);
+            } else {
+                return;
+            }
+        }
+    }
+
+    fn take_command(&mut self, command: command::DriverCommand) {
+        let now = self.clock.now();
+        match command {
+            command::DriverCommand::Open {
+                call,
+                event,
+                outlet,
+            } => {
+                self.replies.insert(now, call, outlet);
+                self.apply(now, event);
+            }
+            command::DriverCommand::Event(event) => self.take_caller_event(now, event),
+            command::DriverCommand::Document(document) => self.take_document(now, *document),
+            command::DriverCommand::Suspects(records) => {
+                self.apply(now, reducer::GatewayEvent::Suspects(records));
+            }
+            command::DriverCommand::Query { query, answer } => {
+                let state = administration::answer_query(&self.reducer, now, &query);
+                // An error means that the asker has gone.
+                let _ = answer.send(state);
+            }
+            command::DriverCommand::Stop => self.apply(now, reducer::GatewayEvent::Stop),
+        }
+    }
+
+    fn take_caller_event(&mut self, now: time::Timestamp, event: reducer::GatewayEvent) {
+        if let reducer::GatewayEvent::CallerTook { call, next } = event {
+            self.replies.note_taken(now, call, next);
+        }
+        if let reducer::GatewayEvent::CallerGone { call } = event {
+            self.replies.remove(call);
+        }
+        self.apply(now, event);
+    }
+
+    fn take_document(&mut self, now: time::Timestamp, document: document::DocumentInForce) {
+        for event in document::document_events(&document.document) {
+            self.apply(now, event);
+        }
+        self.channels.documents.send_replace(Arc::new(document));
+    }
+
+    fn take_notice(&mut self, notice: command::LinkNotice) {
+        let now = self.clock.now();
+        match notice {
+            command::LinkNotice::Opened { link } => {
+                self.apply(now, reducer::GatewayEvent::LinkOpened { link });
+            }
+            command::LinkNotice::Frames { link, frames } => {
+                for frame in frames {
+                    self.apply(now, reducer::GatewayEvent::Frame { link, frame });
+                }
+            }
+            command::LinkNotice::Closed { link } => {
+                self.links.close(link);
+                self.apply(now, reducer::GatewayEvent::LinkClosed { link });
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        self.apply(now, reducer::GatewayEvent::Tick);
+
+        for call in self.replies.remove_stuck(now, self.write_timeout) {
+            self.apply(now, reducer::GatewayEvent::CallerGone { call });
+        }
+    }
+
+    /// Gives an event to the reducer and carries out its effects, but for sending frames.
+    fn apply(&mut self, now: time::Timestamp, event: reducer::GatewayEvent) {
+        let mut effects = std::mem::take(&mut self.effects);
+        self.reducer.apply(now, event, &mut effects);
+
+        let mut gone = Vec::new();
+        for effect in effects.drain(..) {
+            self.carry_out(now, effect, &mut gone);
+        }
+        self.effects = effects;
+        for call in gone {
+            self.apply(now, reducer::GatewayEvent::CallerGone { call });
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        now: time::Timestamp,
+        effect: reducer::GatewayEffect,
+        gone: &mut Vec<ids::CallId>,
+    ) {
+        match effect {
+            reducer::GatewayEffect::Connect { link, address, .. } => {
+                self.links.open(link, address);
+            }
+            reducer::GatewayEffect::CloseLink { link } => self.links.close(link),
+            reducer::GatewayEffect::Send { link, frame } => self.links.push(link, frame),
+            reducer::GatewayEffect::Reply { call, reply } => {
+                match self.replies.give(now, call, reply) {
+                    replies::ReplyStanding::Given => {}
+                    replies::ReplyStanding::Undeliverable => gone.push(call),
+                }
+            }
+            reducer::GatewayEffect::Exit => self.exited = true,
+        }
+    }
+
+    /// Sends the frames of the turn.
+    fn finish_turn(&mut self) {
+        let now = self.clock.now();
+        for link in self.links.flush() {
+            self.apply(now, reducer::GatewayEvent::LinkClosed { link });
+        }
+        if self.exited {
+            // Frames that the last event asked for.
+            self.links.flush();
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shell/mod.rs
@@ -0,0 +1,47 @@
+//! The thin shell around the reducer: servers, links, clock, start and stop.
+
+mod callers;
+mod clock;
+mod command;
+mod context;
+mod document;
+mod driver;
+mod handle;
+mod links;
+mod replies;
+mod server;
+mod session;
+mod setup;
+
+use std::io;
+use std::result;
+
+use quick_error::quick_error;
+
+pub use clock::ShellClock;
+pub use command::LinkNotice;
+pub use command::LinkSender;
+pub use context::ServerContext;
+pub use document::DocumentInForce;
+pub use document::SectionStanding;
+pub use handle::GatewayHandle;
+pub use handle::start;
+pub use links::LinkConnector;
+pub use links::LinkOutlet;
+pub use setup::GatewaySetup;
+pub use setup::ShellLimits;
+
+/// Result of starting a gateway.
+pub type Result<T> = result::Result<T, ShellError>;
+
+quick_error! {
+    /// Reason why a gateway can't start.
+    #[derive(Debug)]
+    pub enum ShellError {
+        /// An address can't be listened on.
+        Listen(address: std::net::SocketAddr, error: io::Error) {
+            display("can't listen on {}: {}", address, error)
+            source(error)
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shell/server.rs
@@ -0,0 +1,152 @@
+//! The HTTP servers of a gateway: listening, limits, and the graceful end.
+
+use std::net;
+use std::time::Duration;
+
+use kingcupfall_core::keys;
+use ntex::http;
+use ntex::io;
+use ntex::server;
+use ntex::time;
+use ntex::web;
+use tokio::sync::watch;
+
+use super::Result;
+use super::ShellError;
+use super::callers;
+use super::context;
+use super::driver;
+use super::setup;
+use crate::administration;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
+/// Connections open at a time at the administration API.
+const ADMINISTRATION_CONNECTIONS: usize = 64;
+
+/// Longest wait for connections to close after the last call has ended.
+const CLOSE_TIMEOUT: time::Seconds = time::Seconds(5);
+
+/// Time between two looks at the calls whose connections have not finished.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Least rate of a request's head, in bytes for each head timeout.
+const HEAD_RATE_BYTES: u32 = 256;
+
+/// The servers of one gateway.
+pub struct GatewayServers {
+    /// Server of the callers' API.
+    pub callers: server::Server,
+    /// Server of the administration API.
+    pub administration: server::Server,
+}
+
+/// Listens on an address.
+pub fn listen(address: net::SocketAddr) -> Result<net::TcpListener> {
+    server::create_tcp_listener(address, BACKLOG)
+        .map_err(|error| ShellError::Listen(address, error))
+}
+
+/// Returns the address that a listener got.
+pub fn local_address(
+    listener: &net::TcpListener,
+    wanted: net::SocketAddr,
+) -> Result<net::SocketAddr> {
+    listener
+        .local_addr()
+        .map_err(|error| ShellError::Listen(wanted, error))
+}
+
+/// Runs the server of the callers' API.
+pub fn run_callers(listener: net::TcpListener, context: &context::ServerContext) -> server::Server {
+    let limits = context.limits().clone();
+    let context = context.clone();
+    let factory = async move || {
+        web::App::new()
+            .state(context.clone())
+            .configure(callers::add_routes)
+            .default_service(web::to(callers::refuse_path))
+    };
+
+    web::HttpServer::new(factory)
+        .workers(limits.workers)
+        .maxconn(limits.connections.div_ceil(limits.workers))
+        .disable_signals()
+        .shutdown_timeout(CLOSE_TIMEOUT)
+        .config(server_config("callers", &limits))
+        .listen(listener)
+        .expect("the listener is in order")
+        .run()
+}
+
+/// Runs the server of the administration API.
+pub fn run_administration(
+    listener: net::TcpListener,
+    context: &context::ServerContext,
+    key: keys::KeyHash,
+) -> server::Server {
+    let limits = context.limits().clone();
+    let context = context.clone();
+    let factory = async move || {
+        web::App::new()
+            .state(context.clone())
+            .state(administration::AdministrationKey::new(key))
+            .configure(administration::add_routes)
+    };
+
+    web::HttpServer::new(factory)
+        .workers(1)
+        .maxconn(ADMINISTRATION_CONNECTIONS)
+        .disable_signals()
+        .shutdown_timeout(CLOSE_TIMEOUT)
+        .config(server_config("administration", &limits))
+        .listen(listener)
+        .expect("the listener is in order")
+        .run()
+}
+
+/// Runs the driver to its end, then lets the last answers out and stops the servers.
+///
+/// The receiver tells when all of it has ended.
+pub fn run_to_end(
+    driver: driver::ReducerDriver,
+    servers: GatewayServers,
+    context: context::ServerContext,
+) -> watch::Receiver<bool> {
+    let (sender, ended) = watch::channel(false);
+    ntex::rt::spawn(async move {
+        driver.run().await;
+        let notice_end = tokio::time::Instant::now() + context.limits().stop_notice;
+
+        // Answers that the reducer has given may still be on their way to slow connections.
+        while context.open_calls() > 0 {
+            tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
+        }
+        // The balancer sees the 503 of the health endpoint before connections are refused.
+        tokio::time::sleep_until(notice_end).await;
+
+        servers.callers.stop(true).await;
+        servers.administration.stop(true).await;
+        sender.send_replace(true);
+    });
+    ended
+}
+
+fn server_config(name: &'static str, limits: &setup::ShellLimits) -> ntex::SharedCfg {
+    let head_timeout = seconds(limits.head_timeout);
+    let http = http::HttpServiceConfig::new()
+        .set_max_headers(limits.headers)
+        .set_max_buf_size(limits.head_bytes)
+        .set_keepalive(seconds(limits.keep_alive))
+        .set_headers_read_rate(head_timeout, head_timeout, HEAD_RATE_BYTES);
+    let io = io::IoConfig::new().set_disconnect_timeout(time::Seconds(1));
+
+    ntex::SharedCfg::new(name).add(http).add(io).into()
+}
+
+/// Returns whole seconds, at least one.
+fn seconds(duration: Duration) -> time::Seconds {
+    let seconds = u16::try_from(duration.as_secs()).unwrap_or(u16::MAX);
+    time::Seconds(seconds.max(1))
+}
--- /dev/null
+++ b/crates/gateway/src/shell/session.rs
@@ -0,0 +1,117 @@
+//! One caller's side of a call: its replies, and signs of its progress and departure.
+
+use kingcupfall_core::ids;
+use kingcupfall_core::measures;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use super::command;
+use super::context;
+use crate::reducer;
+
+/// A call in progress at a caller's connection. Dropping it tells the reducer that the caller has
+/// gone, unless the call has ended.
+pub struct CallSession {
+    call: ids::CallId,
+    replies: mpsc::Receiver<reducer::CallReply>,
+    held_back: Option<reducer::CallReply>,
+    abort: Option<oneshot::Receiver<()>>,
+    commands: command::CommandSender,
+    ended: bool,
+    _slot: context::CallSlot,
+}
+
+impl CallSession {
+    /// Opens the call that `event` makes.
+    pub(super) fn open(
+        commands: command::CommandSender,
+        slot: context::CallSlot,
+        call: ids::CallId,
+        event: reducer::GatewayEvent,
+    ) -> Self {
+        let (reply_sender, replies) = mpsc::channel(super::replies::CALL_REPLIES_LIMIT);
+        let (abort_sender, abort) = oneshot::channel();
+        let outlet = command::CallOutlet {
+            replies: reply_sender,
+            abort: abort_sender,
+        };
+
+        // An error means that the process ends; the reply channel is then closed as well.
+        let _ = commands.send(command::DriverCommand::Open {
+            call,
+            event,
+            outlet,
+        });
+        Self {
+            call,
+            replies,
+            held_back: None,
+            abort: Some(abort),
+            commands,
+            ended: false,
+            _slot: slot,
+        }
+    }
+
+    /// Waits for the next reply, with all tokens that are there in one.
+    ///
+    /// Returns `None` after the final reply, or when the call was dropped without one.
+    pub async fn next(&mut self) -> Option<reducer::CallReply> {
+        if self.ended {
+            return None;
+        }
+        let first = match self.held_back.take() {
+            Some(reply) => Some(reply),
+            None => self.replies.recv().await,
+        };
+
+        match first {
+            Some(reducer::CallReply::Tokens(tokens)) => {
+                Some(reducer::CallReply::Tokens(self.join_tokens(tokens)))
+            }
+            final_reply => {
+                self.ended = true;
+                final_reply
+            }
+        }
+    }
+
+    /// Tells the reducer that the connection has taken all tokens before `next`.
+    pub fn report_taken(&self, next: measures::Sequence) {
+        let call = self.call;
+        self.report(reducer::GatewayEvent::CallerTook { call, next });
+    }
+
+    /// Hands out the signal to close the connection, once.
+    pub fn take_abort(&mut self) -> Option<oneshot::Receiver<()>> {
+        self.abort.take()
+    }
+
+    /// Appends the token replies that wait, as long as they follow each other.
+    fn join_tokens(&mut self, mut tokens: reducer::TokenReply) -> reducer::TokenReply {
+        while let Ok(reply) = self.replies.try_recv() {
+            match reply {
+                reducer::CallReply::Tokens(more) => tokens.tokens.extend(more.tokens),
+                final_reply => {
+                    self.held_back = Some(final_reply);
+                    break;
+                }
+            }
+        }
+        tokens
+    }
+
+    fn report(&self, event: reducer::GatewayEvent) {
+        // An error means that the process ends.
+        let _ = self.commands.send(command::DriverCommand::Event(event));
+    }
+}
+
+impl Drop for CallSession {
+    fn drop(&mut self) {
+        if !self.ended {
+            let call = self.call;
+            self.report(reducer::GatewayEvent::CallerGone { call });
+        }
+    }
+}
