--- a/crates/gateway/src/shell/mod.rs
+++ b/crates/gateway/src/shell/mod.rs
@@ -12,6 +12,7 @@
 mod server;
 mod session;
 mod setup;
+mod transport;
 
 use std::io;
 use std::result;
@@ -30,6 +31,7 @@
 pub use links::LinkOutlet;
 pub use setup::GatewaySetup;
 pub use setup::ShellLimits;
+pub use transport::TransportConnector;
 
 /// Result of starting a gateway.
 pub type Result<T> = result::Result<T, ShellError>;
