Run the whole system in one process

Cause: the first command of the README had nothing behind it. Change: a system on loopback (stand-ins, agents, gateways, the document in sections), a caller's client, and kingcupfall-standin demo [--once].

--- a/crates/agent/src/protocol/mod.rs
+++ b/crates/agent/src/protocol/mod.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 pub use sse::EventDecoder;
+pub use sse::ServerEvent;
 pub use sse::SseError;
 pub use sse::encode_event;
 
--- a/crates/agent/src/protocol/sse.rs
+++ b/crates/agent/src/protocol/sse.rs
@@ -10,7 +10,20 @@
 const EVENT_LIMIT_BYTES: usize = 1024 * 1024;
 
 const SEPARATOR: &[u8] = b"\n\n";
-const DATA_PREFIX: &[u8] = b"data: ";
+const DATA_PREFIX: &str = "data: ";
+const ID_PREFIX: &str = "id: ";
+const NAME_PREFIX: &str = "event: ";
+
+/// One event as it was sent.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ServerEvent {
+    /// Its id, by which a stream is resumed.
+    pub id: Option<Box<str>>,
+    /// Its name; empty when it has none.
+    pub name: Box<str>,
+    /// Its data; empty for a comment.
+    pub data: Box<str>,
+}
 
 /// Result of decoding events.
 pub type Result<T> = result::Result<T, SseError>;
@@ -38,7 +51,7 @@
 ///
 /// [`SseError::Malformed`] when `event` can't be written as JSON.
 pub fn encode_event<T: Serialize>(event: &T) -> Result<Vec<u8>> {
-    let mut bytes = DATA_PREFIX.to_vec();
+    let mut bytes = DATA_PREFIX.as_bytes().to_vec();
     serde_json::to_writer(&mut bytes, event)?;
     bytes.extend_from_slice(SEPARATOR);
     Ok(bytes)
@@ -64,22 +77,28 @@
         Ok(())
     }
 
-    /// Takes the next whole event; events without data, such as comments, are passed over.
+    /// Takes the next whole event that has data, and reads its data as JSON.
     ///
     /// # Errors
     ///
     /// [`SseError::Malformed`] when its data is not the expected JSON.
     pub fn pop<T: DeserializeOwned>(&mut self) -> Result<Option<T>> {
-        while let Some(end) = find_separator(&self.buffer) {
-            let rest = self.buffer.split_off(end + SEPARATOR.len());
-            let event = std::mem::replace(&mut self.buffer, rest);
-
-            if let Some(data) = find_data(&event[..end]) {
-                return Ok(Some(serde_json::from_slice(data)?));
+        while let Some(event) = self.pop_event() {
+            if !event.data.is_empty() {
+                return Ok(Some(serde_json::from_str(&event.data)?));
             }
         }
         Ok(None)
     }
+
+    /// Takes the next whole event.
+    pub fn pop_event(&mut self) -> Option<ServerEvent> {
+        let end = find_separator(&self.buffer)?;
+        let rest = self.buffer.split_off(end + SEPARATOR.len());
+        let bytes = std::mem::replace(&mut self.buffer, rest);
+
+        Some(parse_event(&String::from_utf8_lossy(&bytes)))
+    }
 }
 
 fn find_separator(bytes: &[u8]) -> Option<usize> {
@@ -88,8 +107,16 @@
         .position(|window| window == SEPARATOR)
 }
 
-fn find_data(event: &[u8]) -> Option<&[u8]> {
+fn parse_event(text: &str) -> ServerEvent {
+    let mut event = ServerEvent::default();
+    for line in text.lines() {
+        if let Some(data) = line.strip_prefix(DATA_PREFIX) {
+            event.data = data.into();
+        } else if let Some(id) = line.strip_prefix(ID_PREFIX) {
+            event.id = Some(id.into());
+        } else if let Some(name) = line.strip_prefix(NAME_PREFIX) {
+            event.name = name.into();
+        }
+    }
     event
-        .split(|byte| *byte == b'\n')
-        .find_map(|line| line.strip_prefix(DATA_PREFIX))
 }
--- a/crates/standin/src/configuration/mod.rs
+++ b/crates/standin/src/configuration/mod.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 
 use kingcupfall_core::measures;
+use kingcupfall_document::acceptance;
+use kingcupfall_document::sections;
 use ntex::web;
 use serde::Deserialize;
 use serde::Serialize;
@@ -22,24 +24,13 @@
 /// Longest wait of a watch; it then answers without a change.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// One section as the service holds it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServiceSection {
-    /// Name of the section.
-    pub name: Box<str>,
-    /// Its version; rises with each change of this section.
-    pub version: measures::SectionVersion,
-    /// Its TOML text, without the section's own header.
-    pub text: Box<str>,
-}
-
 /// Answer of `GET /v1/sections` and `GET /v1/watch`.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceSnapshot {
     /// Rises with each change of any section.
     pub revision: u64,
     /// All sections, or those that changed since the revision that was asked after.
-    pub sections: Vec<ServiceSection>,
+    pub sections: Vec<acceptance::SectionText>,
 }
 
 /// How the service behaves.
@@ -55,12 +46,12 @@
 
 #[derive(Debug, Clone)]
 struct HeldSection {
-    section: ServiceSection,
+    text: acceptance::SectionText,
     /// Revision that changed it.
     changed_at: u64,
 }
 
-type SectionMap = BTreeMap<Box<str>, HeldSection>;
+type SectionMap = BTreeMap<sections::SectionName, HeldSection>;
 
 #[derive(Debug, Default)]
 struct ServiceState {
@@ -97,7 +88,7 @@
             sections: sections
                 .values()
                 .filter(|held| held.changed_at > after)
-                .map(|held| held.section.clone())
+                .map(|held| held.text.clone())
                 .collect(),
         })
     }
@@ -142,25 +133,26 @@
     }
 
     /// Changes one section and returns its new version.
-    pub fn set_section(&self, name: &str, text: &str) -> measures::SectionVersion {
+    pub fn set_section(
+        &self,
+        section: sections::SectionName,
+        text: &str,
+    ) -> measures::SectionVersion {
         let mut state = self.core.lock();
         state.revision += 1;
         let revision = state.revision;
-        let version = state
-            .newest
-            .get(name)
-            .map_or(1, |held| held.section.version.get() + 1);
+        let newest = state.newest.get(&section);
+        let version = newest.map_or(1, |held| held.text.version.get() + 1);
         let version = measures::SectionVersion::new(version);
-        let section = ServiceSection {
-            name: name.into(),
-            version,
-            text: text.into(),
-        };
         let held = HeldSection {
-            section,
+            text: acceptance::SectionText {
+                section,
+                version,
+                text: text.into(),
+            },
             changed_at: revision,
         };
-        state.newest.insert(name.into(), held);
+        state.newest.insert(section, held);
         drop(state);
 
         self.core.announce();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,10 +4,13 @@
 //! They are for demonstrations, tests and measurements on loopback. Each listens on its own
 //! address and is controlled by a handle.
 
+pub mod caller;
 pub mod configuration;
+pub mod demo;
 pub mod engine;
 pub mod server;
 pub mod service;
+pub mod system;
 pub mod text;
 pub mod vms;
 pub mod weights;
--- /dev/null
+++ b/crates/standin/src/system/start.rs
@@ -0,0 +1,224 @@
+//! Starting the parts of the system in their order.
+
+use std::net;
+use std::time::Duration;
+
+use kingcupfall_agent::shell as agent;
+use kingcupfall_core::engine::FencingMode;
+use kingcupfall_core::ids;
+use kingcupfall_core::keys;
+use kingcupfall_core::time;
+use kingcupfall_document::acceptance;
+use kingcupfall_document::sections;
+use kingcupfall_gateway::reducer as gateway_reducer;
+use kingcupfall_gateway::shell as gateway;
+use kingcupfall_link::transport;
+use kingcupfall_policy::limit;
+use kingcupfall_policy::place;
+use kingcupfall_policy::quarantine;
+use kingcupfall_policy::retry;
+use kingcupfall_policy::schedule;
+use rand::Rng;
+
+use super::LocalSystem;
+use super::Result;
+use super::RunningAgent;
+use super::SystemConfig;
+use super::document;
+use crate::configuration;
+use crate::engine;
+use crate::service;
+
+/// Any free port of loopback.
+const LOOPBACK: net::SocketAddr =
+    net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), 0);
+
+/// Zones over which targets and gateways are spread.
+const ZONES: [&str; 2] = ["poa-a", "poa-b"];
+
+/// Longest wait for an answer of the plain service.
+const SERVICE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Attempts of a call.
+const ATTEMPT_LIMIT: u32 = 3;
+
+/// Key of the administration API of a system on loopback.
+const ADMINISTRATION_KEY: &str = "operator-demo";
+
+impl LocalSystem {
+    /// Starts everything in the current ntex system.
+    ///
+    /// # Errors
+    ///
+    /// A [`super::SystemError`] when a part can't start.
+    pub async fn start(config: SystemConfig) -> Result<Self> {
+        let secrets = SystemSecrets::draw();
+        let configuration = configuration::ConfigurationStandin::start(LOOPBACK)?;
+        let engines = start_engines(config.engines)?;
+        let services = (0..config.services)
+            .map(|_| service::ServiceStandin::start(LOOPBACK))
+            .collect::<std::io::Result<Vec<_>>>()?;
+
+        let mut agents = Vec::new();
+        for (index, engine) in engines.iter().enumerate() {
+            agents.push(start_engine_agent(index, engine, &secrets).await?);
+        }
+        for (index, service) in services.iter().enumerate() {
+            agents.push(start_service_agent(index, service, &secrets).await?);
+        }
+
+        let mut acceptance = acceptance::DocumentAcceptance::default();
+        for section in sections::SectionName::ALL {
+            let text = document::section_text(section, &agents);
+            let version = configuration.set_section(section, &text);
+            acceptance.offer(acceptance::SectionText {
+                section,
+                version,
+                text,
+            });
+        }
+
+        let mut gateways = Vec::new();
+        for index in 0..config.gateways {
+            let gateway = gateway::start(gateway_setup(index, &secrets))?;
+            gateway.set_document(document_in_force(&acceptance));
+            gateways.push(gateway);
+        }
+
+        Ok(Self {
+            configuration,
+            engines,
+            services,
+            agents,
+            gateways,
+        })
+    }
+}
+
+/// Secrets that the processes of one system share.
+struct SystemSecrets {
+    link: transport::LinkKey,
+    signing: keys::SigningKey,
+}
+
+impl SystemSecrets {
+    fn draw() -> Self {
+        let link: [u8; 32] = rand::rng().random();
+        let signing: [u8; 32] = rand::rng().random();
+
+        Self {
+            link: transport::LinkKey::new(&link),
+            signing: keys::SigningKey::new(&signing),
+        }
+    }
+}
+
+fn start_engines(configs: Vec<engine::EngineConfig>) -> Result<Vec<engine::EngineStandin>> {
+    let mut engines = Vec::new();
+    for config in configs {
+        engines.push(engine::EngineStandin::start(config)?);
+    }
+    Ok(engines)
+}
+
+async fn start_engine_agent(
+    index: usize,
+    engine: &engine::EngineStandin,
+    secrets: &SystemSecrets,
+) -> Result<RunningAgent> {
+    let kind = sections::TargetKind::Engine {
+        models: vec![document::MODEL.parse().expect("a valid name")],
+        fencing: FencingMode::Checked,
+    };
+    let address = agent::TargetAddress::Engine(engine.address());
+    start_agent("engine", index, kind, address, secrets).await
+}
+
+async fn start_service_agent(
+    index: usize,
+    service: &service::ServiceStandin,
+    secrets: &SystemSecrets,
+) -> Result<RunningAgent> {
+    let kind = sections::TargetKind::Service {
+        service: document::SERVICE.parse().expect("a valid name"),
+    };
+    let address = agent::TargetAddress::Service {
+        address: service.address(),
+        timeout: SERVICE_TIMEOUT,
+    };
+    start_agent(document::SERVICE, index, kind, address, secrets).await
+}
+
+async fn start_agent(
+    prefix: &str,
+    index: usize,
+    kind: sections::TargetKind,
+    address: agent::TargetAddress,
+    secrets: &SystemSecrets,
+) -> Result<RunningAgent> {
+    let target: ids::TargetName = format!("{prefix}-{}", index + 1)
+        .parse()
+        .expect("a valid name");
+    let config = agent::AgentConfig {
+        target: target.clone(),
+        zone: zone(index),
+        listen: LOOPBACK,
+        exclusion: None,
+        link_key: secrets.link.clone(),
+        address,
+    };
+    let incarnation = ids::Incarnation::random(&mut rand::rng());
+    let scheduler = Box::new(schedule::NaiveScheduler::new());
+
+    let (shell, handle) = agent::AgentShell::open(config, incarnation, scheduler).await?;
+    Ok(RunningAgent {
+        target,
+        kind,
+        zone: zone(index),
+        handle,
+        ended: ntex::rt::spawn(shell.run()),
+    })
+}
+
+fn gateway_setup(index: usize, secrets: &SystemSecrets) -> gateway::GatewaySetup {
+    gateway::GatewaySetup {
+        identity: gateway_reducer::GatewayIdentity {
+            process: ids::ProcessId::random(&mut rand::rng()),
+            zone: zone(index),
+            seed: rand::rng().random(),
+        },
+        policies: gateway_reducer::GatewayPolicies {
+            placement: Box::new(place::RoundRobinPlacement::default()),
+            retry: Box::new(retry::BlindRetry::new(ATTEMPT_LIMIT)),
+            limit: Box::new(limit::NoLimit),
+            quarantine: Box::new(quarantine::TrustingQuarantine),
+        },
+        signing_key: secrets.signing.clone(),
+        caller_address: LOOPBACK,
+        administration_address: LOOPBACK,
+        administration_key: keys::KeyHash::of_key(ADMINISTRATION_KEY),
+        limits: gateway::ShellLimits::default(),
+        connector: Box::new(gateway::TransportConnector::new(secrets.link.clone())),
+    }
+}
+
+fn document_in_force(acceptance: &acceptance::DocumentAcceptance) -> gateway::DocumentInForce {
+    let standing = |section: sections::SectionName| gateway::SectionStanding {
+        name: section.as_str().into(),
+        version: acceptance.in_force(section).map(|mark| mark.version),
+        accepted_at: time::Timestamp::ZERO,
+        findings: kingcupfall_core::findings::FindingList::default(),
+    };
+
+    gateway::DocumentInForce {
+        document: acceptance.document().clone(),
+        sections: sections::SectionName::ALL
+            .into_iter()
+            .map(standing)
+            .collect(),
+    }
+}
+
+fn zone(index: usize) -> ids::ZoneName {
+    ZONES[index % ZONES.len()].parse().expect("a valid name")
+}
