Add the binary of the agent

Cause: the agent could run only inside other programs. Change: kingcupfall-agent reads settings, checks them, holds the fence port, and stops gracefully on SIGTERM.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,2 +1,120 @@
-//! Placeholder.
-fn main() {}
+//! `kingcupfall-agent`: the agent beside one target.
+
+mod command;
+
+use std::fs;
+use std::process;
+use std::time::Duration;
+
+use kingcupfall_agent::shell;
+use kingcupfall_core::ids;
+use kingcupfall_link::transport;
+use kingcupfall_policy::schedule;
+use kingcupfall_settings::agent;
+use tokio::signal::unix;
+
+/// Exit status for settings with findings.
+const FINDINGS_STATUS: u8 = 2;
+
+/// Longest wait for an answer of a plain service.
+const SERVICE_TIMEOUT: Duration = Duration::from_secs(30);
+
+fn main() -> process::ExitCode {
+    let command = command::parse().run();
+    let settings = match read_settings(&command) {
+        Ok(settings) => settings,
+        Err(status) => return status,
+    };
+    if command.check {
+        println!("{}: no findings", command.settings.display());
+        return process::ExitCode::SUCCESS;
+    }
+
+    let system = ntex::rt::System::build()
+        .name("kingcupfall-agent")
+        .build(ntex::rt::DefaultRuntime);
+    match system.block_on(run(settings)) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+/// Reads the settings, or prints what is wrong with them.
+fn read_settings(
+    command: &command::AgentCommand,
+) -> Result<agent::AgentSettings, process::ExitCode> {
+    let name = command.settings.display();
+    let text = fs::read_to_string(&command.settings).map_err(|error| {
+        eprintln!("{name}: {error}");
+        process::ExitCode::FAILURE
+    })?;
+
+    kingcupfall_settings::load(&text).map_err(|findings| {
+        for finding in findings.iter() {
+            println!("{finding}");
+        }
+        process::ExitCode::from(FINDINGS_STATUS)
+    })
+}
+
+async fn run(settings: agent::AgentSettings) -> shell::Result<()> {
+    let deadline = settings.drain.deadline;
+    let incarnation = ids::Incarnation::random(&mut rand::rng());
+    let scheduler = Box::new(schedule::NaiveScheduler::new());
+    let config = agent_config(settings);
+    let (agent, handle) = shell::AgentShell::open(config, incarnation, scheduler).await?;
+
+    ntex::rt::spawn(stop_on_signal(handle, deadline));
+    agent.run().await;
+    Ok(())
+}
+
+fn agent_config(settings: agent::AgentSettings) -> shell::AgentConfig {
+    let address = settings.target.address;
+    let address = match settings.target.kind {
+        agent::TargetKind::Engine => shell::TargetAddress::Engine(address),
+        agent::TargetKind::Service => shell::TargetAddress::Service {
+            address,
+            timeout: SERVICE_TIMEOUT,
+        },
+    };
+
+    shell::AgentConfig {
+        target: settings.target.name,
+        zone: settings.node.zone,
+        listen: settings.listen.links,
+        exclusion: Some(settings.listen.fence),
+        link_key: transport::LinkKey::new(settings.link.key.as_bytes()),
+        address,
+    }
+}
+
+/// Ends the agent gracefully after a termination signal, and hard after the deadline, if any.
+async fn stop_on_signal(handle: shell::AgentHandle, deadline: Option<Duration>) {
+    wait_for_signal().await;
+    log::info!("stopping: no new work, running work ends first");
+    handle.stop().await;
+
+    if let Some(deadline) = deadline {
+        tokio::time::sleep(deadline).await;
+        log::warn!("the drain deadline has passed; what still runs is cut off");
+        process::exit(1);
+    }
+}
+
+async fn wait_for_signal() {
+    let terminate = unix::signal(unix::SignalKind::terminate());
+    let interrupt = unix::signal(unix::SignalKind::interrupt());
+    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
+        log::error!("can't wait for signals; the process ends only when it is killed");
+        return std::future::pending().await;
+    };
+
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
