Test whole sessions through the callers' API over sockets

Cause: the callers' API had no tests; a resumption by another organisation took the binding of its owner's attempt, so that the owner's stream stood still. In reducer/calls.rs, a resumption of another organisation's stream is refused at once, and refused resumptions say unknown and not not_run; a stopping gateway refuses resumptions. Conclusion: the sessions of the callers' API stand as golden files.

--- a/crates/gateway/src/reducer/calls.rs
+++ b/crates/gateway/src/reducer/calls.rs
@@ -56,10 +56,7 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         self.counters.calls += 1;
-        if let limit::LimitDecision::Refuse { retry_after } =
-            self.policies.limit.admit(now, &request.tag.organisation)
-        {
-            let problem = refusal(ProblemCode::LimitReached, Some(retry_after));
+        if let Some(problem) = self.check_resume(now, &request) {
             reply(effects, request.call, CallReply::Problem(problem));
             return;
         }
@@ -218,6 +215,36 @@
         }
     }
 
+    /// Refuses a resumption whose stream ran, or may have, and which this gateway can't go on with.
+    fn check_resume(
+        &mut self,
+        now: time::Timestamp,
+        request: &ResumeRequest,
+    ) -> Option<CallProblem> {
+        if self.stopping {
+            let code = ProblemCode::GatewayStopping;
+            return Some(resume_refusal(code, Some(STOPPING_RETRY_AFTER)));
+        }
+        if self.is_foreign(request) {
+            return Some(resume_refusal(ProblemCode::ResumeExpired, None));
+        }
+        match self.policies.limit.admit(now, &request.tag.organisation) {
+            limit::LimitDecision::Allow => None,
+            limit::LimitDecision::Refuse { retry_after } => {
+                let code = ProblemCode::LimitReached;
+                Some(resume_refusal(code, Some(retry_after)))
+            }
+        }
+    }
+
+    /// Says whether the stream belongs to a call of another organisation at this gateway.
+    fn is_foreign(&self, request: &ResumeRequest) -> bool {
+        let former = self.calls.attempt_call(request.token.attempt);
+        former
+            .and_then(|call| self.calls.get(call))
+            .is_some_and(|state| state.request.tag.organisation != request.tag.organisation)
+    }
+
     /// Ends the call that had the stream before, when it is at this gateway.
     fn supersede(
         &mut self,
@@ -228,14 +255,6 @@
         let Some(former) = self.calls.attempt_call(request.token.attempt) else {
             return;
         };
-        let is_owner = self
-            .calls
-            .get(former)
-            .is_some_and(|state| state.request.tag.organisation == request.tag.organisation);
-        if !is_owner {
-            return;
-        }
-
         self.calls.release_attempt(request.token.attempt);
         if let Some(state) = self.calls.remove(former) {
             let organisation = &state.request.tag.organisation;
@@ -268,6 +287,14 @@
     }
 }
 
+/// Makes the refusal of a resumption; its stream has run, wholly or in part.
+fn resume_refusal(code: ProblemCode, retry_after: Option<Duration>) -> CallProblem {
+    CallProblem {
+        outcome: work::CallOutcome::Unknown,
+        ..refusal(code, retry_after)
+    }
+}
+
 /// Makes the refusal of a call that was sent nowhere by this gateway.
 ///
 /// A call with the caller's own key may have run through another gateway.
--- /dev/null
+++ b/crates/gateway/tests/http/sessions.rs
@@ -0,0 +1,281 @@
+//! Golden files of whole sessions.
+
+use std::time::Duration;
+
+use kingcupfall_core::ids;
+use kingcupfall_core::time;
+use kingcupfall_core::work;
+use kingcupfall_policy::limit;
+use kingcupfall_policy::quarantine;
+
+use crate::agent;
+use crate::client;
+use crate::events;
+use crate::system;
+
+const STREAM_BODY: &str = r#"{"model":"report","prompt":"Duct 7","class":"report","stream":true}"#;
+const WHOLE_BODY: &str = r#"{"model":"report","prompt":"Duct 7","class":"report"}"#;
+const KEY_BODY: &str = r#"{"service":"bookings"}"#;
+const BOOKING_BODY: &str = r#"{"kitchen":"Centro 4","crew":2}"#;
+
+#[ntex::test]
+async fn report_streams() {
+    let system = system::TestSystem::start(system::SystemOptions::default()).await;
+
+    let request = system::generation(system::EXAUSTAO_KEY, STREAM_BODY);
+    let answer = system.exchange(&request).await;
+
+    let stream = events::StreamText::parse(&answer.body);
+    insta::assert_snapshot!(format!("{}\n\n{}", answer.head, stream.render()));
+}
+
+#[ntex::test]
+async fn tag_whole() {
+    let system = system::TestSystem::start(system::SystemOptions::default()).await;
+
+    let request = system::generation(system::EXAUSTAO_KEY, WHOLE_BODY);
+    let answer = system.exchange(&request).await;
+
+    insta::assert_snapshot!(show(&answer));
+}
+
+#[ntex::test]
+async fn booking_with_issued_key_runs_once() {
+    let system = system::TestSystem::start(system::SystemOptions::default()).await;
+    let wish = client::RequestText::new("POST", "/v1/idempotency-keys", system::EXAUSTAO_KEY);
+
+    let issued = system.exchange(&wish.body(KEY_BODY)).await;
+    let json = issued.json();
+    let key = json["idempotency_key"].as_str().unwrap();
+    let booking = booking().header("idempotency-key", key);
+    let first = system.exchange(&booking).await;
+    let second = system.exchange(&booking).await;
+    let changed = system
+        .exchange(&booking.clone().body(r#"{"kitchen":"Sul 1"}"#))
+        .await;
+
+    assert_eq!(system.bookings.borrow().started.len(), 1);
+    let session = [issued, first, second, changed].map(|answer| show(&answer));
+    insta::assert_snapshot!(session.join("\n\n----\n\n"));
+}
+
+#[ntex::test]
+async fn booking_without_key_returns_one() {
+    let system = system::TestSystem::start(system::SystemOptions::default()).await;
+
+    let answer = system.exchange(&booking()).await;
+
+    insta::assert_snapshot!(show(&answer));
+}
+
+#[ntex::test]
+async fn key_of_other_organisation_refused() {
+    let system = system::TestSystem::start(system::SystemOptions::default()).await;
+    let wish = client::RequestText::new("POST", "/v1/idempotency-keys", system::QURUM_KEY);
+
+    let json = system.exchange(&wish.body(KEY_BODY)).await.json();
+    let key = json["idempotency_key"].as_str().unwrap();
+    let answer = system
+        .exchange(&booking().header("idempotency-key", key))
+        .await;
+
+    assert!(system.bookings.borrow().started.is_empty());
+    insta::assert_snapshot!(show(&answer));
+}
+
+#[ntex::test]
+async fn bearer_key_refused() {
+    let system = system::TestSystem::start(system::SystemOptions::default()).await;
+
+    let answer = system
+        .exchange(&system::generation("a wrong key", WHOLE_BODY))
+        .await;
+
+    assert!(system.engine.borrow().started.is_empty());
+    insta::assert_snapshot!(show(&answer));
+}
+
+#[ntex::test]
+async fn stream_resumes_on_other_connection() {
+    let script = agent::TargetScript::Hang(vec!["weld ", "seam "]);
+    let system = system::TestSystem::start(options(script)).await;
+    let request = system::generation(system::EXAUSTAO_KEY, STREAM_BODY);
+
+    let mut connection = system.connect().await;
+    connection.send(&request.bytes()).await;
+    let broken = connection.read_until("seam ").await;
+    drop(connection);
+    let broken = events::StreamText::parse(&broken.body);
+    system.engine.borrow_mut().finish(2, &["is ", "sound"]);
+    let last_id = broken.last_id.clone().unwrap();
+    let resume = client::RequestText::new("GET", "/v1/generations", system::EXAUSTAO_KEY)
+        .header("last-event-id", &last_id);
+    let rest = system.exchange(&resume).await;
+
+    let rest = events::StreamText::parse(&rest.body);
+    insta::assert_snapshot!(format!("{}\n\n----\n\n{}", broken.render(), rest.render()));
+}
+
+#[ntex::test]
+async fn resume_of_other_organisation_refused() {
+    let script = agent::TargetScript::Hang(vec!["weld ", "seam "]);
+    let system = system::TestSystem::start(options(script)).await;
+    let request = system::generation(system::EXAUSTAO_KEY, STREAM_BODY);
+
+    let mut connection = system.connect().await;
+    connection.send(&request.bytes()).await;
+    let stream = connection.read_until("seam ").await;
+    let last_id = events::StreamText::parse(&stream.body).last_id.unwrap();
+    let resume = client::RequestText::new("GET", "/v1/generations", system::QURUM_KEY)
+        .header("last-event-id", &last_id);
+    let refused = system.exchange(&resume).await;
+    system.engine.borrow_mut().finish(2, &["is ", "sound"]);
+    let owners = connection.read_answer().await;
+
+    let owners = events::StreamText::parse(&owners.body);
+    insta::assert_snapshot!(format!("{}\n\n----\n\n{}", show(&refused), owners.render()));
+}
+
+#[ntex::test]
+async fn quarantined_request_refused() {
+    let options = system::SystemOptions {
+        quarantine: Box::new(FixedQuarantine),
+        ..system::SystemOptions::default()
+    };
+    let system = system::TestSystem::start(options).await;
+
+    let answer = system
+        .exchange(&system::generation(system::EXAUSTAO_KEY, WHOLE_BODY))
+        .await;
+
+    assert!(system.engine.borrow().started.is_empty());
+    insta::assert_snapshot!(show(&answer));
+}
+
+#[ntex::test]
+async fn organisation_over_limit_refused() {
+    let options = system::SystemOptions {
+        limit: Box::new(FixedLimit),
+        ..system::SystemOptions::default()
+    };
+    let system = system::TestSystem::start(options).await;
+
+    let answer = system
+        .exchange(&system::generation(system::EXAUSTAO_KEY, WHOLE_BODY))
+        .await;
+
+    insta::assert_snapshot!(show(&answer));
+}
+
+#[ntex::test]
+async fn stopping_gateway_finishes_streams_and_takes_no_more() {
+    let script = agent::TargetScript::Hang(vec!["weld ", "seam "]);
+    let system = system::TestSystem::start(options(script)).await;
+    let request = system::generation(system::EXAUSTAO_KEY, STREAM_BODY);
+    let health = client::RequestText::new("GET", "/healthz", "");
+
+    let mut connection = system.connect().await;
+    connection.send(&request.bytes()).await;
+    connection.read_until("seam ").await;
+    let healthy = system.exchange(&health).await;
+    system.gateway.stop();
+    let stopping = system.exchange(&health).await;
+    let refused = system.exchange(&request).await;
+    system.engine.borrow_mut().finish(2, &["is ", "sound"]);
+    let stream = connection.read_answer().await;
+    system.gateway.wait().await;
+
+    let stream = events::StreamText::parse(&stream.body);
+    let answers = [healthy, stopping, refused].map(|answer| show(&answer));
+    let session = answers.join("\n\n----\n\n");
+    insta::assert_snapshot!(format!("{session}\n\n----\n\n{}", stream.render()));
+}
+
+/// Quarantine that refuses every request for half a minute.
+struct FixedQuarantine;
+
+impl quarantine::QuarantinePolicy for FixedQuarantine {
+    fn judge(
+        &mut self,
+        now: time::Timestamp,
+        _fingerprint: work::RequestFingerprint,
+    ) -> quarantine::SuspectVerdict {
+        quarantine::SuspectVerdict::Quarantined {
+            until: now + Duration::from_secs(30),
+        }
+    }
+
+    fn record_crash(
+        &mut self,
+        _now: time::Timestamp,
+        _fingerprint: work::RequestFingerprint,
+        _attempt: ids::AttemptId,
+    ) {
+    }
+
+    fn record_completion(&mut self, _now: time::Timestamp, _fingerprint: work::RequestFingerprint) {
+    }
+
+    fn merge(&mut self, _now: time::Timestamp, _record: &quarantine::SuspectRecord) {}
+
+    fn records(&self, _now: time::Timestamp) -> Vec<quarantine::SuspectRecord> {
+        Vec::new()
+    }
+}
+
+/// Limit that refuses every call.
+struct FixedLimit;
+
+impl limit::LimitPolicy for FixedLimit {
+    fn configure(
+        &mut self,
+        _organisation: &ids::OrganisationName,
+        _limit: Option<limit::OrganisationLimit>,
+    ) {
+    }
+
+    fn admit(
+        &mut self,
+        _now: time::Timestamp,
+        _organisation: &ids::OrganisationName,
+    ) -> limit::LimitDecision {
+        limit::LimitDecision::Refuse {
+            retry_after: Duration::from_millis(2_500),
+        }
+    }
+
+    fn release(&mut self, _now: time::Timestamp, _organisation: &ids::OrganisationName) {}
+}
+
+fn options(script: agent::TargetScript) -> system::SystemOptions {
+    system::SystemOptions {
+        script,
+        ..system::SystemOptions::default()
+    }
+}
+
+fn booking() -> client::RequestText {
+    client::RequestText::new("POST", "/v1/services/bookings/visits", system::EXAUSTAO_KEY)
+        .header("content-type", "application/json")
+        .body(BOOKING_BODY)
+}
+
+/// Writes an answer for a golden file, without the parts of keys that hold a time.
+fn show(answer: &client::AnswerText) -> String {
+    let text = format!("{}\n\n{}", answer.head, answer.body);
+    let lines: Vec<String> = text.lines().map(hide_key_times).collect();
+    lines.join("\n")
+}
+
+/// Hides the expiry in an idempotency key and the signature over it.
+fn hide_key_times(line: &str) -> String {
+    let mut parts: Vec<&str> = line.split('~').collect();
+    if parts.len() != 5 {
+        return line.into();
+    }
+    let tail = parts[4].trim_start_matches(|character: char| character.is_ascii_hexdigit());
+    parts[2] = "EXPIRY";
+    let tag = format!("SIGNATURE{tail}");
+    parts[4] = &tag;
+    parts.join("~")
+}
--- /dev/null
+++ b/crates/gateway/tests/http/system.rs
@@ -0,0 +1,190 @@
+//! A gateway with scripted agents.
+
+use std::cell::RefCell;
+use std::net;
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcupfall_core::ids;
+use kingcupfall_core::keys;
+use kingcupfall_document::sections;
+use kingcupfall_gateway::reducer;
+use kingcupfall_gateway::shell;
+use kingcupfall_policy::limit;
+use kingcupfall_policy::place;
+use kingcupfall_policy::quarantine;
+use kingcupfall_policy::retry;
+
+use crate::agent;
+use crate::client;
+
+/// Bearer key of the organisation `exaustao`.
+pub const EXAUSTAO_KEY: &str = "key-of-exaustao";
+
+/// Bearer key of the organisation `qurum`.
+pub const QURUM_KEY: &str = "key-of-qurum";
+
+/// Bearer key of the administration API.
+pub const ADMINISTRATION_KEY: &str = "key-of-operators";
+
+const ENGINE_ADDRESS: &str = "127.0.0.1:1";
+const BOOKINGS_ADDRESS: &str = "127.0.0.1:2";
+
+/// A gateway, an engine's agent and a service's agent.
+pub struct TestSystem {
+    /// The gateway.
+    pub gateway: shell::GatewayHandle,
+    /// The agent of `engine-1`.
+    pub engine: Rc<RefCell<agent::ScriptedAgent>>,
+    /// The agent of `bookings-1`.
+    pub bookings: Rc<RefCell<agent::ScriptedAgent>>,
+}
+
+/// What differs from test to test.
+pub struct SystemOptions {
+    /// What the engine does.
+    pub script: agent::TargetScript,
+    /// Limits of the shell.
+    pub limits: shell::ShellLimits,
+    /// Policy on organisations' limits.
+    pub limit: Box<dyn limit::LimitPolicy>,
+    /// Policy on fatal requests.
+    pub quarantine: Box<dyn quarantine::QuarantinePolicy>,
+}
+
+impl Default for SystemOptions {
+    fn default() -> Self {
+        Self {
+            script: agent::TargetScript::Generate(vec!["grease ", "depth ", "3 mm"]),
+            limits: shell::ShellLimits {
+                stop_notice: Duration::from_millis(100),
+                ..shell::ShellLimits::default()
+            },
+            limit: Box::new(limit::NoLimit),
+            quarantine: Box::new(quarantine::TrustingQuarantine),
+        }
+    }
+}
+
+impl TestSystem {
+    /// Starts a system whose gateway has links to both agents.
+    pub async fn start(options: SystemOptions) -> Self {
+        let fleet = agent::AgentFleet::default();
+        let engine = fleet.add("engine-1", address(ENGINE_ADDRESS), options.script);
+        let script = agent::TargetScript::Echo;
+        let bookings = fleet.add("bookings-1", address(BOOKINGS_ADDRESS), script);
+
+        let gateway = shell::start(shell::GatewaySetup {
+            identity: reducer::GatewayIdentity {
+                process: ids::ProcessId::from_u128(1),
+                zone: "a".parse().unwrap(),
+                seed: 1,
+            },
+            policies: reducer::GatewayPolicies {
+                placement: Box::new(place::RoundRobinPlacement::default()),
+                retry: Box::new(retry::BlindRetry::new(3)),
+                limit: options.limit,
+                quarantine: options.quarantine,
+            },
+            signing_key: keys::SigningKey::new(b"signing secret of the tests"),
+            caller_address: address("127.0.0.1:0"),
+            administration_address: address("127.0.0.1:0"),
+            administration_key: keys::KeyHash::of_key(ADMINISTRATION_KEY),
+            limits: options.limits,
+            connector: Box::new(fleet),
+        })
+        .unwrap();
+        gateway.set_document(shell::DocumentInForce {
+            document: document(),
+            sections: Vec::new(),
+        });
+
+        let system = Self {
+            gateway,
+            engine,
+            bookings,
+        };
+        system.wait_for_targets().await;
+        system
+    }
+
+    /// Sends one request on a connection of its own.
+    pub async fn exchange(&self, request: &client::RequestText) -> client::AnswerText {
+        client::exchange(self.gateway.caller_address(), request).await
+    }
+
+    /// Opens a connection for callers.
+    pub async fn connect(&self) -> client::Connection {
+        client::Connection::open(self.gateway.caller_address()).await
+    }
+
+    /// Asks the administration API.
+    pub async fn ask(&self, path: &str) -> client::AnswerText {
+        let request = client::RequestText::new("GET", path, ADMINISTRATION_KEY);
+        client::exchange(self.gateway.administration_address(), &request).await
+    }
+
+    async fn wait_for_targets(&self) {
+        loop {
+            let answer = self.ask("/v1/targets").await;
+            let targets = answer.json();
+            let targets = targets.as_array().unwrap();
+            let is_open = |target: &serde_json::Value| target["obstacle"].is_null();
+            if targets.len() == 2 && targets.iter().all(is_open) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+/// Returns the document of all tests.
+pub fn document() -> sections::OperatorDocument {
+    let text = format!(
+        r#"
+        [models.report]
+        version = "7"
+        max_tokens = 200
+
+        [organisations.exaustao]
+        key_hashes = ["{exaustao}"]
+
+        [organisations.qurum]
+        key_hashes = ["{qurum}"]
+
+        [targets.engine-1]
+        kind = "engine"
+        models = ["report"]
+        vm = "vm-1"
+        zone = "a"
+        agent = "{ENGINE_ADDRESS}"
+
+        [targets.bookings-1]
+        kind = "service"
+        service = "bookings"
+        vm = "vm-2"
+        zone = "a"
+        agent = "{BOOKINGS_ADDRESS}"
+
+        [priorities.exaustao.report]
+        priority = 2
+
+        [services.bookings]
+        repeatable_paths = ["lookups"]
+
+        [services.records]
+        "#,
+        exaustao = keys::KeyHash::of_key(EXAUSTAO_KEY),
+        qurum = keys::KeyHash::of_key(QURUM_KEY),
+    );
+    toml::from_str(&text).unwrap()
+}
+
+/// Makes a request for a generation.
+pub fn generation(key: &str, body: &str) -> client::RequestText {
+    client::RequestText::new("POST", "/v1/generations", key).body(body)
+}
+
+fn address(text: &str) -> net::SocketAddr {
+    text.parse().unwrap()
+}
