Add the fleet reducer: membership and spread of configuration

Cause: an accepted change must be in force on every VM within seconds and never slip back, with no shared state and a service that can only be read.

Change: one reducer in each gateway and agent. Gateways gossip over a few links, zone first, with suspicion, refutation and bounded tables. Three gateways of a zone read the service by rank. Heads are announced in two stages; values are pulled as patches or parts; digests repair what was lost. A simulation runs many reducers on simulated time and checks that no version goes back.

--- /dev/null
+++ b/crates/fleet/src/members/mod.rs
@@ -0,0 +1,10 @@
+//! The gateways that a gateway knows: all of its zone, and a few of each other zone.
+
+mod record;
+mod table;
+
+pub use record::MemberRecord;
+pub use record::MemberState;
+pub use table::MemberChange;
+pub use table::MemberTable;
+pub use table::SeedRecord;
--- /dev/null
+++ b/crates/fleet/src/reducer/links.rs
@@ -0,0 +1,408 @@
+//! Links to peers: which to open, when to close, and signs of life on them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use kingcupfall_core::ids;
+use kingcupfall_core::time;
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use super::FleetEffect;
+use super::FleetReducer;
+use super::FleetRole;
+use super::LinkKind;
+use super::send;
+use crate::members;
+use crate::messages;
+use crate::subset;
+
+/// Gateways of the own zone that a gateway connects to.
+const ZONE_LINKS: usize = 4;
+
+/// Gateways of other zones that a gateway connects to.
+const REMOTE_LINKS: usize = 2;
+
+/// Most links that a gateway takes from other gateways.
+const INCOMING_LIMIT: usize = 64;
+
+/// Gateways that feed an agent.
+const FEED_LINKS: usize = 3;
+
+/// Connections begun at one upkeep, so that a lost zone makes no burst.
+const CONNECTS_PER_UPKEEP: usize = 2;
+
+/// Wait after the first failed connection; it doubles with each failure.
+const FIRST_BACKOFF: Duration = Duration::from_millis(500);
+
+/// Longest wait after failed connections.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(10);
+
+/// Time between two heartbeats on a link.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Silence after which a link is taken for dead.
+pub(super) const LINK_SILENCE: Duration = Duration::from_secs(3);
+
+/// Time for which a link is kept that is no longer among the wanted ones.
+const UNWANTED_TIME: Duration = Duration::from_secs(30);
+
+/// One link.
+#[derive(Debug)]
+pub(super) struct PeerLink {
+    pub(super) kind: LinkKind,
+    /// VM of the gateway at the other end, once known.
+    pub(super) vm: Option<ids::VmName>,
+    /// Zone of that gateway.
+    pub(super) zone: Option<ids::ZoneName>,
+    pub(super) last_heard: time::Timestamp,
+    /// Whether heartbeats and heads travel on the link.
+    pub(super) is_active: bool,
+    /// Digest of the last heartbeat, while it differs from the own one.
+    pub(super) differing: Option<messages::HeartbeatMessage>,
+    heartbeat_at: time::Timestamp,
+    unwanted_since: Option<time::Timestamp>,
+}
+
+impl PeerLink {
+    /// Says whether the other end is a gateway and this process too.
+    pub(super) const fn is_gossip(&self) -> bool {
+        match self.kind {
+            LinkKind::Outgoing { .. } | LinkKind::Incoming => true,
+            LinkKind::Agent | LinkKind::Feed => false,
+        }
+    }
+}
+
+/// Connections that are being opened, and failures of earlier ones.
+#[derive(Debug, Default)]
+pub(super) struct ConnectionState {
+    pending: BTreeMap<ids::VmName, time::Timestamp>,
+    failures: BTreeMap<ids::VmName, ConnectFailure>,
+}
+
+#[derive(Debug)]
+struct ConnectFailure {
+    count: u32,
+    retry_at: time::Timestamp,
+}
+
+/// Time after which a connection that neither opened nor failed is forgotten.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(10);
+
+impl FleetReducer {
+    pub(super) fn open_link(
+        &mut self,
+        now: time::Timestamp,
+        link: ids::LinkId,
+        kind: LinkKind,
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        let vm = match &kind {
+            LinkKind::Outgoing { vm } => Some(vm.clone()),
+            LinkKind::Incoming | LinkKind::Agent | LinkKind::Feed => None,
+        };
+        if let Some(vm) = &vm {
+            self.connections.pending.remove(vm);
+            self.connections.failures.remove(vm);
+        }
+        if kind == LinkKind::Incoming && self.count_incoming() >= INCOMING_LIMIT {
+            effects.push(FleetEffect::CloseLink { link });
+            return;
+        }
+
+        let delay = self
+            .generator
+            .random_range(Duration::ZERO..HEARTBEAT_INTERVAL);
+        let peer = PeerLink {
+            kind,
+            vm,
+            zone: None,
+            last_heard: now,
+            is_active: false,
+            differing: None,
+            heartbeat_at: now + delay,
+            unwanted_since: None,
+        };
+        let is_gossip = peer.is_gossip();
+        self.links.insert(link, peer);
+        if is_gossip {
+            self.greet(now, link, effects);
+        } else {
+            self.choose_feeds(effects);
+        }
+    }
+
+    pub(super) fn close_link(
+        &mut self,
+        now: time::Timestamp,
+        link: ids::LinkId,
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        let Some(peer) = self.links.remove(&link) else {
+            return;
+        };
+        self.forget_source(now, link, effects);
+        self.choose_feeds(effects);
+
+        // A gateway that closes an incoming link may only want it no longer.
+        if let LinkKind::Outgoing { vm } = peer.kind
+            && !self.has_link_to(&vm)
+        {
+            self.connect(now, &vm, effects);
+        }
+    }
+
+    pub(super) fn fail_connect(&mut self, now: time::Timestamp, vm: &ids::VmName) {
+        self.connections.pending.remove(vm);
+        let count = self
+            .connections
+            .failures
+            .get(vm)
+            .map_or(0, |failure| failure.count);
+        let backoff = FIRST_BACKOFF
+            .saturating_mul(1 << count.min(8))
+            .min(LONGEST_BACKOFF);
+        let jitter = self.generator.random_range(0.5..1.0);
+        let failure = ConnectFailure {
+            count: count + 1,
+            retry_at: now + backoff.mul_f64(jitter),
+        };
+
+        self.connections.failures.insert(vm.clone(), failure);
+        if !self.has_link_to(vm) {
+            self.suspect(now, vm);
+        }
+    }
+
+    pub(super) fn take_junk(&mut self, link: ids::LinkId, effects: &mut Vec<FleetEffect>) {
+        self.counters.junk_messages += 1;
+        if self.links.get(&link).is_some_and(PeerLink::is_gossip) {
+            effects.push(FleetEffect::CloseLink { link });
+        }
+    }
+
+    pub(super) fn take_hello(
+        &mut self,
+        now: time::Timestamp,
+        link: ids::LinkId,
+        record: members::MemberRecord,
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        if let Some(peer) = self.links.get_mut(&link) {
+            peer.vm = Some(record.vm.clone());
+            peer.zone = Some(record.zone.clone());
+            peer.is_active = peer.is_gossip();
+        }
+        let vm = record.vm.clone();
+        self.take_members(now, link, vec![record], effects);
+
+        // A peer that is thought to be suspect or dead learns of it here and refutes.
+        if let Some(known) = self.members.record(&vm)
+            && !known.state.is_serving()
+        {
+            let records = vec![known.clone()];
+            send(effects, link, messages::FleetMessage::Members(records));
+        }
+    }
+
+    pub(super) fn take_subscription(&mut self, link: ids::LinkId, effects: &mut Vec<FleetEffect>) {
+        if let Some(peer) = self.links.get_mut(&link) {
+            peer.is_active = true;
+            self.send_all_heads(link, effects);
+        }
+    }
+
+    /// Sends heartbeats that are due.
+    pub(super) fn send_heartbeats(&mut self, now: time::Timestamp, effects: &mut Vec<FleetEffect>) {
+        let heartbeat = messages::HeartbeatMessage {
+            sections: self.store.digest(),
+            suspects: self.suspects.digest(),
+        };
+
+        for (link, peer) in &mut self.links {
+            if peer.is_active && now >= peer.heartbeat_at {
+                peer.heartbeat_at = now + HEARTBEAT_INTERVAL;
+                send(effects, *link, messages::FleetMessage::Heartbeat(heartbeat));
+            }
+        }
+    }
+
+    /// Closes links on which nothing was heard for too long.
+    pub(super) fn drop_silent_links(
+        &mut self,
+        now: time::Timestamp,
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        let is_silent = |peer: &PeerLink| {
+            (peer.is_active || peer.is_gossip()) && now.since(peer.last_heard) >= LINK_SILENCE
+        };
+        let silent: Vec<ids::LinkId> = self.select_links(is_silent);
+
+        for link in silent {
+            self.counters.silent_links += 1;
+            let Some(peer) = self.links.get_mut(&link) else {
+                continue;
+            };
+            if !peer.is_gossip() {
+                // The gateway's and the agent's own reducers watch over this link.
+                peer.is_active = false;
+                self.forget_source(now, link, effects);
+                continue;
+            }
+
+            let vm = peer.vm.clone();
+            effects.push(FleetEffect::CloseLink { link });
+            self.close_link(now, link, effects);
+            if let Some(vm) = vm
+                && !self.has_link_to(&vm)
+            {
+                self.suspect(now, &vm);
+            }
+        }
+    }
+
+    /// Opens the links that are wanted and closes those that no longer are.
+    pub(super) fn maintain_links(&mut self, now: time::Timestamp, effects: &mut Vec<FleetEffect>) {
+        self.connections
+            .pending
+            .retain(|_, since| now.since(*since) < CONNECT_TIMEOUT);
+        if self.role == FleetRole::Agent {
+            self.choose_feeds(effects);
+            return;
+        }
+
+        let mut wanted = self.choose_peers(now, true, ZONE_LINKS);
+        wanted.extend(self.choose_peers(now, false, REMOTE_LINKS));
+        let missing = wanted.iter().filter(|vm| !self.has_link_to(vm));
+        let missing: Vec<ids::VmName> = missing.take(CONNECTS_PER_UPKEEP).cloned().collect();
+        for vm in missing {
+            self.connect(now, &vm, effects);
+        }
+        self.close_unwanted(now, &wanted, effects);
+    }
+
+    /// Chooses up to `count` random gossip links, but `except`.
+    pub(super) fn random_peers(
+        &mut self,
+        count: usize,
+        except: Option<ids::LinkId>,
+    ) -> Vec<ids::LinkId> {
+        let peers = self.select_links(|peer| peer.is_active && peer.is_gossip());
+        let peers: Vec<ids::LinkId> = peers
+            .into_iter()
+            .filter(|link| Some(*link) != except)
+            .collect();
+        peers
+            .choose_multiple(&mut self.generator, count)
+            .copied()
+            .collect()
+    }
+
+    pub(super) fn select_links(&self, wanted: impl Fn(&PeerLink) -> bool) -> Vec<ids::LinkId> {
+        self.links
+            .iter()
+            .filter(|(_, peer)| wanted(peer))
+            .map(|(link, _)| *link)
+            .collect()
+    }
+
+    /// Says hello on a new link and tells what a joining peer needs.
+    fn greet(&mut self, now: time::Timestamp, link: ids::LinkId, effects: &mut Vec<FleetEffect>) {
+        let hello = Box::new(self.own.clone());
+        send(effects, link, messages::FleetMessage::Hello(hello));
+
+        self.send_all_heads(link, effects);
+        self.send_sample(link, effects);
+        self.send_notices(now, link, effects);
+    }
+
+    fn connect(&mut self, now: time::Timestamp, vm: &ids::VmName, effects: &mut Vec<FleetEffect>) {
+        let Some(address) = self.members.address(vm) else {
+            return;
+        };
+        if self.connections.pending.contains_key(vm) {
+            return;
+        }
+        self.connections.pending.insert(vm.clone(), now);
+        effects.push(FleetEffect::Connect {
+            vm: vm.clone(),
+            address,
+        });
+    }
+
+    fn choose_peers(
+        &self,
+        now: time::Timestamp,
+        is_own_zone: bool,
+        count: usize,
+    ) -> Vec<ids::VmName> {
+        let is_due = |vm: &&ids::VmName| {
+            let failure = self.connections.failures.get(*vm);
+            failure.is_none_or(|failure| now >= failure.retry_at)
+        };
+        let candidates = self.members.link_candidates(is_own_zone).filter(is_due);
+        subset::heaviest_vms(&self.own.vm, candidates, count)
+    }
+
+    fn close_unwanted(
+        &mut self,
+        now: time::Timestamp,
+        wanted: &[ids::VmName],
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        for (link, peer) in &mut self.links {
+            let LinkKind::Outgoing { vm } = &peer.kind else {
+                continue;
+            };
+            if wanted.contains(vm) {
+                peer.unwanted_since = None;
+                continue;
+            }
+            let since = *peer.unwanted_since.get_or_insert(now);
+            if now.since(since) >= UNWANTED_TIME {
+                effects.push(FleetEffect::CloseLink { link: *link });
+            }
+        }
+
+        let is_closed = |peer: &PeerLink| {
+            let age = peer.unwanted_since.map(|since| now.since(since));
+            age.is_some_and(|age| age >= UNWANTED_TIME)
+        };
+        for link in self.select_links(is_closed) {
+            self.links.remove(&link);
+            self.forget_source(now, link, effects);
+        }
+    }
+
+    /// Subscribes an agent to more gateways while it has too few feeds.
+    fn choose_feeds(&mut self, effects: &mut Vec<FleetEffect>) {
+        if self.role != FleetRole::Agent {
+            return;
+        }
+        let active = self.select_links(|peer| peer.is_active).len();
+        let idle = self.select_links(|peer| !peer.is_active);
+        let missing = FEED_LINKS.saturating_sub(active);
+        let chosen: Vec<ids::LinkId> = idle
+            .choose_multiple(&mut self.generator, missing)
+            .copied()
+            .collect();
+
+        for link in chosen {
+            if let Some(peer) = self.links.get_mut(&link) {
+                peer.is_active = true;
+                peer.last_heard = self.clock.last_tick.max(peer.last_heard);
+                send(effects, link, messages::FleetMessage::Subscribe);
+            }
+        }
+    }
+
+    fn has_link_to(&self, vm: &ids::VmName) -> bool {
+        self.links.values().any(|peer| peer.vm.as_ref() == Some(vm))
+    }
+
+    fn count_incoming(&self) -> usize {
+        self.select_links(|peer| peer.kind == LinkKind::Incoming)
+            .len()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/reducer/notices.rs
@@ -0,0 +1,146 @@
+//! Suspects and departures: small facts that every gateway passes on once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use kingcupfall_core::ids;
+use kingcupfall_core::time;
+use kingcupfall_policy::quarantine;
+
+use super::FleetEffect;
+use super::FleetReducer;
+use super::send;
+use crate::messages;
+
+/// Time for which a VM is remembered as leaving after a list has last named it.
+const DEPARTURE_RETENTION: Duration = Duration::from_secs(3_600);
+
+/// Most VMs that are remembered as leaving.
+const DEPARTURE_LIMIT: usize = 4_096;
+
+/// VMs that are known to leave, with the time until which they are remembered.
+#[derive(Debug, Default)]
+pub(super) struct DepartureTable {
+    vms: BTreeMap<ids::VmName, time::Timestamp>,
+}
+
+impl DepartureTable {
+    /// Adds VMs and returns those that are new.
+    fn merge(&mut self, now: time::Timestamp, vms: &[ids::VmName]) -> Vec<ids::VmName> {
+        let mut news = Vec::new();
+        for vm in vms {
+            let is_known = self.vms.contains_key(vm);
+            if !is_known && self.vms.len() >= DEPARTURE_LIMIT {
+                break;
+            }
+            self.vms.insert(vm.clone(), now + DEPARTURE_RETENTION);
+            if !is_known {
+                news.push(vm.clone());
+            }
+        }
+        news
+    }
+
+    pub(super) fn expire(&mut self, now: time::Timestamp) {
+        self.vms.retain(|_, expires_at| *expires_at > now);
+    }
+
+    pub(super) fn vms(&self) -> impl Iterator<Item = &ids::VmName> {
+        self.vms.keys()
+    }
+}
+
+impl FleetReducer {
+    /// Takes records found here or by the peer on `source`, and passes on what is new.
+    pub(super) fn spread_suspects(
+        &mut self,
+        now: time::Timestamp,
+        source: Option<ids::LinkId>,
+        records: &[quarantine::SuspectRecord],
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        let mut news = Vec::new();
+        for record in records {
+            if self.suspects.merge(now, record) {
+                news.push(*record);
+            }
+        }
+        if news.is_empty() {
+            return;
+        }
+
+        self.flood(source, effects, |links, effects| {
+            for link in links {
+                let message = messages::FleetMessage::Suspects(news.clone());
+                send(effects, link, message);
+            }
+        });
+        if source.is_some() {
+            effects.push(FleetEffect::Suspects(news));
+        }
+    }
+
+    /// Takes VMs that a list or the peer on `source` names as leaving, and passes on the new ones.
+    pub(super) fn spread_departures(
+        &mut self,
+        now: time::Timestamp,
+        source: Option<ids::LinkId>,
+        vms: &[ids::VmName],
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        let news = self.departures.merge(now, vms);
+        if news.is_empty() {
+            return;
+        }
+
+        self.flood(source, effects, |links, effects| {
+            for link in links {
+                send_departures(link, &news, effects);
+            }
+        });
+        effects.push(FleetEffect::Departures(news));
+    }
+
+    /// Tells a new peer, or one whose digest differs, all suspects.
+    pub(super) fn send_suspects(
+        &self,
+        now: time::Timestamp,
+        link: ids::LinkId,
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        let records = self.suspects.records(now);
+        if !records.is_empty() {
+            send(effects, link, messages::FleetMessage::Suspects(records));
+        }
+    }
+
+    pub(super) fn send_notices(
+        &self,
+        now: time::Timestamp,
+        link: ids::LinkId,
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        self.send_suspects(now, link, effects);
+        let vms: Vec<ids::VmName> = self.departures.vms().cloned().collect();
+        send_departures(link, &vms, effects);
+    }
+
+    /// Calls `forward` with all gossip links but the one that the news came on.
+    fn flood(
+        &self,
+        source: Option<ids::LinkId>,
+        effects: &mut Vec<FleetEffect>,
+        forward: impl Fn(Vec<ids::LinkId>, &mut Vec<FleetEffect>),
+    ) {
+        let mut links = self.select_links(|peer| peer.is_gossip() && peer.is_active);
+        links.retain(|link| Some(*link) != source);
+        forward(links, effects);
+    }
+}
+
+fn send_departures(link: ids::LinkId, vms: &[ids::VmName], effects: &mut Vec<FleetEffect>) {
+    for vms in vms.chunks(messages::LIST_LIMIT) {
+        let message = messages::FleetMessage::Departures(vms.to_vec());
+        send(effects, link, message);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/sections/name.rs
@@ -0,0 +1,97 @@
+//! Names and heads of sections.
+
+use std::fmt;
+use std::str::FromStr;
+
+use kingcupfall_core::ids;
+use kingcupfall_core::measures;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_with::DeserializeFromStr;
+use serde_with::SerializeDisplay;
+use xxhash_rust::xxh3;
+
+/// Name of a section of the document, of the same form as other names.
+#[derive(
+    Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, SerializeDisplay, DeserializeFromStr,
+)]
+pub struct SectionName(Box<str>);
+
+impl SectionName {
+    /// Returns the name as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl FromStr for SectionName {
+    type Err = ids::NameError;
+
+    fn from_str(text: &str) -> ids::Result<Self> {
+        // A section has a name of the same characters and length as everything else.
+        let name: ids::ModelName = text.parse()?;
+        Ok(Self(name.as_str().into()))
+    }
+}
+
+impl fmt::Display for SectionName {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+/// 128-bit xxh3 of a section's bytes; it finds damage, not forgery.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ContentHash(u128);
+
+impl ContentHash {
+    /// Hashes the bytes of a section.
+    pub fn of_bytes(bytes: &[u8]) -> Self {
+        Self(xxh3::xxh3_128(bytes))
+    }
+}
+
+impl fmt::Display for ContentHash {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
+
+impl fmt::Debug for ContentHash {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, formatter)
+    }
+}
+
+/// Version of a section with the hash of its content.
+///
+/// Heads of one section are ordered by version. Two contents with one version are an error of the
+/// operator; the hash then orders them, so that all processes still settle on the same one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct VersionHead {
+    /// Version.
+    pub version: measures::SectionVersion,
+    /// Hash of the content.
+    pub hash: ContentHash,
+}
+
+/// A section's name with its head.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct SectionHead {
+    /// The section.
+    pub section: SectionName,
+    /// Its version and hash.
+    pub head: VersionHead,
+}
+
+impl SectionHead {
+    /// Hashes name, version and content hash, for digests of many heads.
+    pub fn fingerprint(&self) -> u64 {
+        let mut hasher = xxh3::Xxh3::new();
+        hasher.update(self.section.as_str().as_bytes());
+        hasher.update(&self.head.version.get().to_le_bytes());
+        hasher.update(&self.head.hash.0.to_le_bytes());
+        hasher.digest()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/subset/mod.rs
@@ -0,0 +1,81 @@
+//! Rendezvous hashing: stable choices of a few among many, without agreement.
+
+use kingcupfall_core::ids;
+use xxhash_rust::xxh3;
+
+/// Share of a subset that comes from the own zone, when it has enough.
+const OWN_ZONE_SHARE: f64 = 0.75;
+
+/// A target that a gateway may keep a link to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetCandidate {
+    /// The target.
+    pub target: ids::TargetName,
+    /// Its zone.
+    pub zone: ids::ZoneName,
+}
+
+/// Returns the rendezvous weight of `candidate` for `chooser`; the highest weights are chosen.
+pub fn weight(chooser: &str, candidate: &str) -> u64 {
+    let seed = xxh3::xxh3_64(chooser.as_bytes());
+    xxh3::xxh3_64_with_seed(candidate.as_bytes(), seed)
+}
+
+/// Chooses the targets of one model or service that the gateway on `vm` keeps links to.
+///
+/// Three quarters come from the gateway's own zone and the rest from the others, so that the loss
+/// of a zone leaves links that work. What one side lacks the other fills. When a candidate comes
+/// or goes, at most one other place of the subset changes.
+pub fn choose_targets(
+    vm: &ids::VmName,
+    zone: &ids::ZoneName,
+    candidates: &[TargetCandidate],
+    size: usize,
+) -> Vec<ids::TargetName> {
+    let is_own = |candidate: &&TargetCandidate| candidate.zone == *zone;
+    let own: Vec<&TargetCandidate> = candidates.iter().filter(is_own).collect();
+    let other: Vec<&TargetCandidate> = candidates
+        .iter()
+        .filter(|candidate| !is_own(candidate))
+        .collect();
+
+    let share = (size as f64 * OWN_ZONE_SHARE).ceil() as usize;
+    let own_size = share.max(size.saturating_sub(other.len()));
+    let mut chosen = heaviest(vm, own, own_size);
+    let rest = size.saturating_sub(chosen.len());
+    chosen.extend(heaviest(vm, other, rest));
+    chosen
+}
+
+/// Orders the members of a zone as readers; the first few read for the zone.
+pub fn reader_order(zone: &ids::ZoneName, mut members: Vec<ids::ProcessId>) -> Vec<ids::ProcessId> {
+    let weigh = |member: &ids::ProcessId| weight(zone.as_str(), &member.to_string());
+    members.sort_by_cached_key(|member| std::cmp::Reverse(weigh(member)));
+    members
+}
+
+/// Returns the `count` names with the highest weights for `chooser`, heaviest first.
+pub fn heaviest_vms<'a>(
+    chooser: &ids::VmName,
+    vms: impl Iterator<Item = &'a ids::VmName>,
+    count: usize,
+) -> Vec<ids::VmName> {
+    let mut vms: Vec<&ids::VmName> = vms.collect();
+    vms.sort_by_cached_key(|vm| std::cmp::Reverse(weight(chooser.as_str(), vm.as_str())));
+    vms.into_iter().take(count).cloned().collect()
+}
+
+fn heaviest(
+    vm: &ids::VmName,
+    mut candidates: Vec<&TargetCandidate>,
+    count: usize,
+) -> Vec<ids::TargetName> {
+    candidates.sort_by_cached_key(|candidate| {
+        std::cmp::Reverse(weight(vm.as_str(), candidate.target.as_str()))
+    });
+    candidates
+        .into_iter()
+        .take(count)
+        .map(|candidate| candidate.target.clone())
+        .collect()
+}
--- /dev/null
+++ b/crates/fleet/src/suspects/mod.rs
@@ -0,0 +1,111 @@
+//! Requests that may crash targets, as they spread among gateways.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use kingcupfall_core::ids;
+use kingcupfall_core::time;
+use kingcupfall_core::work;
+use kingcupfall_policy::quarantine;
+use xxhash_rust::xxh3;
+
+/// Most requests that are kept.
+const SUSPECT_LIMIT: usize = 256;
+
+/// Longest time that a record is kept, whatever its sender says.
+const RETENTION_LIMIT: Duration = Duration::from_secs(3_600);
+
+/// Records in force at one gateway.
+#[derive(Debug, Default)]
+pub struct SuspectTable {
+    entries: BTreeMap<work::RequestFingerprint, SuspectEntry>,
+    digest: u64,
+}
+
+#[derive(Debug)]
+struct SuspectEntry {
+    crashes: [Option<ids::AttemptId>; 2],
+    expires_at: time::Timestamp,
+}
+
+impl SuspectTable {
+    /// Takes a record, and says whether it told of a crash that was not known.
+    pub fn merge(&mut self, now: time::Timestamp, record: &quarantine::SuspectRecord) -> bool {
+        let retention = Duration::from_secs(u64::from(record.seconds_left)).min(RETENTION_LIMIT);
+        let known = self.entries.get(&record.fingerprint);
+        let old = known.map(|entry| entry.crashes).unwrap_or_default();
+        let crashes = join_crashes(old, record.crashes);
+        let is_full = known.is_none() && self.entries.len() >= SUSPECT_LIMIT;
+        if crashes == old || is_full || retention.is_zero() {
+            return false;
+        }
+
+        let expires_at = now + retention;
+        self.digest ^= entry_digest(record.fingerprint, old);
+        self.digest ^= entry_digest(record.fingerprint, crashes);
+        let entry = SuspectEntry {
+            crashes,
+            expires_at,
+        };
+        self.entries.insert(record.fingerprint, entry);
+        true
+    }
+
+    /// Drops records whose time has passed.
+    pub fn expire(&mut self, now: time::Timestamp) {
+        let digest = &mut self.digest;
+        self.entries.retain(|fingerprint, entry| {
+            let is_kept = entry.expires_at > now;
+            if !is_kept {
+                *digest ^= entry_digest(*fingerprint, entry.crashes);
+            }
+            is_kept
+        });
+    }
+
+    /// Returns all records, with the time they have left.
+    pub fn records(&self, now: time::Timestamp) -> Vec<quarantine::SuspectRecord> {
+        let write_record = |(fingerprint, entry): (&work::RequestFingerprint, &SuspectEntry)| {
+            let left = entry.expires_at.since(now).as_secs();
+            quarantine::SuspectRecord {
+                fingerprint: *fingerprint,
+                crashes: entry.crashes,
+                seconds_left: u32::try_from(left).unwrap_or(u32::MAX),
+            }
+        };
+        self.entries.iter().map(write_record).collect()
+    }
+
+    /// Returns a hash over all records, equal in gateways that know the same crashes.
+    pub const fn digest(&self) -> u64 {
+        self.digest
+    }
+}
+
+/// Joins the crashes of two records: the two lowest ids, whatever the order they came in.
+fn join_crashes(
+    left: [Option<ids::AttemptId>; 2],
+    right: [Option<ids::AttemptId>; 2],
+) -> [Option<ids::AttemptId>; 2] {
+    let mut crashes: Vec<ids::AttemptId> = left.into_iter().chain(right).flatten().collect();
+    crashes.sort();
+    crashes.dedup();
+    [crashes.first().copied(), crashes.get(1).copied()]
+}
+
+fn entry_digest(
+    fingerprint: work::RequestFingerprint,
+    crashes: [Option<ids::AttemptId>; 2],
+) -> u64 {
+    let mut hasher = xxh3::Xxh3::new();
+    hasher.update(fingerprint.to_string().as_bytes());
+    for crash in crashes.iter().flatten() {
+        hasher.update(&crash.as_u128().to_le_bytes());
+    }
+
+    // Nothing known has the digest zero, as in a table without the entry.
+    match crashes {
+        [None, None] => 0,
+        [Some(_), _] | [None, Some(_)] => hasher.digest(),
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/spread.rs
@@ -0,0 +1,239 @@
+//! Spread of configuration over a simulated fleet.
+
+use std::time::Duration;
+
+use kingcupfall_fleet::reducer;
+use kingcupfall_fleet::simulation;
+
+const SECTION: &str = "models";
+const LIMIT: Duration = Duration::from_secs(4);
+const REPAIR_LIMIT: Duration = Duration::from_secs(30);
+
+/// A fleet in which the first version of a section is in force everywhere.
+fn settled_fleet(plan: simulation::SimulationPlan) -> simulation::FleetSimulation {
+    let mut fleet = simulation::FleetSimulation::new(plan);
+    let version = fleet.publish(SECTION, b"first");
+    fleet.run(Duration::from_secs(40));
+    assert!(fleet.is_in_force(SECTION, version));
+    fleet
+}
+
+fn small_plan() -> simulation::SimulationPlan {
+    simulation::SimulationPlan {
+        agents_per_zone: 4,
+        gateways_per_zone: 6,
+        ..simulation::SimulationPlan::default()
+    }
+}
+
+fn assert_spreads(fleet: &mut simulation::FleetSimulation, bytes: &[u8], limit: Duration) {
+    let version = fleet.publish(SECTION, bytes);
+    let time = fleet.run_until(limit, |fleet| fleet.is_in_force(SECTION, version));
+    assert!(
+        time.is_some(),
+        "version {version} is not in force everywhere"
+    );
+    assert_eq!(fleet.violations(), &[] as &[Box<str>]);
+}
+
+/// Lines that differ, about as long as those of a document.
+fn large_text(lines: usize) -> Vec<u8> {
+    let write_line = |line| format!("[targets.engine-{line}]\nvm = \"vm-{line}\"\n");
+    (0..lines).map(write_line).collect::<String>().into_bytes()
+}
+
+#[test]
+fn change_is_in_force_everywhere_in_four_seconds() {
+    let mut fleet = settled_fleet(small_plan());
+
+    assert_spreads(&mut fleet, b"second", LIMIT);
+}
+
+#[test]
+fn large_value_is_in_force_everywhere_in_four_seconds() {
+    let mut fleet = settled_fleet(small_plan());
+
+    let bytes = large_text(20_000);
+    assert!(bytes.len() > 700_000);
+    assert_spreads(&mut fleet, &bytes, LIMIT);
+}
+
+#[test]
+fn edit_of_a_large_value_costs_little() {
+    let mut fleet = settled_fleet(small_plan());
+    let mut bytes = large_text(20_000);
+    assert_spreads(&mut fleet, &bytes, LIMIT);
+    fleet.run(Duration::from_secs(5));
+    fleet.reset_usage();
+
+    let middle = bytes.len() / 2;
+    bytes[middle] = b'#';
+    assert_spreads(&mut fleet, &bytes, LIMIT);
+
+    let received = fleet.live().into_iter();
+    let received = received.map(|index| fleet.usage(index).received_bytes);
+    assert!(received.max() < Some(20_000));
+}
+
+#[test]
+fn loss_and_duplication_are_repaired() {
+    let plan = simulation::SimulationPlan {
+        loss: 0.1,
+        duplication: 0.1,
+        jitter: Duration::from_millis(20),
+        ..small_plan()
+    };
+    let mut fleet = settled_fleet(plan);
+
+    assert_spreads(&mut fleet, &large_text(1_000), REPAIR_LIMIT);
+}
+
+#[test]
+fn dead_readers_are_replaced_within_seconds() {
+    let mut fleet = settled_fleet(small_plan());
+    for reader in fleet.readers() {
+        fleet.kill(reader, simulation::LossKind::Vm);
+    }
+    assert!(fleet.readers().is_empty());
+
+    assert_spreads(&mut fleet, b"second", Duration::from_secs(12));
+    assert!(!fleet.readers().is_empty());
+}
+
+#[test]
+fn service_down_for_an_hour_keeps_versions_and_catches_up() {
+    let mut fleet = settled_fleet(small_plan());
+    let start = fleet.now();
+    fleet.set_service_everywhere(simulation::ServiceMode::Down);
+    let version = fleet.publish(SECTION, b"second");
+
+    fleet.run(Duration::from_secs(3_600));
+    let has_first = |index| fleet.version(index, SECTION) == Some(1);
+    assert!(fleet.live().into_iter().all(has_first));
+    assert!(fleet.service.peak_calls(start) < 100);
+
+    fleet.set_service_everywhere(simulation::ServiceMode::Up);
+    let time = fleet.run_until(LIMIT, |fleet| fleet.is_in_force(SECTION, version));
+    assert!(time.is_some());
+}
+
+#[test]
+fn flapping_stale_service_never_takes_a_version_back() {
+    let mut fleet = settled_fleet(small_plan());
+    assert_spreads(&mut fleet, b"second", LIMIT);
+
+    for _ in 0..20 {
+        let old = simulation::ServiceMode::Stale(reducer::ServiceRevision::new(1));
+        fleet.set_service_everywhere(old);
+        fleet.run(Duration::from_secs(70));
+        fleet.set_service_everywhere(simulation::ServiceMode::Up);
+        fleet.run(Duration::from_secs(3));
+    }
+
+    let has_second = |index| fleet.version(index, SECTION) == Some(2);
+    assert!(fleet.live().into_iter().all(has_second));
+    assert_eq!(fleet.violations(), &[] as &[Box<str>]);
+}
+
+#[test]
+fn fresh_vm_with_a_stale_service_takes_its_peers_version() {
+    let mut fleet = settled_fleet(small_plan());
+    assert_spreads(&mut fleet, b"second", LIMIT);
+    let old = simulation::ServiceMode::Stale(reducer::ServiceRevision::new(1));
+    fleet.set_service_everywhere(old);
+
+    let fresh = fleet.start(0, reducer::FleetRole::Gateway);
+    let joined = fleet.run_until(Duration::from_secs(10), |fleet| {
+        fleet.version(fresh, SECTION).is_some()
+    });
+    assert!(joined.is_some());
+    assert_eq!(fleet.version(fresh, SECTION), Some(2));
+}
+
+#[test]
+fn fresh_vm_without_peers_waits_and_then_says_that_it_is_unconfirmed() {
+    let mut fleet = settled_fleet(small_plan());
+    assert_spreads(&mut fleet, b"second", LIMIT);
+    let old = simulation::ServiceMode::Stale(reducer::ServiceRevision::new(1));
+    fleet.set_service_everywhere(old);
+    for gateway in fleet.gateways(0) {
+        fleet.kill(gateway, simulation::LossKind::Vm);
+    }
+    fleet.cut(&[0]);
+
+    let fresh = fleet.start(0, reducer::FleetRole::Gateway);
+    fleet.run(Duration::from_secs(20));
+    assert_eq!(fleet.version(fresh, SECTION), None);
+
+    fleet.run(Duration::from_secs(40));
+    assert_eq!(fleet.version(fresh, SECTION), Some(1));
+    let phase = fleet.reducer(fresh).join_phase();
+    assert_eq!(phase, reducer::JoinPhase::Unconfirmed);
+
+    fleet.cut(&[]);
+    fleet.run(REPAIR_LIMIT);
+    assert_eq!(fleet.version(fresh, SECTION), Some(2));
+    let phase = fleet.reducer(fresh).join_phase();
+    assert_eq!(phase, reducer::JoinPhase::Confirmed);
+}
+
+#[test]
+fn cut_zone_with_a_stale_service_heals() {
+    let mut fleet = settled_fleet(small_plan());
+    fleet.cut(&[2]);
+    let old = simulation::ServiceMode::Stale(reducer::ServiceRevision::new(1));
+    fleet.set_service(2, old);
+    let version = fleet.publish(SECTION, b"second");
+    fleet.run(Duration::from_secs(3_600));
+
+    let old_side = fleet.gateways(2);
+    let has_first = |index| fleet.version(index, SECTION) == Some(1);
+    assert!(old_side.into_iter().all(has_first));
+
+    fleet.cut(&[]);
+    let time = fleet.run_until(REPAIR_LIMIT, |fleet| fleet.is_in_force(SECTION, version));
+    assert!(time.is_some());
+    assert_eq!(fleet.violations(), &[] as &[Box<str>]);
+}
+
+#[test]
+fn cut_zone_reads_the_service_by_itself() {
+    let mut fleet = settled_fleet(small_plan());
+    fleet.cut(&[2]);
+    fleet.run(Duration::from_secs(60));
+
+    assert_spreads(&mut fleet, b"second", LIMIT);
+}
+
+#[test]
+fn paused_process_catches_up_and_misleads_nobody() {
+    let mut fleet = settled_fleet(small_plan());
+    let paused = fleet.gateways(1)[0];
+    fleet.pause(paused, Duration::from_secs(120));
+    for round in 0..5 {
+        fleet.publish(SECTION, format!("round {round}").as_bytes());
+        fleet.run(Duration::from_secs(20));
+    }
+
+    fleet.run(Duration::from_secs(60));
+    assert_eq!(fleet.version(paused, SECTION), Some(6));
+    assert_eq!(fleet.violations(), &[] as &[Box<str>]);
+}
+
+#[test]
+fn agents_restore_versions_after_all_gateways_of_a_zone_restart() {
+    let plan = simulation::SimulationPlan {
+        zones: 1,
+        ..small_plan()
+    };
+    let mut fleet = settled_fleet(plan);
+    assert_spreads(&mut fleet, b"second", LIMIT);
+    fleet.set_service_everywhere(simulation::ServiceMode::Down);
+
+    for gateway in fleet.gateways(0) {
+        fleet.kill(gateway, simulation::LossKind::Process);
+    }
+    let fresh = fleet.start(0, reducer::FleetRole::Gateway);
+    fleet.run(REPAIR_LIMIT);
+    assert_eq!(fleet.version(fresh, SECTION), Some(2));
+}
