Keep the accepted and the rejected version of each section apart

Cause: a fresh VM that got only the newest version of a section would have none in force when that version has findings.

Change: the store has a slot for the newest accepted and one for the newest rejected version; both spread. A judge behind a trait checks each version once. Floors count accepted versions only.

Conclusion: a section with findings keeps its last accepted value on every VM, those that join later too.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! number of peers; agents are fed by some of the gateways that have links to them. A few gateways
 //! of each zone read the configuration service and the VM list for all.
 
+pub mod judge;
 pub mod members;
 pub mod messages;
 pub mod reducer;
--- a/crates/fleet/src/reducer/effect.rs
+++ b/crates/fleet/src/reducer/effect.rs
@@ -42,6 +42,8 @@
     ReadVms,
     /// A section's new version is in force here.
     Publish(sections::SectionValue),
+    /// A section's new version has findings and replaces nothing.
+    Reject(sections::SectionValue),
     /// Suspects that another gateway found.
     Suspects(Vec<quarantine::SuspectRecord>),
     /// VMs that are newly known to leave.
--- a/crates/fleet/src/reducer/joining.rs
+++ b/crates/fleet/src/reducer/joining.rs
@@ -91,9 +91,9 @@
 
     /// Keeps a value for later, unless a newer one is kept.
     pub(super) fn set_aside(&mut self, value: sections::SectionValue) {
-        let section = value.head.section.clone();
+        let section = value.section.clone();
         let known = self.join.aside.get(&section);
-        if known.is_none_or(|known| known.head.head < value.head.head) {
+        if known.is_none_or(|known| known.head < value.head) {
             self.join.aside.insert(section, value);
         }
     }
@@ -107,22 +107,21 @@
 
         let aside = std::mem::take(&mut self.join.aside);
         for value in aside.into_values() {
-            self.raise_floor(now, &value.head);
-            if self.is_awaited(now, &value.head) {
+            if self.is_awaited(now, &value) {
                 self.set_aside(value);
             } else {
-                self.put_in_force(now, value, effects);
+                self.check_value(now, value, effects);
             }
         }
     }
 
-    /// Says whether a newer version than `head` may yet come, while none is in force.
-    fn is_awaited(&self, now: time::Timestamp, head: &sections::SectionHead) -> bool {
-        let is_first = self.store.head(&head.section).is_none();
-        let Some(floor) = self.spread.floors.get(&head.section) else {
+    /// Says whether a newer version than `value` may yet come, while none is in force.
+    fn is_awaited(&self, now: time::Timestamp, value: &sections::SectionValue) -> bool {
+        let Some(floor) = self.spread.floors.get(&value.section) else {
             return false;
         };
-        is_first && head.head < floor.head && now.since(floor.since) < FLOOR_PATIENCE
+        let is_patient = now.since(floor.since) < FLOOR_PATIENCE;
+        value.head < floor.head && is_patient && !self.has_accepted(&value.section)
     }
 
     fn next_phase(&self, now: time::Timestamp) -> JoinPhase {
--- a/crates/fleet/src/reducer/mod.rs
+++ b/crates/fleet/src/reducer/mod.rs
@@ -31,6 +31,7 @@
 pub use status::SectionStatus;
 pub use upkeep::TICK_INTERVAL;
 
+use crate::judge;
 use crate::members;
 use crate::messages;
 use crate::sections;
@@ -72,6 +73,7 @@
     connections: links::ConnectionState,
     members: members::MemberTable,
     news: membership::MemberNews,
+    judge: Box<dyn judge::SectionJudge>,
     store: sections::SectionStore,
     spread: spread::SpreadState,
     join: joining::JoinState,
@@ -84,8 +86,12 @@
 }
 
 impl FleetReducer {
-    /// Makes the reducer of a process that starts at `now`.
-    pub fn new(identity: FleetIdentity, now: time::Timestamp) -> Self {
+    /// Makes the reducer of a process that starts at `now`, whose sections `judge` checks.
+    pub fn new(
+        identity: FleetIdentity,
+        judge: Box<dyn judge::SectionJudge>,
+        now: time::Timestamp,
+    ) -> Self {
         let own = members::MemberRecord {
             vm: identity.vm.clone(),
             zone: identity.zone.clone(),
@@ -103,6 +109,7 @@
             connections: links::ConnectionState::default(),
             members: members::MemberTable::new(identity.vm, identity.zone),
             news: membership::MemberNews::default(),
+            judge,
             store: sections::SectionStore::default(),
             spread: spread::SpreadState::default(),
             join: joining::JoinState::new(identity.role, now),
--- a/crates/fleet/src/reducer/spread.rs
+++ b/crates/fleet/src/reducer/spread.rs
@@ -28,13 +28,15 @@
 /// Versions seen, being fetched, and being announced.
 #[derive(Debug, Default)]
 pub(super) struct SpreadState {
-    /// Highest version seen of each section in any message or answer.
+    /// Highest accepted version of each section seen in any message or answer.
     pub(super) floors: BTreeMap<sections::SectionName, SectionFloor>,
-    transfers: BTreeMap<sections::SectionName, sections::SectionTransfer>,
+    transfers: BTreeMap<sections::SectionSlot, sections::SectionTransfer>,
+    /// Newest version of each section that was rejected here, though it may not be kept.
+    pub(super) refused: BTreeMap<sections::SectionName, sections::VersionHead>,
     announcements: Vec<HeadAnnouncement>,
 }
 
-/// Highest version seen of a section.
+/// Highest accepted version seen of a section.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct SectionFloor {
     pub(super) head: sections::VersionHead,
@@ -64,19 +66,18 @@
                 continue;
             }
 
-            let transfer = self
-                .spread
-                .transfers
-                .entry(head.section.clone())
-                .or_insert_with(|| sections::SectionTransfer::new(head.clone(), now));
+            let slot = head.slot.clone();
+            let transfer = self.spread.transfers.entry(slot.clone());
+            let transfer =
+                transfer.or_insert_with(|| sections::SectionTransfer::new(head.clone(), now));
             if head.head < transfer.wanted.head {
                 continue;
             }
             if head.head > transfer.wanted.head {
-                *transfer = sections::SectionTransfer::new(head.clone(), now);
+                *transfer = sections::SectionTransfer::new(head, now);
             }
             transfer.add_source(link);
-            self.ask_next(now, &head.section, effects);
+            self.ask_next(now, &slot, effects);
         }
     }
 
@@ -126,30 +127,24 @@
         patch: &sections::SectionPatch,
         effects: &mut Vec<FleetEffect>,
     ) {
-        let Some(transfer) = self.spread.transfers.get_mut(&patch.section) else {
-            self.counters.stray_messages += 1;
-            return;
-        };
-        if transfer.asked != Some(link) {
+        if !self.is_asked(link, &patch.slot) {
             self.counters.stray_messages += 1;
             return;
         }
-        transfer.active_at = now;
-
-        let held = self.store.value(&patch.section);
-        if held.is_some_and(|value| value.head.head >= patch.head) {
+        self.note_activity(now, &patch.slot);
+        let section = patch.slot.section.clone();
+        if !self.store.is_news(&section, patch.head) {
             // It came twice, or another peer was faster.
             return;
         }
-        let held = held.filter(|value| value.head.head == patch.base);
-        let bytes = held.and_then(|value| patch.apply(&value.bytes));
-        match bytes {
+
+        let base = self.store.find(&section, patch.base);
+        match base.and_then(|value| patch.apply(&value.bytes)) {
             Some(bytes) => {
-                let section = patch.section.clone();
                 let value = sections::SectionValue::new(section, patch.head.version, &bytes);
                 self.offer(now, value, effects);
             }
-            None => self.ask_other(now, &patch.section, effects),
+            None => self.ask_other(now, &patch.slot, effects),
         }
     }
 
@@ -160,22 +155,19 @@
         manifest: sections::SectionManifest,
         effects: &mut Vec<FleetEffect>,
     ) {
-        let section = manifest.head.section.clone();
-        self.raise_floor(now, &manifest.head);
-        let known = self.store.known_parts(&section);
-        let Some(transfer) = self.spread.transfers.get_mut(&section) else {
-            self.counters.stray_messages += 1;
-            return;
-        };
-        if transfer.asked != Some(link) {
+        let head = manifest.head.clone();
+        self.raise_floor(now, &head);
+        if !self.is_asked(link, &head.slot) {
             self.counters.stray_messages += 1;
             return;
         }
 
-        transfer.active_at = now;
-        let head = manifest.head.clone();
-        let step = transfer.take_manifest(manifest, &known);
-        self.follow_step(now, link, head, step, effects);
+        self.note_activity(now, &head.slot);
+        let known = self.store.known_parts(&head.slot.section);
+        if let Some(transfer) = self.spread.transfers.get_mut(&head.slot) {
+            let step = transfer.take_manifest(manifest, &known);
+            self.follow_step(now, link, head, step, effects);
+        }
     }
 
     pub(super) fn take_part(
@@ -186,18 +178,16 @@
         effects: &mut Vec<FleetEffect>,
     ) {
         let head = part.head.clone();
-        let Some(transfer) = self.spread.transfers.get_mut(&head.section) else {
-            self.counters.stray_messages += 1;
-            return;
-        };
-        if transfer.asked != Some(link) {
+        if !self.is_asked(link, &head.slot) {
             self.counters.stray_messages += 1;
             return;
         }
 
-        transfer.active_at = now;
-        let step = transfer.take_part(part);
-        self.follow_step(now, link, head, step, effects);
+        self.note_activity(now, &head.slot);
+        if let Some(transfer) = self.spread.transfers.get_mut(&head.slot) {
+            let step = transfer.take_part(part);
+            self.follow_step(now, link, head, step, effects);
+        }
     }
 
     pub(super) fn take_unavailable(
@@ -207,13 +197,12 @@
         head: &sections::SectionHead,
         effects: &mut Vec<FleetEffect>,
     ) {
-        let transfer = self.spread.transfers.get(&head.section);
-        if transfer.is_some_and(|transfer| transfer.asked == Some(link)) {
-            self.ask_other(now, &head.section, effects);
+        if self.is_asked(link, &head.slot) {
+            self.ask_other(now, &head.slot, effects);
         }
     }
 
-    /// Puts a value in force unless the process has, or knows of, a newer one.
+    /// Takes a version unless the process has, or knows of, a newer one.
     ///
     /// A process that has no version of the section keeps an older one than the newest it knows
     /// of aside for a time, since the newest may yet arrive.
@@ -223,39 +212,48 @@
         value: sections::SectionValue,
         effects: &mut Vec<FleetEffect>,
     ) {
-        self.raise_floor(now, &value.head);
-        let floor = self.spread.floors.get(&value.head.section);
-        let is_below = floor.is_some_and(|floor| value.head.head < floor.head);
-        let is_first = self.store.head(&value.head.section).is_none();
-        if is_first && is_below {
+        let floor = self.spread.floors.get(&value.section);
+        let is_below = floor.is_some_and(|floor| value.head < floor.head);
+        if is_below && !self.has_accepted(&value.section) {
             self.set_aside(value);
             return;
         }
-        self.put_in_force(now, value, effects);
+        self.check_value(now, value, effects);
     }
 
-    pub(super) fn put_in_force(
+    /// Checks a version and, when nothing is wrong with it, puts it in force.
+    pub(super) fn check_value(
         &mut self,
         now: time::Timestamp,
         value: sections::SectionValue,
         effects: &mut Vec<FleetEffect>,
     ) {
-        let head = value.head.clone();
-        if !self.store.replace(value.clone()) {
+        let section = value.section.clone();
+        let is_refused = self.spread.refused.get(&section) == Some(&value.head);
+        if is_refused || !self.store.is_news(&section, value.head) {
             return;
         }
-        self.counters.sections_changed += 1;
-        effects.push(FleetEffect::Publish(value));
 
-        let mut told = BTreeSet::new();
-        if let Some(transfer) = self.spread.transfers.remove(&head.section) {
-            told.extend(transfer.sources.iter().copied());
-            told.extend(transfer.asked);
-            if transfer.wanted.head > head.head {
-                // A patch on the way to the wanted version; its successors follow.
-                self.spread.transfers.insert(head.section.clone(), transfer);
-            }
+        let verdict = self.judge.judge(&value);
+        let head = sections::SectionHead {
+            slot: sections::SectionSlot { section, verdict },
+            head: value.head,
+        };
+        self.raise_floor(now, &head);
+        if verdict == sections::SectionVerdict::Rejected {
+            let section = head.slot.section.clone();
+            self.spread.refused.insert(section, value.head);
         }
+        if !self.store.replace(verdict, value.clone()) {
+            return;
+        }
+        effects.push(match verdict {
+            sections::SectionVerdict::Accepted => FleetEffect::Publish(value),
+            sections::SectionVerdict::Rejected => FleetEffect::Reject(value),
+        });
+        self.counters.sections_changed += 1;
+
+        let told = self.close_transfers(&head);
         self.announce(now, head, told, effects);
     }
 
@@ -286,15 +284,15 @@
     /// Asks other peers for versions whose peer has gone silent.
     pub(super) fn check_transfers(&mut self, now: time::Timestamp, effects: &mut Vec<FleetEffect>) {
         let late = self.spread.transfers.iter();
-        let late: Vec<sections::SectionName> = late
+        let late: Vec<sections::SectionSlot> = late
             .filter(|(_, transfer)| now.since(transfer.active_at) >= PULL_TIMEOUT)
-            .map(|(section, _)| section.clone())
+            .map(|(slot, _)| slot.clone())
             .collect();
-        for section in late {
-            if let Some(transfer) = self.spread.transfers.get_mut(&section) {
+        for slot in late {
+            if let Some(transfer) = self.spread.transfers.get_mut(&slot) {
                 transfer.postpone_source();
             }
-            self.ask_next(now, &section, effects);
+            self.ask_next(now, &slot, effects);
         }
     }
 
@@ -309,12 +307,12 @@
             transfer.remove_source(link);
         }
         let idle = self.spread.transfers.iter();
-        let idle: Vec<sections::SectionName> = idle
+        let idle: Vec<sections::SectionSlot> = idle
             .filter(|(_, transfer)| transfer.asked.is_none())
-            .map(|(section, _)| section.clone())
+            .map(|(slot, _)| slot.clone())
             .collect();
-        for section in idle {
-            self.ask_next(now, &section, effects);
+        for slot in idle {
+            self.ask_next(now, &slot, effects);
         }
     }
 
@@ -355,13 +353,18 @@
         send(effects, link, messages::FleetMessage::AllHeads(heads));
     }
 
-    /// Raises the floor of a section, and says whether the section is kept at all.
+    /// Raises the floor of a section when the version was accepted, and says whether the section
+    /// is kept at all.
     pub(super) fn raise_floor(
         &mut self,
         now: time::Timestamp,
         head: &sections::SectionHead,
     ) -> bool {
-        if let Some(floor) = self.spread.floors.get_mut(&head.section) {
+        if head.slot.verdict == sections::SectionVerdict::Rejected {
+            return true;
+        }
+        let section = &head.slot.section;
+        if let Some(floor) = self.spread.floors.get_mut(section) {
             floor.head = floor.head.max(head.head);
             return true;
         }
@@ -373,13 +376,55 @@
             head: head.head,
             since: now,
         };
-        self.spread.floors.insert(head.section.clone(), floor);
+        self.spread.floors.insert(section.clone(), floor);
         true
     }
 
+    pub(super) fn has_accepted(&self, section: &sections::SectionName) -> bool {
+        let verdict = sections::SectionVerdict::Accepted;
+        self.store.head(section, verdict).is_some()
+    }
+
+    /// Says whether a version that a peer keeps is of use here.
     fn is_wanted(&self, head: &sections::SectionHead) -> bool {
-        let held = self.store.head(&head.section);
-        held.is_none_or(|held| held < head.head)
+        let section = &head.slot.section;
+        let is_refused = self.spread.refused.get(section) == Some(&head.head);
+        if is_refused || !self.store.is_news(section, head.head) {
+            return false;
+        }
+
+        match head.slot.verdict {
+            sections::SectionVerdict::Accepted => true,
+            sections::SectionVerdict::Rejected => {
+                self.store.head(section, head.slot.verdict) < Some(head.head)
+            }
+        }
+    }
+
+    fn is_asked(&self, link: ids::LinkId, slot: &sections::SectionSlot) -> bool {
+        let transfer = self.spread.transfers.get(slot);
+        transfer.is_some_and(|transfer| transfer.asked == Some(link))
+    }
+
+    fn note_activity(&mut self, now: time::Timestamp, slot: &sections::SectionSlot) {
+        if let Some(transfer) = self.spread.transfers.get_mut(slot) {
+            transfer.active_at = now;
+        }
+    }
+
+    /// Ends the transfers that a version has satisfied, and returns the peers that have it.
+    fn close_transfers(&mut self, head: &sections::SectionHead) -> BTreeSet<ids::LinkId> {
+        let mut told = BTreeSet::new();
+        self.spread.transfers.retain(|slot, transfer| {
+            let is_older = transfer.wanted.head <= head.head;
+            let is_done = slot.section == head.slot.section && is_older;
+            if is_done {
+                told.extend(transfer.sources.iter().copied());
+                told.extend(transfer.asked);
+            }
+            !is_done
+        });
+        told
     }
 
     /// Notes that a peer has a version, so that it need not be told.
@@ -408,7 +453,7 @@
         // An older version of the section need not be announced any more.
         self.spread
             .announcements
-            .retain(|announcement| announcement.head.section != head.section);
+            .retain(|announcement| announcement.head.slot != head.slot);
         self.spread.announcements.push(HeadAnnouncement {
             head,
             told,
@@ -431,48 +476,41 @@
             }
             sections::TransferStep::Wait => {}
             sections::TransferStep::Complete(value) => {
-                let section = value.head.section.clone();
+                // Whatever the check finds, this version need not be fetched again.
+                self.spread.transfers.remove(&head.slot);
                 self.offer(now, value, effects);
-                self.end_transfer(&section);
             }
             sections::TransferStep::Damaged => {
                 self.counters.damaged_transfers += 1;
-                if let Some(transfer) = self.spread.transfers.get_mut(&head.section) {
+                if let Some(transfer) = self.spread.transfers.get_mut(&head.slot) {
                     transfer.abandon_source();
                     transfer.add_source(link);
                 }
-                self.ask_next(now, &head.section, effects);
+                self.ask_next(now, &head.slot, effects);
             }
         }
     }
 
-    /// Ends a transfer whose version came in but could not be put in force yet.
-    fn end_transfer(&mut self, section: &sections::SectionName) {
-        if self.store.head(section).is_none() {
-            self.spread.transfers.remove(section);
-        }
-    }
-
     fn ask_other(
         &mut self,
         now: time::Timestamp,
-        section: &sections::SectionName,
+        slot: &sections::SectionSlot,
         effects: &mut Vec<FleetEffect>,
     ) {
-        if let Some(transfer) = self.spread.transfers.get_mut(section) {
+        if let Some(transfer) = self.spread.transfers.get_mut(slot) {
             transfer.abandon_source();
         }
-        self.ask_next(now, section, effects);
+        self.ask_next(now, slot, effects);
     }
 
     /// Asks the next holder of a wanted version, unless one is being asked.
     fn ask_next(
         &mut self,
         now: time::Timestamp,
-        section: &sections::SectionName,
+        slot: &sections::SectionSlot,
         effects: &mut Vec<FleetEffect>,
     ) {
-        let Some(transfer) = self.spread.transfers.get_mut(section) else {
+        let Some(transfer) = self.spread.transfers.get_mut(slot) else {
             return;
         };
         if transfer.asked.is_some() {
@@ -480,7 +518,7 @@
         }
         let Some(link) = transfer.sources.pop() else {
             // Digests will find another holder.
-            self.spread.transfers.remove(section);
+            self.spread.transfers.remove(slot);
             return;
         };
 
@@ -488,7 +526,7 @@
         transfer.active_at = now;
         let wish = messages::SectionWish {
             wanted: transfer.wanted.clone(),
-            base: self.store.head(section),
+            base: self.store.base(slot),
         };
         send(effects, link, messages::FleetMessage::Pull(wish));
     }
--- a/crates/fleet/src/reducer/status.rs
+++ b/crates/fleet/src/reducer/status.rs
@@ -1,5 +1,7 @@
 //! What the administration API and metrics show of a fleet reducer.
 
+use std::collections::BTreeSet;
+
 use kingcupfall_core::ids;
 use kingcupfall_core::measures;
 use kingcupfall_core::time;
@@ -52,8 +54,10 @@
     pub version: Option<measures::SectionVersion>,
     /// Hash of the content in force here.
     pub hash: Option<Box<str>>,
-    /// Highest version heard of.
-    pub highest: measures::SectionVersion,
+    /// Newer version that has findings.
+    pub rejected: Option<measures::SectionVersion>,
+    /// Highest accepted version heard of.
+    pub highest: Option<measures::SectionVersion>,
 }
 
 /// A process's view of the fleet.
@@ -140,17 +144,25 @@
     }
 
     fn section_statuses(&self) -> Vec<SectionStatus> {
-        let floors = self.spread.floors.iter();
-        floors
-            .map(|(section, floor)| {
-                let held = self.store.head(section);
-                SectionStatus {
-                    section: section.clone(),
-                    version: held.map(|head| head.version),
-                    hash: held.map(|head| head.hash.to_string().into()),
-                    highest: floor.head.version,
-                }
-            })
+        let known = self.spread.floors.keys().chain(self.spread.refused.keys());
+        let known: BTreeSet<&sections::SectionName> = known.collect();
+        known
+            .into_iter()
+            .map(|section| self.section_status(section))
             .collect()
     }
+
+    fn section_status(&self, section: &sections::SectionName) -> SectionStatus {
+        let accepted = self.store.head(section, sections::SectionVerdict::Accepted);
+        let rejected = self.store.head(section, sections::SectionVerdict::Rejected);
+        let floor = self.spread.floors.get(section);
+
+        SectionStatus {
+            section: section.clone(),
+            version: accepted.map(|head| head.version),
+            hash: accepted.map(|head| head.hash.to_string().into()),
+            rejected: rejected.map(|head| head.version),
+            highest: floor.map(|floor| floor.head.version),
+        }
+    }
 }
--- a/crates/fleet/src/sections/mod.rs
+++ b/crates/fleet/src/sections/mod.rs
@@ -4,11 +4,14 @@
 mod parts;
 mod patch;
 mod store;
+mod stored;
 mod transfer;
 
 pub use name::ContentHash;
 pub use name::SectionHead;
 pub use name::SectionName;
+pub use name::SectionSlot;
+pub use name::SectionVerdict;
 pub use name::VersionHead;
 pub use parts::PART_LIMIT_BYTES;
 pub use parts::PartHash;
--- a/crates/fleet/src/sections/name.rs
+++ b/crates/fleet/src/sections/name.rs
@@ -71,25 +71,57 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct VersionHead {
     /// Version.
+    #[serde(rename = "v")]
     pub version: measures::SectionVersion,
     /// Hash of the content.
+    #[serde(rename = "h")]
     pub hash: ContentHash,
 }
 
-/// A section's name with its head.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct SectionHead {
+/// What the check of a version found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SectionVerdict {
+    /// Nothing wrong: the version is in force.
+    #[serde(rename = "a")]
+    Accepted,
+    /// Findings: the version replaces nothing, and is kept to be reported.
+    #[serde(rename = "r")]
+    Rejected,
+}
+
+/// Place of a version: the newest accepted and the newest rejected one of each section are kept.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct SectionSlot {
     /// The section.
+    #[serde(rename = "s")]
     pub section: SectionName,
-    /// Its version and hash.
+    /// What the check of the version found.
+    #[serde(rename = "v")]
+    pub verdict: SectionVerdict,
+}
+
+/// A slot with the head of the version in it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct SectionHead {
+    /// The slot.
+    #[serde(rename = "s")]
+    pub slot: SectionSlot,
+    /// Version and hash.
+    #[serde(rename = "h")]
     pub head: VersionHead,
 }
 
 impl SectionHead {
-    /// Hashes name, version and content hash, for digests of many heads.
+    /// Hashes slot, version and content hash, for digests of many heads.
     pub fn fingerprint(&self) -> u64 {
+        let verdict: u8 = match self.slot.verdict {
+            SectionVerdict::Accepted => 0,
+            SectionVerdict::Rejected => 1,
+        };
         let mut hasher = xxh3::Xxh3::new();
-        hasher.update(self.section.as_str().as_bytes());
+        hasher.update(self.slot.section.as_str().as_bytes());
+        hasher.update(&[verdict]);
         hasher.update(&self.head.version.get().to_le_bytes());
         hasher.update(&self.head.hash.0.to_le_bytes());
         hasher.digest()
--- a/crates/fleet/src/sections/patch.rs
+++ b/crates/fleet/src/sections/patch.rs
@@ -6,15 +6,15 @@
 use serde_with::serde_as;
 
 use super::ContentHash;
-use super::SectionName;
+use super::SectionSlot;
 use super::VersionHead;
 
 /// Replacement of one range of bytes.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SectionPatch {
-    /// The section.
-    pub section: SectionName,
+    /// Slot of the version that it yields.
+    pub slot: SectionSlot,
     /// Version that the patch applies to.
     pub base: VersionHead,
     /// Version that it yields.
@@ -31,7 +31,7 @@
 impl SectionPatch {
     /// Finds the range that differs between two versions.
     pub fn between(
-        section: &SectionName,
+        slot: &SectionSlot,
         (base, old): (VersionHead, &[u8]),
         (head, new): (VersionHead, &[u8]),
     ) -> Self {
@@ -39,7 +39,7 @@
         let suffix = common_length(old[prefix..].iter().rev(), new[prefix..].iter().rev());
 
         Self {
-            section: section.clone(),
+            slot: slot.clone(),
             base,
             head,
             prefix: u32::try_from(prefix).unwrap_or(u32::MAX),
--- a/crates/fleet/src/sections/store.rs
+++ b/crates/fleet/src/sections/store.rs
@@ -1,8 +1,6 @@
-//! The sections in force in one process.
+//! The versions that a process keeps: of each section the newest accepted and rejected one.
 
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
-use std::ops;
 use std::sync::Arc;
 
 use kingcupfall_core::measures;
@@ -14,26 +12,24 @@
 use super::SectionName;
 use super::SectionPart;
 use super::SectionPatch;
+use super::SectionSlot;
+use super::SectionVerdict;
 use super::VersionHead;
-use super::parts;
+use super::stored;
 
 /// Largest value of a section, in bytes; the configuration service holds no larger ones.
 pub const VALUE_LIMIT_BYTES: usize = 1024 * 1024;
 
-/// Most sections that a process keeps.
-const SECTION_LIMIT: usize = 256;
-
-/// Patches kept of each section.
-const PATCH_LIMIT: usize = 8;
-
-/// Largest patch that is kept; parts carry larger changes.
-const PATCH_LIMIT_BYTES: usize = 16 * 1024;
+/// Most slots that a process keeps.
+const SLOT_LIMIT: usize = 256;
 
 /// One version of a section with its bytes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SectionValue {
-    /// Name, version and hash.
-    pub head: SectionHead,
+    /// The section.
+    pub section: SectionName,
+    /// Version and hash.
+    pub head: VersionHead,
     /// The bytes.
     pub bytes: Arc<[u8]>,
 }
@@ -42,10 +38,9 @@
     /// Makes the value of `version` of a section.
     pub fn new(section: SectionName, version: measures::SectionVersion, bytes: &[u8]) -> Self {
         let hash = ContentHash::of_bytes(bytes);
-        let head = VersionHead { version, hash };
-
         Self {
-            head: SectionHead { section, head },
+            section,
+            head: VersionHead { version, hash },
             bytes: bytes.into(),
         }
     }
@@ -54,185 +49,172 @@
 /// How a process answers a peer that wants a version.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SectionAnswer {
-    /// Patches that lead from the peer's version to the one in force, in order.
+    /// Patches that lead from the peer's version to the one in the slot, in order.
     Patches(Vec<SectionPatch>),
-    /// The parts of the version in force.
+    /// The parts of the version in the slot.
     Manifest(SectionManifest),
     /// The process holds nothing as new as was wanted.
     Unavailable,
 }
 
-/// Sections in force, each only ever replaced by a newer version.
+/// Versions by slot. What is accepted is in force, and only ever replaced by a newer version.
 #[derive(Debug, Default)]
 pub struct SectionStore {
-    sections: BTreeMap<SectionName, StoredSection>,
+    slots: BTreeMap<SectionSlot, stored::StoredSection>,
     digest: u64,
 }
 
 impl SectionStore {
-    /// Puts a value in force unless one as new is already, and says whether it did.
-    pub fn replace(&mut self, value: SectionValue) -> bool {
-        let name = value.head.section.clone();
-        let stored = self.sections.get(&name);
-        let is_known = stored.is_some();
-        let is_newer = stored.is_none_or(|stored| stored.value.head.head < value.head.head);
-        let is_full = !is_known && self.sections.len() >= SECTION_LIMIT;
+    /// Says whether a version is newer than the accepted one and not the rejected one.
+    pub fn is_news(&self, section: &SectionName, head: VersionHead) -> bool {
+        let accepted = self.head(section, SectionVerdict::Accepted);
+        let rejected = self.head(section, SectionVerdict::Rejected);
+        accepted < Some(head) && rejected != Some(head)
+    }
+
+    /// Keeps a checked version, unless its slot holds one as new, and says whether it did.
+    ///
+    /// An accepted version ends the report of a rejected one that is older.
+    pub fn replace(&mut self, verdict: SectionVerdict, value: SectionValue) -> bool {
+        let slot = SectionSlot {
+            section: value.section.clone(),
+            verdict,
+        };
+        let is_known = self.slots.contains_key(&slot);
+        let is_newer = self.head(&slot.section, verdict) < Some(value.head);
+        let is_full = !is_known && self.slots.len() >= SLOT_LIMIT;
         if !is_newer || is_full || value.bytes.len() > VALUE_LIMIT_BYTES {
             return false;
         }
 
-        self.digest ^= value.head.fingerprint();
-        let patches = match self.sections.remove(&name) {
-            Some(stored) => {
-                self.digest ^= stored.value.head.fingerprint();
-                stored.next_patches(&value)
-            }
-            None => VecDeque::new(),
+        let head = value.head;
+        let stored = match self.predecessor(&slot) {
+            Some(previous) => stored::StoredSection::following(previous, slot.clone(), value),
+            None => stored::StoredSection::new(slot.clone(), value),
         };
-        self.sections
-            .insert(name, StoredSection::new(value, patches));
+        self.insert(slot.clone(), stored);
+        if verdict == SectionVerdict::Accepted {
+            self.drop_rejected(&slot.section, head);
+        }
         true
     }
 
-    /// Returns the head in force of a section.
-    pub fn head(&self, section: &SectionName) -> Option<VersionHead> {
-        self.sections
-            .get(section)
-            .map(|stored| stored.value.head.head)
+    /// Returns the head of a section in a slot.
+    pub fn head(&self, section: &SectionName, verdict: SectionVerdict) -> Option<VersionHead> {
+        self.value(section, verdict).map(|value| value.head)
+    }
+
+    /// Returns the version of a section in a slot.
+    pub fn value(&self, section: &SectionName, verdict: SectionVerdict) -> Option<&SectionValue> {
+        let slot = SectionSlot {
+            section: section.clone(),
+            verdict,
+        };
+        self.slots.get(&slot).map(|stored| &stored.value)
+    }
+
+    /// Returns the kept version of a section with this head.
+    pub fn find(&self, section: &SectionName, head: VersionHead) -> Option<&SectionValue> {
+        self.section_slots(section)
+            .map(|stored| &stored.value)
+            .find(|value| value.head == head)
     }
 
-    /// Returns the value in force of a section.
-    pub fn value(&self, section: &SectionName) -> Option<&SectionValue> {
-        self.sections.get(section).map(|stored| &stored.value)
+    /// Returns the version from which patches to the version in a slot may start.
+    pub fn base(&self, slot: &SectionSlot) -> Option<VersionHead> {
+        self.predecessor(slot).map(|stored| stored.value.head)
     }
 
-    /// Returns the heads of all sections.
+    /// Returns the heads of all slots.
     pub fn heads(&self) -> Vec<SectionHead> {
-        self.sections
+        self.slots
             .values()
-            .map(|stored| stored.value.head.clone())
+            .map(stored::StoredSection::head)
             .collect()
     }
 
-    /// Returns a hash over all heads, equal in processes with the same sections in force.
+    /// Returns a hash over all heads, equal in processes that keep the same versions.
     pub const fn digest(&self) -> u64 {
         self.digest
     }
 
-    /// Returns the bytes of all values together.
+    /// Returns the bytes of all versions together.
     pub fn size(&self) -> measures::ByteSize {
-        let bytes: usize = self
-            .sections
-            .values()
-            .map(|stored| stored.value.bytes.len())
-            .sum();
+        let bytes = self.slots.values();
+        let bytes: usize = bytes.map(|stored| stored.value.bytes.len()).sum();
         measures::ByteSize::new(bytes as u64)
     }
 
     /// Answers a peer that wants a version and has `base`.
     pub fn answer(&self, wanted: &SectionHead, base: Option<VersionHead>) -> SectionAnswer {
-        let Some(stored) = self.sections.get(&wanted.section) else {
+        let stored = self.slots.get(&wanted.slot);
+        let Some(stored) = stored.filter(|stored| stored.value.head >= wanted.head) else {
             return SectionAnswer::Unavailable;
         };
-        if stored.value.head.head < wanted.head {
-            return SectionAnswer::Unavailable;
-        }
 
         let patches = base
             .map(|base| stored.patches_from(base))
             .unwrap_or_default();
-        if patches.is_empty() {
-            return SectionAnswer::Manifest(stored.manifest());
+        match patches.is_empty() {
+            true => SectionAnswer::Manifest(stored.manifest()),
+            false => SectionAnswer::Patches(patches),
         }
-        SectionAnswer::Patches(patches)
     }
 
-    /// Returns parts of the version in force, when it is still `head`.
+    /// Returns parts of the version in a slot, when it is still `head`.
     pub fn copy_parts(&self, head: &SectionHead, indexes: &[u16]) -> Vec<SectionPart> {
-        let Some(stored) = self.sections.get(&head.section) else {
+        let stored = self.slots.get(&head.slot);
+        let Some(stored) = stored.filter(|stored| stored.value.head == head.head) else {
             return Vec::new();
         };
-        if stored.value.head != *head {
-            return Vec::new();
-        }
-
-        let copy_part = |index: &u16| {
-            let range = stored.parts.get(usize::from(*index))?.clone();
-            Some(SectionPart {
-                head: head.clone(),
-                index: *index,
-                bytes: stored.value.bytes[range].to_vec(),
-            })
-        };
-        indexes.iter().filter_map(copy_part).collect()
+        indexes
+            .iter()
+            .filter_map(|index| stored.copy_part(*index))
+            .collect()
     }
 
-    /// Returns the parts of the version in force by hash.
+    /// Returns the parts of all kept versions of a section by hash.
     pub fn known_parts(&self, section: &SectionName) -> BTreeMap<PartHash, Vec<u8>> {
-        let Some(stored) = self.sections.get(section) else {
-            return BTreeMap::new();
-        };
-
-        let ranges = stored.parts.iter().cloned();
-        ranges
-            .map(|range| stored.value.bytes[range].to_vec())
-            .map(|bytes| (PartHash::of_bytes(&bytes), bytes))
+        self.section_slots(section)
+            .flat_map(stored::StoredSection::hashed_parts)
+            .map(|(hash, bytes)| (hash, bytes.to_vec()))
             .collect()
     }
-}
-
-/// A section in force, ready to be sent to peers.
-#[derive(Debug)]
-struct StoredSection {
-    value: SectionValue,
-    parts: Vec<ops::Range<usize>>,
-    patches: VecDeque<SectionPatch>,
-}
 
-impl StoredSection {
-    fn new(value: SectionValue, patches: VecDeque<SectionPatch>) -> Self {
-        let parts = parts::split_parts(&value.bytes);
-        Self {
-            value,
-            parts,
-            patches,
-        }
+    fn section_slots(&self, section: &SectionName) -> impl Iterator<Item = &stored::StoredSection> {
+        let verdicts = [SectionVerdict::Accepted, SectionVerdict::Rejected];
+        verdicts.into_iter().filter_map(|verdict| {
+            let section = section.clone();
+            self.slots.get(&SectionSlot { section, verdict })
+        })
     }
 
-    /// Returns the patches to keep when `next` replaces this version.
-    fn next_patches(self, next: &SectionValue) -> VecDeque<SectionPatch> {
-        let head = self.value.head;
-        let old = (head.head, &*self.value.bytes);
-        let new = (next.head.head, &*next.bytes);
-        let patch = SectionPatch::between(&head.section, old, new);
-        if patch.middle.len() > PATCH_LIMIT_BYTES {
-            return VecDeque::new();
-        }
-
-        let mut patches = self.patches;
-        patches.push_back(patch);
-        if patches.len() > PATCH_LIMIT {
-            patches.pop_front();
-        }
-        patches
+    /// Returns the version that one in `slot` follows: the one in it, or else the accepted one.
+    fn predecessor(&self, slot: &SectionSlot) -> Option<&stored::StoredSection> {
+        let accepted = SectionSlot {
+            section: slot.section.clone(),
+            verdict: SectionVerdict::Accepted,
+        };
+        self.slots.get(slot).or_else(|| self.slots.get(&accepted))
     }
 
-    fn patches_from(&self, base: VersionHead) -> Vec<SectionPatch> {
-        self.patches
-            .iter()
-            .skip_while(|patch| patch.base != base)
-            .cloned()
-            .collect()
+    fn insert(&mut self, slot: SectionSlot, stored: stored::StoredSection) {
+        self.digest ^= stored.head().fingerprint();
+        if let Some(old) = self.slots.insert(slot, stored) {
+            self.digest ^= old.head().fingerprint();
+        }
     }
 
-    fn manifest(&self) -> SectionManifest {
-        let hash_part = |range: &ops::Range<usize>| {
-            let bytes = &self.value.bytes[range.clone()];
-            PartHash::of_bytes(bytes)
+    fn drop_rejected(&mut self, section: &SectionName, accepted: VersionHead) {
+        let slot = SectionSlot {
+            section: section.clone(),
+            verdict: SectionVerdict::Rejected,
         };
-        SectionManifest {
-            head: self.value.head.clone(),
-            parts: self.parts.iter().map(hash_part).collect(),
+        let is_older = |stored: &stored::StoredSection| stored.value.head < accepted;
+        if self.slots.get(&slot).is_some_and(is_older)
+            && let Some(old) = self.slots.remove(&slot)
+        {
+            self.digest ^= old.head().fingerprint();
         }
     }
 }
--- a/crates/fleet/src/sections/transfer.rs
+++ b/crates/fleet/src/sections/transfer.rs
@@ -177,7 +177,8 @@
         }
 
         TransferStep::Complete(SectionValue {
-            head: manifest.head.clone(),
+            section: manifest.head.slot.section.clone(),
+            head: manifest.head.head,
             bytes: bytes.into(),
         })
     }
--- a/crates/fleet/src/simulation/mod.rs
+++ b/crates/fleet/src/simulation/mod.rs
@@ -31,6 +31,7 @@
 pub use platform::FakeService;
 pub use platform::ServiceMode;
 
+use crate::judge;
 use crate::reducer;
 use crate::sections;
 
@@ -301,7 +302,8 @@
             role,
             seed: self.generator.random(),
         };
-        let reducer = reducer::FleetReducer::new(identity.clone(), self.now);
+        let judge = Box::new(judge::TrustingJudge);
+        let reducer = reducer::FleetReducer::new(identity.clone(), judge, self.now);
         self.vms.insert(identity.vm.clone(), index);
         self.nodes
             .push(node::SimulationNode::new(identity, born_at, reducer));
@@ -392,7 +394,7 @@
             reducer::FleetEffect::WatchSections { after } => self.call_service(index, after),
             reducer::FleetEffect::ReadVms => self.read_vms(index),
             reducer::FleetEffect::Publish(value) => self.check_publication(index, &value),
-            reducer::FleetEffect::Suspects(_) => {}
+            reducer::FleetEffect::Suspects(_) | reducer::FleetEffect::Reject(_) => {}
             reducer::FleetEffect::Departures(vms) => {
                 self.nodes[index.0].departures.extend(vms);
             }
@@ -400,12 +402,12 @@
     }
 
     fn check_publication(&mut self, index: NodeIndex, value: &sections::SectionValue) {
-        let head = value.head.head;
+        let head = value.head;
         let node = &mut self.nodes[index.0];
-        let old = node.in_force.insert(value.head.section.clone(), head);
+        let old = node.in_force.insert(value.section.clone(), head);
         if old.is_some_and(|old| old >= head) {
             let vm = &node.identity.vm;
-            let section = &value.head.section;
+            let section = &value.section;
             let text = format!("{vm}: {section} went from {old:?} to {head:?}");
             self.violations.push(text.into());
         }
--- a/crates/fleet/src/simulation/platform.rs
+++ b/crates/fleet/src/simulation/platform.rs
@@ -83,7 +83,7 @@
         let changes = self.history.get(first..last).unwrap_or(&[]);
         let mut newest = BTreeMap::new();
         for value in changes {
-            newest.insert(value.head.section.clone(), value.clone());
+            newest.insert(value.section.clone(), value.clone());
         }
         Some(reducer::ServiceReading {
             revision,
@@ -96,7 +96,7 @@
         self.history
             .iter()
             .rev()
-            .find(|value| value.head.section == *section)
-            .map(|value| value.head.head.version)
+            .find(|value| value.section == *section)
+            .map(|value| value.head.version)
     }
 }
--- a/crates/fleet/tests/spread.rs
+++ b/crates/fleet/tests/spread.rs
@@ -237,3 +237,34 @@
     fleet.run(REPAIR_LIMIT);
     assert_eq!(fleet.version(fresh, SECTION), Some(2));
 }
+
+#[test]
+fn section_with_findings_keeps_its_last_accepted_value() {
+    let mut fleet = settled_fleet(small_plan());
+    fleet.publish(SECTION, b"bad second");
+    fleet.run(LIMIT);
+
+    for index in fleet.live() {
+        assert_eq!(fleet.version(index, SECTION), Some(1));
+        let status = fleet.reducer(index).status();
+        let rejected = status.sections[0].rejected;
+        assert_eq!(rejected.map(|version| version.get()), Some(2));
+    }
+
+    assert_spreads(&mut fleet, b"third", LIMIT);
+    let index = fleet.live()[0];
+    assert_eq!(fleet.reducer(index).status().sections[0].rejected, None);
+}
+
+#[test]
+fn fresh_vm_gets_the_accepted_and_the_rejected_version() {
+    let mut fleet = settled_fleet(small_plan());
+    fleet.publish(SECTION, b"bad second");
+    fleet.run(LIMIT);
+
+    let fresh = fleet.start(1, reducer::FleetRole::Gateway);
+    fleet.run(Duration::from_secs(10));
+    assert_eq!(fleet.version(fresh, SECTION), Some(1));
+    let rejected = fleet.reducer(fresh).status().sections[0].rejected;
+    assert_eq!(rejected.map(|version| version.get()), Some(2));
+}
