Add the bench that drives the real reducers in simulated time

Cause: decisions need a measurement under load and faults. An observer counts promises and stall from what callers see.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,2 +1,113 @@
-//! Placeholder.
-fn main() {}
+//! Command line of the bench.
+
+use std::collections::BTreeMap;
+use std::error;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::result;
+use std::time::Instant;
+
+use bpaf::Parser;
+use kingcupfall_bench::observer;
+use kingcupfall_bench::policies;
+use kingcupfall_bench::report;
+use kingcupfall_bench::scenario;
+use kingcupfall_bench::simulation;
+
+/// Result of a command.
+type Result<T> = result::Result<T, Box<dyn error::Error>>;
+
+/// Value of `--policy` that stands for all sets.
+const ALL_POLICIES: &str = "all";
+
+/// Arguments of `run`.
+#[derive(Debug, Clone)]
+struct RunArguments {
+    scenario: PathBuf,
+    policy: String,
+    json: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let arguments = arguments().run();
+    match run(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn arguments() -> bpaf::OptionParser<RunArguments> {
+    let scenario = bpaf::long("scenario")
+        .help("Scenario to run")
+        .argument::<PathBuf>("FILE");
+    let policy = bpaf::long("policy")
+        .help("naive, least-outstanding, kingcupfall or all")
+        .argument::<String>("NAME")
+        .fallback(ALL_POLICIES.to_owned())
+        .display_fallback();
+    let json = bpaf::long("json")
+        .help("Where the figures are written; standard output without it")
+        .argument::<PathBuf>("OUT")
+        .optional();
+    let run = bpaf::construct!(RunArguments {
+        scenario,
+        policy,
+        json,
+    });
+
+    run.to_options()
+        .descr("Runs a scenario under one or all policies")
+        .command("run")
+        .to_options()
+        .descr("Measures the decisions of kingcupfall in simulated time")
+        .version(env!("CARGO_PKG_VERSION"))
+}
+
+fn run(arguments: &RunArguments) -> Result<()> {
+    let scenario = scenario::Scenario::load(&arguments.scenario)?;
+    let sets = match arguments.policy.as_str() {
+        ALL_POLICIES => policies::PolicySet::ALL.to_vec(),
+        name => vec![name.parse::<policies::PolicySet>().map_err(String::from)?],
+    };
+
+    let mut figures = BTreeMap::new();
+    for set in sets {
+        let (result, _) = run_set(&scenario, set);
+        figures.insert(set.name().into(), result);
+    }
+    let result = observer::RunResult {
+        scenario: scenario_name(&arguments.scenario),
+        policies: figures,
+    };
+    write_result(arguments, &result)
+}
+
+fn run_set(
+    scenario: &scenario::Scenario,
+    set: policies::PolicySet,
+) -> (observer::PolicyResult, observer::RunTraces) {
+    let requests = scenario::draw_requests(scenario);
+    eprintln!("{set}: {} requests", requests.len());
+
+    let start = Instant::now();
+    let outcome = simulation::Simulation::new(scenario, set, requests).run();
+    eprintln!("{set}: done in {:.1} s", start.elapsed().as_secs_f64());
+    outcome
+}
+
+fn write_result(arguments: &RunArguments, result: &observer::RunResult) -> Result<()> {
+    match &arguments.json {
+        Some(path) => report::write_json(path, result)?,
+        None => println!("{}", serde_json::to_string_pretty(result)?),
+    }
+    Ok(())
+}
+
+fn scenario_name(path: &Path) -> Box<str> {
+    let stem = path.file_stem().unwrap_or_default();
+    stem.to_string_lossy().into()
+}
