Admit by forecast memory, place by expected cost, yield when crowded

Cause: least-outstanding fills memory and leaves the choice of whom to stop to the engine. Change: ForecastScheduler learns lengths as hazards by bucket (running streams count, so early estimates are not biased to short answers), forecasts memory at six horizons, admits under a bound, spreads prompts over steps, shares by organisation, pauses before a blind preemption, and lets one large stream yield to several late ones once for at most 30 s. ExpectedCostPlacement weighs queue delay, step time, memory, prompts, cached prefixes, zone, and neighbours of a suspect. LoadSummary tells work_left and attempt_work. The question to a placement says whether the call is a suspect.

--- a/crates/bench/src/policies.rs
+++ b/crates/bench/src/policies.rs
@@ -41,9 +41,15 @@
     }
 
     /// Makes the decisions of one gateway.
-    pub fn gateway(self, _seed: u64) -> gateway::GatewayPolicies {
+    pub fn gateway(self, seed: u64) -> gateway::GatewayPolicies {
         match self {
-            Self::Naive | Self::Kingcupfall => {
+            Self::Kingcupfall => gateway::GatewayPolicies {
+                placement: Box::new(place::ExpectedCostPlacement::default()),
+                retry: Box::new(retry::BudgetedRetry::new(seed)),
+                limit: Box::new(limit::NoLimit),
+                quarantine: Box::new(quarantine::SuspectQuarantine::default()),
+            },
+            Self::Naive => {
                 let placement = Box::new(place::RoundRobinPlacement::default());
                 gateway_policies(placement, NAIVE_ATTEMPTS)
             }
@@ -57,8 +63,10 @@
     /// Makes the scheduler of one agent.
     pub fn scheduler(self) -> Box<dyn schedule::WorkScheduler> {
         match self {
-            Self::Naive | Self::LeastOutstanding | Self::Kingcupfall => {
-                Box::new(schedule::NaiveScheduler::new())
+            Self::Naive | Self::LeastOutstanding => Box::new(schedule::NaiveScheduler::new()),
+            Self::Kingcupfall => {
+                let settings = schedule::ScheduleSettings::default();
+                Box::new(schedule::ForecastScheduler::new(settings))
             }
         }
     }
--- a/crates/bench/src/simulation/gateways.rs
+++ b/crates/bench/src/simulation/gateways.rs
@@ -33,6 +33,9 @@
 /// Longest wait of that caller.
 const POISON_WAIT_LIMIT: Duration = Duration::from_secs(30);
 
+/// Time that gossip takes from one gateway to another.
+const GOSSIP_DELAY: Duration = Duration::from_millis(500);
+
 /// Address of all agents; the bench opens no sockets.
 const AGENT_ADDRESS: net::SocketAddr =
     net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), 1);
@@ -107,6 +110,20 @@
         }
     }
 
+    /// Tells each gateway what the others hold against requests, as their gossip does.
+    pub(super) fn share_suspects(&mut self) {
+        for from in 0..self.gateways.len() {
+            let records = self.gateways[from].suspects(self.now);
+            if records.is_empty() {
+                continue;
+            }
+            for gateway in (0..self.gateways.len()).filter(|gateway| *gateway != from) {
+                let event = gateway::GatewayEvent::Suspects(records.clone());
+                self.push(GOSSIP_DELAY, SimulationEvent::Gateway { gateway, event });
+            }
+        }
+    }
+
     fn take_reply(&mut self, gateway: usize, call: ids::CallId, reply: &gateway::CallReply) {
         let number = call.get() as usize;
         let before = self.observer.received(number);
--- a/crates/bench/src/simulation/mod.rs
+++ b/crates/bench/src/simulation/mod.rs
@@ -231,6 +231,7 @@
             waiting: open.saturating_sub(running),
         });
         self.push(SAMPLE_INTERVAL, SimulationEvent::Sample);
+        self.share_suspects();
     }
 }
 
--- a/crates/core/src/load/mod.rs
+++ b/crates/core/src/load/mod.rs
@@ -40,6 +40,12 @@
     /// Forecast wait of a new attempt of middle priority before it is admitted.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub queue_delay: Duration,
+    /// Time in which the target would finish all it has, running and queued, if it took no more.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub work_left: Duration,
+    /// Part that one more attempt of the usual kind adds to `work_left`.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub attempt_work: Duration,
     /// Most useful cached prefixes; a bounded number.
     pub cached: Vec<CachedPrefix>,
 }
--- a/crates/gateway/src/administration/query.rs
+++ b/crates/gateway/src/administration/query.rs
@@ -56,6 +56,7 @@
                 tag,
                 prompt_tokens: *prompt_tokens,
                 prefix: None,
+                suspect: false,
             };
             let standings = reducer.explain(now, serves, &question);
             StateAnswer::Explain(standings.iter().map(report::StandingReport::new).collect())
@@ -96,6 +97,7 @@
         tag: &tag,
         prompt_tokens: measures::TokenCount::ZERO,
         prefix: None,
+        suspect: false,
     };
     reducer
         .targets()
--- a/crates/gateway/src/reducer/placing.rs
+++ b/crates/gateway/src/reducer/placing.rs
@@ -153,6 +153,7 @@
             tag: &request.tag,
             prompt_tokens: measures::TokenCount::ZERO,
             prefix: None,
+            suspect: false,
         };
 
         let views = views(now, &self.targets, &names, &self.identity.zone);
@@ -231,6 +232,7 @@
     }
 
     fn choose_target(&mut self, now: time::Timestamp, call: ids::CallId) -> TargetChoice {
+        let suspect = self.is_suspect(now, call);
         let Some(state) = self.calls.get(call) else {
             return TargetChoice::NoCandidate;
         };
@@ -239,7 +241,7 @@
             return TargetChoice::NoCandidate;
         }
 
-        let question = question(&state.request);
+        let question = question(&state.request, suspect);
         let views = views(now, &self.targets, &names, &self.identity.zone);
         let index = self.policies.placement.choose(now, &question, &views);
         match index.and_then(|index| names.get(index)) {
@@ -249,6 +251,7 @@
     }
 
     fn weigh_move(&mut self, now: time::Timestamp, call: ids::CallId) -> bool {
+        let suspect = self.is_suspect(now, call);
         let Some(state) = self.calls.get_mut(call) else {
             return false;
         };
@@ -265,7 +268,7 @@
             return false;
         }
 
-        let question = question(&state.request);
+        let question = question(&state.request, suspect);
         let views = views(now, &self.targets, &names, &self.identity.zone);
         let Some(view) = self
             .targets
@@ -426,7 +429,7 @@
     }
 }
 
-fn question(request: &CallRequest) -> place::PlacementQuestion<'_> {
+fn question(request: &CallRequest, suspect: bool) -> place::PlacementQuestion<'_> {
     let prefix = match &request.work {
         work::WorkRequest::Generation(generation) => Some(generation.prefix),
         work::WorkRequest::Service(_) => None,
@@ -435,6 +438,7 @@
         tag: &request.tag,
         prompt_tokens: prompt_tokens(&request.work),
         prefix,
+        suspect,
     }
 }
 
--- a/crates/policy/src/place/mod.rs
+++ b/crates/policy/src/place/mod.rs
@@ -1,5 +1,6 @@
 //! Which target a gateway sends work to.
 
+mod expected_cost;
 mod least_outstanding;
 mod round_robin;
 
@@ -11,6 +12,7 @@
 use kingcupfall_core::time;
 use kingcupfall_core::work;
 
+pub use expected_cost::ExpectedCostPlacement;
 pub use least_outstanding::LeastOutstandingPlacement;
 pub use round_robin::RoundRobinPlacement;
 
@@ -51,6 +53,8 @@
     pub prompt_tokens: measures::TokenCount,
     /// Hash of the prompt's start; `None` for a service call.
     pub prefix: Option<work::PrefixHash>,
+    /// Whether it is suspected of crashing targets.
+    pub suspect: bool,
 }
 
 /// Why one candidate stands where it stands, for the administration API.
--- a/crates/policy/src/schedule/mod.rs
+++ b/crates/policy/src/schedule/mod.rs
@@ -1,6 +1,15 @@
 //! Which waiting work an agent gives to its target, and which running streams it pauses.
 
+mod cached;
+mod engine_view;
+pub mod forecast;
+mod forecasting;
+pub mod length;
 mod naive;
+pub mod pace;
+mod queue;
+mod running;
+pub mod shares;
 
 use std::time::Duration;
 
@@ -11,6 +20,8 @@
 use kingcupfall_core::time;
 use kingcupfall_core::work;
 
+pub use forecasting::ForecastScheduler;
+pub use forecasting::ScheduleSettings;
 pub use naive::NaiveScheduler;
 
 /// What a scheduler knows of one piece of work when it is submitted.
