--- a/crates/policy/src/schedule/forecasting/admission.rs
+++ b/crates/policy/src/schedule/forecasting/admission.rs
@@ -33,6 +33,12 @@
 /// Prompts that an engine processes at once otherwise.
 const PREFILLS_LIMIT: usize = 4;
 
+/// Streams beside which a suspect is admitted at once.
+const SUSPECT_NEIGHBOURS: usize = 2;
+
+/// Longest wait of a suspect for its neighbours to end.
+const SUSPECT_WAIT: Duration = Duration::from_secs(20);
+
 /// Wait that a caller of refused work is told at least.
 const RETRY_AFTER_LEAST: Duration = Duration::from_secs(1);
 
@@ -43,7 +49,11 @@
         now: time::Timestamp,
         decisions: &mut Vec<ScheduleDecision>,
     ) {
-        if self.queue.is_empty() {
+        if self.queue.is_empty() || self.running.has_untested_suspect() {
+            return;
+        }
+        if let Some((attempt, since)) = self.queue.suspect() {
+            self.admit_suspect(now, attempt, since, decisions);
             return;
         }
         self.yield_large(now, decisions);
@@ -222,6 +232,25 @@
         Some(forecast::StreamForecast::new(curve, prompt, 0.0))
     }
 
+    /// Admits a suspect once few streams are left that would be lost with it.
+    ///
+    /// Nothing else is admitted meanwhile, and until the suspect has brought out a token.
+    fn admit_suspect(
+        &mut self,
+        now: time::Timestamp,
+        attempt: ids::AttemptId,
+        since: time::Timestamp,
+        decisions: &mut Vec<ScheduleDecision>,
+    ) {
+        let is_alone = self.running.active_count() <= SUSPECT_NEIGHBOURS;
+        if !is_alone && now.since(since) < SUSPECT_WAIT {
+            return;
+        }
+        if let Some(work) = self.queue.remove(attempt) {
+            self.admit(&work, decisions);
+        }
+    }
+
     fn admit(&mut self, work: &queue::WaitingWork, decisions: &mut Vec<ScheduleDecision>) {
         let tag = &work.ticket.tag;
         let service = work.cost / f64::from(tag.priority.get()).exp2();
@@ -242,6 +271,7 @@
         let running = running::RunningWork {
             slot: work.slot,
             priority: tag.priority,
+            suspect: work.ticket.suspect,
             prompt: prompt.get(),
             generated: 0,
             last_token: None,
--- a/crates/policy/src/schedule/length/curve.rs
+++ b/crates/policy/src/schedule/length/curve.rs
@@ -16,7 +16,7 @@
 const PRIOR_SHAPE: f32 = 1.5;
 
 /// Greatest hazard, so that no length is ruled out.
-const HAZARD_LIMIT: f32 = 0.98;
+const HAZARD_LIMIT: f32 = 0.999;
 
 /// Chance that a generation goes on past a length, from hazards by bucket.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/policy/src/schedule/queue.rs
+++ b/crates/policy/src/schedule/queue.rs
@@ -69,6 +69,8 @@
     keys: HashMap<ids::AttemptId, (ids::OrganisationName, QueueKey)>,
     cost: f64,
     memory: u64,
+    /// Work that is suspected of crashing targets; an agent takes one at a time.
+    suspect: Option<(ids::AttemptId, time::Timestamp)>,
 }
 
 impl WaitingQueue {
@@ -78,6 +80,9 @@
         let organisation = work.ticket.tag.organisation.clone();
         let key = order_key(&work);
 
+        if work.ticket.suspect {
+            self.suspect = Some((attempt, work.since));
+        }
         self.cost += work.cost;
         self.memory += work.memory;
         self.keys.insert(attempt, (organisation.clone(), key));
@@ -98,6 +103,9 @@
             .works
             .remove(&key)
             .or_else(|| queue.short.remove(&key))?;
+        if self.suspect.is_some_and(|(suspect, _)| suspect == attempt) {
+            self.suspect = None;
+        }
         self.cost -= work.cost;
         self.memory -= work.memory;
         if queue.is_empty() {
@@ -126,6 +134,11 @@
         self.memory
     }
 
+    /// Returns the waiting suspect, and since when it waits.
+    pub fn suspect(&self) -> Option<(ids::AttemptId, time::Timestamp)> {
+        self.suspect
+    }
+
     /// Returns the number of pieces of work.
     pub fn len(&self) -> usize {
         self.keys.len()
--- a/crates/policy/src/schedule/running.rs
+++ b/crates/policy/src/schedule/running.rs
@@ -15,6 +15,8 @@
     pub slot: Option<LengthSlot>,
     /// Priority of its class.
     pub priority: measures::Priority,
+    /// Whether it is suspected of crashing targets.
+    pub suspect: bool,
     /// Tokens of its prompt.
     pub prompt: u64,
     /// Tokens generated so far.
@@ -42,6 +44,7 @@
     paused_memory: u64,
     active: usize,
     paused: usize,
+    untested_suspects: usize,
     prefilling: u64,
     prefilling_count: usize,
 }
@@ -54,6 +57,7 @@
             self.memory += work.memory();
             self.prefilling += work.prompt;
             self.prefilling_count += 1;
+            self.untested_suspects += usize::from(work.suspect);
         }
         self.works.insert(attempt, work);
     }
@@ -67,6 +71,7 @@
         if work.generated == 0 {
             self.prefilling -= work.prompt;
             self.prefilling_count -= 1;
+            self.untested_suspects -= usize::from(work.suspect);
         }
         match work.resume_due {
             Some(_) => {
@@ -92,6 +97,7 @@
         if work.generated == 0 {
             self.prefilling -= work.prompt;
             self.prefilling_count -= 1;
+            self.untested_suspects -= usize::from(work.suspect);
         }
         work.generated += count;
         work.last_token = Some(now);
@@ -186,6 +192,11 @@
         self.prefilling
     }
 
+    /// Says whether a suspect runs that has no token yet.
+    pub fn has_untested_suspect(&self) -> bool {
+        self.untested_suspects > 0
+    }
+
     /// Returns the number of streams that have no token yet.
     pub fn prefilling_count(&self) -> usize {
         self.prefilling_count
