Read values without building their paths

Cause: a change of a large section is read again by every process.

Change: paths are built for findings and ties only, keys are tracked without allocation, and messages are written only when they are reported.

--- a/crates/document/src/reader/context.rs
+++ b/crates/document/src/reader/context.rs
@@ -74,38 +74,45 @@
         self.broken_lines.insert(position.line);
     }
 
-    /// Notes that the value `path` stands at the byte `offset`.
+    /// Notes that the table `path` stands at the byte `offset`.
     pub fn note_place(&mut self, path: &str, offset: usize) {
         let position = self.source.locate(offset);
         self.places.insert(path.into(), position);
     }
 
-    /// Adds a finding about the value at `path`, which was read before.
-    pub fn report_value(&mut self, path: &str, message: impl Into<Box<str>>) {
-        let position = self.places.get(path).copied();
-        self.push(path, position, message.into());
-    }
-
     /// Reports the value at `path` when another path has the same `value`.
-    pub fn claim(&mut self, path: &str, noun: &'static str, value: Box<str>) {
+    pub fn claim(&mut self, path: &str, offset: usize, noun: &'static str, value: Box<str>) {
         if let Some(owner) = self.ties.claim(noun, value, path) {
-            self.report_value(path, format!("is the same {noun} as {owner}"));
+            let message = format!("is the same {noun} as {owner}");
+            self.report(path, Some(offset), message);
         }
     }
 
     /// Reports the value at `path` when `subject` has been bound to another value.
-    pub fn bind(&mut self, path: &str, noun: &'static str, subject: Box<str>, value: Box<str>) {
-        if let Some(other) = self.ties.bind(noun, subject.clone(), value) {
+    pub fn bind(
+        &mut self,
+        path: &str,
+        offset: usize,
+        noun: &'static str,
+        subject: &str,
+        value: &str,
+    ) {
+        if let Some(other) = self.ties.bind(noun, subject, value) {
             let message = format!("differs from {other}, which {noun} {subject} has elsewhere");
-            self.report_value(path, message);
+            self.report(path, Some(offset), message);
         }
     }
 
-    /// Notes that the value at `path` refers to the one at `referent`.
-    pub fn refer(&mut self, path: &str, referent: Box<str>) {
+    /// Notes that the value at `path` refers to the one at `referent`; without an offset its place
+    /// is that of the table at `path`.
+    pub fn refer(&mut self, path: &str, offset: Option<usize>, referent: Box<str>) {
+        let position = match offset {
+            Some(offset) => Some(self.source.locate(offset)),
+            None => self.places.get(path).copied(),
+        };
         self.references.push(ValueReference {
             path: path.into(),
-            position: self.places.get(path).copied(),
+            position,
             referent,
         });
     }
--- a/crates/document/src/reader/mod.rs
+++ b/crates/document/src/reader/mod.rs
@@ -30,7 +30,7 @@
 /// Path of findings that belong to the text as a whole.
 pub const TEXT_PATH: &str = "text";
 
-/// Places of values by their dotted paths.
+/// Places of tables by their dotted paths.
 pub type PlaceMap = BTreeMap<Box<str>, findings::TextPosition>;
 
 /// What was read of a text.
@@ -40,7 +40,7 @@
     pub value: Option<T>,
     /// Everything that is wrong, in the order of its place.
     pub findings: findings::FindingList,
-    /// Places of the values that were seen.
+    /// Places of the tables that were seen, and of values that should be tables.
     pub places: PlaceMap,
     /// References to other values, which may be in other texts.
     pub references: Vec<ValueReference>,
--- a/crates/document/src/reader/table.rs
+++ b/crates/document/src/reader/table.rs
@@ -1,7 +1,6 @@
 //! Reading of one table.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::fmt;
 use std::str::FromStr;
 
@@ -20,8 +19,12 @@
 /// An item of a list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ListItem<T> {
-    /// Dotted path of the item.
-    pub path: Box<str>,
+    /// Key of the list.
+    pub key: &'static str,
+    /// Place in the list, from zero.
+    pub index: usize,
+    /// Byte offset in the text.
+    pub offset: usize,
     /// The item.
     pub value: T,
 }
@@ -43,7 +46,10 @@
     table: &'tree de::DeTable<'tree>,
     /// Byte offset of the table, for keys that it lacks.
     offset: usize,
-    known: BTreeSet<Box<str>>,
+    /// Keys that were asked for.
+    known: Vec<&'static str>,
+    /// Whether every key is the name of an entry.
+    has_entries: bool,
 }
 
 impl<'context, 'source, 'tree> TableReader<'context, 'source, 'tree> {
@@ -59,7 +65,8 @@
             path: path.into(),
             table,
             offset,
-            known: BTreeSet::new(),
+            known: Vec::new(),
+            has_entries: false,
         }
     }
 
@@ -69,7 +76,7 @@
     }
 
     /// Reads a value that must be there.
-    pub fn required<T: DeserializeOwned>(&mut self, key: &str) -> Option<T> {
+    pub fn required<T: DeserializeOwned>(&mut self, key: &'static str) -> Option<T> {
         if self.find(key).is_none() {
             self.report_missing(key);
             return None;
@@ -78,20 +85,19 @@
     }
 
     /// Reads a value that may be left out; `None` also when it is wrong.
-    pub fn optional<T: DeserializeOwned>(&mut self, key: &str) -> Option<T> {
+    pub fn optional<T: DeserializeOwned>(&mut self, key: &'static str) -> Option<T> {
         let node = self.find(key)?;
-        let path = self.path_of(key);
-        self.decode(&path, node)
+        self.decode(node, |reader| reader.path_of(key))
     }
 
     /// Reads a value that stands for `default` when it is left out or wrong.
-    pub fn or_default<T: DeserializeOwned>(&mut self, key: &str, default: T) -> T {
+    pub fn or_default<T: DeserializeOwned>(&mut self, key: &'static str, default: T) -> T {
         self.optional(key).unwrap_or(default)
     }
 
     /// Reads the items of a list, which is empty when it is left out; wrong items are reported one
     /// by one and left out.
-    pub fn list<T: DeserializeOwned>(&mut self, key: &str) -> Vec<ListItem<T>> {
+    pub fn list<T: DeserializeOwned>(&mut self, key: &'static str) -> Vec<ListItem<T>> {
         let Some(node) = self.find(key) else {
             return Vec::new();
         };
@@ -103,16 +109,22 @@
 
         let mut values = Vec::new();
         for (index, item) in items.iter().enumerate() {
-            let path: Box<str> = format!("{path}[{index}]").into();
-            if let Some(value) = self.decode(&path, item) {
-                values.push(ListItem { path, value });
-            }
+            let value = self.decode(item, |_| item_path(&path, index));
+            values.extend(value.map(|value| ListItem {
+                key,
+                index,
+                offset: item.span().start,
+                value,
+            }));
         }
         values
     }
 
     /// Reads a list that must be there.
-    pub fn required_list<T: DeserializeOwned>(&mut self, key: &str) -> Option<Vec<ListItem<T>>> {
+    pub fn required_list<T: DeserializeOwned>(
+        &mut self,
+        key: &'static str,
+    ) -> Option<Vec<ListItem<T>>> {
         if self.find(key).is_none() {
             self.report_missing(key);
             return None;
@@ -121,7 +133,7 @@
     }
 
     /// Reads a table that must be there.
-    pub fn table<T: TableValue>(&mut self, key: &str) -> Option<T> {
+    pub fn table<T: TableValue>(&mut self, key: &'static str) -> Option<T> {
         if self.find(key).is_none() {
             self.report_missing(key);
             return None;
@@ -130,14 +142,14 @@
     }
 
     /// Reads a table that may be left out; `None` also when it is wrong.
-    pub fn optional_table<T: TableValue>(&mut self, key: &str) -> Option<T> {
+    pub fn optional_table<T: TableValue>(&mut self, key: &'static str) -> Option<T> {
         let node = self.find(key)?;
         let path = self.path_of(key);
         self.read_table(&path, node)
     }
 
     /// Reads a table as if it were there but empty when it is left out.
-    pub fn table_or_empty<T: TableValue>(&mut self, key: &str) -> Option<T> {
+    pub fn table_or_empty<T: TableValue>(&mut self, key: &'static str) -> Option<T> {
         if self.find(key).is_some() {
             return self.optional_table(key);
         }
@@ -158,8 +170,8 @@
         let table = self.table;
         let mut entries = BTreeMap::new();
 
+        self.has_entries = true;
         for (key, node) in table {
-            self.known.insert(key.get_ref().as_ref().into());
             let path = self.path_of(key.get_ref());
             let name = self.parse_name::<K>(&path, key);
             let value = self.read_table(&path, node);
@@ -181,7 +193,7 @@
     }
 
     /// Reports `key` when it is missing or an empty list.
-    pub fn check_filled(&mut self, key: &str) {
+    pub fn check_filled(&mut self, key: &'static str) {
         match self.find(key).and_then(|node| node.get_ref().as_array()) {
             Some(items) => self.check(key, !items.is_empty(), "must not be empty"),
             None if self.find(key).is_none() => self.report_missing(key),
@@ -190,38 +202,54 @@
     }
 
     /// Reports `message` about `key` unless `is_valid`.
-    pub fn check(&mut self, key: &str, is_valid: bool, message: impl Into<Box<str>>) {
+    pub fn check(&mut self, key: &'static str, is_valid: bool, message: impl Into<Box<str>>) {
         if !is_valid {
             self.report(key, message);
         }
     }
 
     /// Reports `message` about `key`.
-    pub fn report(&mut self, key: &str, message: impl Into<Box<str>>) {
+    pub fn report(&mut self, key: &'static str, message: impl Into<Box<str>>) {
         let path = self.path_of(key);
-        let offset = self.find(key).map_or(self.offset, |node| node.span().start);
+        let offset = self.offset_of(key);
         self.context.report(&path, Some(offset), message);
     }
 
+    /// Reports `message` about an item of a list.
+    pub fn report_item<T>(&mut self, item: &ListItem<T>, message: impl Into<Box<str>>) {
+        let path = self.path_of_item(item);
+        self.context.report(&path, Some(item.offset), message);
+    }
+
+    /// Returns the dotted path of an item of a list.
+    pub fn path_of_item<T>(&self, item: &ListItem<T>) -> Box<str> {
+        item_path(&self.path_of(item.key), item.index)
+    }
+
+    /// Returns the byte offset of the value of `key`, or of the table when it lacks the key.
+    pub fn offset_of(&self, key: &str) -> usize {
+        let node = self.table.get(key);
+        node.map_or(self.offset, |node| node.span().start)
+    }
+
     /// Returns what the whole reading collects.
     pub fn context(&mut self) -> &mut ReadContext<'source> {
         self.context
     }
 
-    /// Returns the dotted path of the table.
-    pub fn path(&self) -> &str {
-        &self.path
-    }
-
     /// Takes `keys` for known, whatever they hold.
-    pub fn ignore(&mut self, keys: &[&str]) {
-        self.known.extend(keys.iter().map(|key| Box::from(*key)));
+    pub fn ignore(&mut self, keys: &[&'static str]) {
+        self.known.extend(keys);
     }
 
     /// Reports the keys that nobody asked for.
     pub fn finish(self) {
+        if self.has_entries {
+            return;
+        }
+
         for (key, _) in self.table {
-            if !self.known.contains(key.get_ref().as_ref()) {
+            if !self.known.contains(&key.get_ref().as_ref()) {
                 let path = join_path(&self.path, key.get_ref());
                 self.context
                     .report(&path, Some(key.span().start), "is not a known key");
@@ -229,9 +257,9 @@
         }
     }
 
-    fn find(&mut self, key: &str) -> Option<&'tree Spanned<de::DeValue<'tree>>> {
-        if !self.known.contains(key) {
-            self.known.insert(key.into());
+    fn find(&mut self, key: &'static str) -> Option<&'tree Spanned<de::DeValue<'tree>>> {
+        if !self.known.contains(&key) {
+            self.known.push(key);
         }
         self.table.get(key)
     }
@@ -247,19 +275,18 @@
         self.context.report(path, Some(node.span().start), message);
     }
 
+    /// Decodes `node`; `path_of` gives its path for a finding.
     fn decode<T: DeserializeOwned>(
         &mut self,
-        path: &str,
         node: &Spanned<de::DeValue<'tree>>,
+        path_of: impl FnOnce(&Self) -> Box<str>,
     ) -> Option<T> {
-        let offset = node.span().start;
-        self.context.note_place(path, offset);
-
         match T::deserialize(de::ValueDeserializer::from(node.clone())) {
             Ok(value) => Some(value),
             Err(error) => {
+                let path = path_of(self);
                 let message = error.message().replace('\n', ", ");
-                self.context.report(path, Some(offset), message);
+                self.context.report(&path, Some(node.span().start), message);
                 None
             }
         }
@@ -311,6 +338,11 @@
     }
 }
 
+/// Returns the dotted path of an item of the list at `path`.
+fn item_path(path: &str, index: usize) -> Box<str> {
+    format!("{path}[{index}]").into()
+}
+
 /// Appends `key` to a dotted path, in quotes where TOML would need them.
 pub fn join_path(path: &str, key: &str) -> Box<str> {
     let is_bare = |character: char| character.is_ascii_alphanumeric() || "_-".contains(character);
--- a/crates/document/src/reader/ties.rs
+++ b/crates/document/src/reader/ties.rs
@@ -1,6 +1,6 @@
 //! Ties between values: values that must be unique, must agree, or refer to others.
 
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 
 use kingcupfall_core::findings;
 
@@ -32,9 +32,9 @@
 #[derive(Debug, Default)]
 pub struct ValueTies {
     /// Paths of unique values, by noun and value.
-    owners: BTreeMap<(&'static str, Box<str>), Box<str>>,
+    owners: HashMap<(&'static str, Box<str>), Box<str>>,
     /// Values that subjects are bound to, by noun and subject.
-    bonds: BTreeMap<(&'static str, Box<str>), Box<str>>,
+    bonds: HashMap<(&'static str, Box<str>), Box<str>>,
 }
 
 impl ValueTies {
@@ -48,17 +48,12 @@
     }
 
     /// Binds `subject` to `value`; returns the other value that it is bound to.
-    pub fn bind(
-        &mut self,
-        noun: &'static str,
-        subject: Box<str>,
-        value: Box<str>,
-    ) -> Option<Box<str>> {
+    pub fn bind(&mut self, noun: &'static str, subject: &str, value: &str) -> Option<Box<str>> {
         let bound = self
             .bonds
-            .entry((noun, subject))
-            .or_insert_with(|| value.clone());
-        (*bound != value).then(|| bound.clone())
+            .entry((noun, subject.into()))
+            .or_insert_with(|| value.into());
+        (**bound != *value).then(|| bound.clone())
     }
 }
 
--- a/crates/document/src/sections/mod.rs
+++ b/crates/document/src/sections/mod.rs
@@ -87,6 +87,6 @@
     for name in reader.entry_names(section.as_str()) {
         let path = section.path_of(&name);
         let referent = SectionName::Organisations.path_of(&name);
-        reader.context().refer(&path, referent);
+        reader.context().refer(&path, None, referent);
     }
 }
--- a/crates/document/src/sections/organisations.rs
+++ b/crates/document/src/sections/organisations.rs
@@ -40,8 +40,7 @@
     let items: Vec<reader::ListItem<keys::KeyHash>> = reader.required_list("key_hashes")?;
 
     for item in &items {
-        let hash = item.value.to_string();
-        reader.context().claim(&item.path, "key", hash.into());
+        reader.claim_item(item, "key");
     }
     Some(reader::ListItem::into_values(items))
 }
--- a/crates/document/src/sections/services.rs
+++ b/crates/document/src/sections/services.rs
@@ -72,7 +72,7 @@
     for item in &items {
         if !is_relative_path(&item.value) {
             let message = "must be a path without slashes at its ends and without dots as parts";
-            reader.context().report_value(&item.path, message);
+            reader.report_item(item, message);
         }
     }
     reader::ListItem::into_values(items)
--- a/crates/document/src/sections/targets.rs
+++ b/crates/document/src/sections/targets.rs
@@ -58,9 +58,7 @@
         let leaving = reader.or_default("leaving", false);
 
         if let (Some(vm), Some(zone)) = (&vm, &zone) {
-            let path = reader.path_of("zone");
-            let (vm, zone) = (vm.as_str().into(), zone.as_str().into());
-            reader.context().bind(&path, "VM", vm, zone);
+            reader.bind("zone", "VM", vm.as_str(), zone.as_str());
         }
         if let Some(agent) = &agent {
             reader.claim("agent", "address", agent);
@@ -93,9 +91,7 @@
         KindName::Engine => read_engine(reader),
         KindName::Service => {
             let service: ids::ServiceName = reader.required("service")?;
-            let path = reader.path_of("service");
-            let referent = SectionName::Services.path_of(service.as_str());
-            reader.context().refer(&path, referent);
+            reader.refer("service", SectionName::Services.path_of(service.as_str()));
             Some(TargetKind::Service { service })
         }
     }
@@ -107,8 +103,7 @@
     reader.check_filled("models");
 
     for item in &items {
-        let referent = SectionName::Models.path_of(item.value.as_str());
-        reader.context().refer(&item.path, referent);
+        reader.refer_item(item, SectionName::Models.path_of(item.value.as_str()));
     }
     Some(TargetKind::Engine {
         models: reader::ListItem::into_values(items),
--- a/crates/settings/src/sections/ports.rs
+++ b/crates/settings/src/sections/ports.rs
@@ -7,7 +7,7 @@
 /// Reports each of `addresses`, given by key, that another one before it has too.
 pub fn report_shared(
     reader: &mut reader::TableReader<'_, '_, '_>,
-    addresses: &[(&str, Option<net::SocketAddr>)],
+    addresses: &[(&'static str, Option<net::SocketAddr>)],
 ) {
     for (index, (key, address)) in addresses.iter().enumerate() {
         let earlier = &addresses[..index];
@@ -23,7 +23,7 @@
 /// Reports the address under `key` when it is not on loopback.
 pub fn check_loopback(
     reader: &mut reader::TableReader<'_, '_, '_>,
-    key: &str,
+    key: &'static str,
     address: Option<net::SocketAddr>,
 ) {
     let is_loopback = address.is_none_or(|address| address.ip().is_loopback());
