Test callers of the whole system over sockets

Cause: the path from caller to engine had no test over real sockets. The first runs showed two faults: the HTTP client's pool without a limit never wakes calls that wait for a connection, so that of 24 streams at once 11 to 16 never started; and a refused call whose body was not read often lost its answer.

--- a/crates/agent/src/shell/http.rs
+++ b/crates/agent/src/shell/http.rs
@@ -25,6 +25,10 @@
 /// Largest answer of a plain service; it must fit into a frame of a link.
 const ANSWER_LIMIT_BYTES: usize = 1024 * 1024;
 
+/// Connections to the target at a time. The library's pool never wakes those that wait for a
+/// connection when it has no limit.
+const CONNECTION_LIMIT: usize = 65_536;
+
 /// Media type of an answer that names none.
 const DEFAULT_CONTENT_TYPE: &str = "application/octet-stream";
 
@@ -123,7 +127,7 @@
 
 /// Makes the HTTP client that an agent uses for its target.
 pub(super) async fn make_client() -> Result<client::Client> {
-    let connector = client::Connector::new().limit(0);
+    let connector = client::Connector::new().limit(CONNECTION_LIMIT);
     client::Client::builder()
         .connector::<()>(connector)
         .disable_timeout()
--- a/crates/gateway/src/shell/callers/body.rs
+++ b/crates/gateway/src/shell/callers/body.rs
@@ -10,6 +10,9 @@
 use super::context;
 use crate::intake;
 
+/// Time for reading a body that nobody wants.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Reads the whole body.
 ///
 /// # Errors
@@ -18,7 +21,7 @@
 pub async fn read_body(
     context: &context::ServerContext,
     request: &web::HttpRequest,
-    payload: web::types::Payload,
+    payload: &mut web::types::Payload,
     outcome: work::CallOutcome,
 ) -> intake::Result<Vec<u8>> {
     let limits = context.limits();
@@ -33,8 +36,27 @@
     }
 }
 
+/// Reads and drops what is left of a body, up to the limit of a whole one and a short time.
+///
+/// A connection whose body was not read is closed together with the answer, and a caller that is
+/// still sending then often does not see the answer.
+pub async fn discard_body(context: &context::ServerContext, payload: &mut web::types::Payload) {
+    let mut left = context.limits().body_bytes;
+    let discarding = async {
+        while let Some(Ok(chunk)) = payload.next().await {
+            if chunk.len() > left {
+                return;
+            }
+            left -= chunk.len();
+        }
+    };
+
+    // A caller that is slower than this may miss its answer.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, discarding).await;
+}
+
 async fn collect(
-    mut payload: web::types::Payload,
+    payload: &mut web::types::Payload,
     limit: usize,
     outcome: work::CallOutcome,
 ) -> intake::Result<Vec<u8>> {
--- a/crates/gateway/src/shell/callers/generations.rs
+++ b/crates/gateway/src/shell/callers/generations.rs
@@ -28,14 +28,16 @@
 /// Takes a generation, or resumes a stream when there is a `Last-Event-ID`.
 pub async fn post_generation(
     request: web::HttpRequest,
-    payload: web::types::Payload,
+    mut payload: web::types::Payload,
     context: web::types::State<context::ServerContext>,
 ) -> web::HttpResponse {
     let head = respond::request_head(&request);
     if head.last_event_id.is_some() {
         return resume_stream(&request, &context).await;
     }
-    match take_generation(&request, payload, &context).await {
+    let taken = take_generation(&request, &mut payload, &context).await;
+    body::discard_body(&context, &mut payload).await;
+    match taken {
         Ok(response) => response,
         Err(problem) => respond::problem_response(&context, &problem),
     }
@@ -51,7 +53,7 @@
 
 async fn take_generation(
     request: &web::HttpRequest,
-    payload: web::types::Payload,
+    payload: &mut web::types::Payload,
     context: &context::ServerContext,
 ) -> intake::Result<web::HttpResponse> {
     let head = respond::request_head(request);
--- a/crates/gateway/src/shell/callers/keys.rs
+++ b/crates/gateway/src/shell/callers/keys.rs
@@ -23,10 +23,12 @@
 /// Issues a key.
 pub async fn post_key(
     request: web::HttpRequest,
-    payload: web::types::Payload,
+    mut payload: web::types::Payload,
     context: web::types::State<context::ServerContext>,
 ) -> web::HttpResponse {
-    match issue_key(&request, payload, &context).await {
+    let taken = issue_key(&request, &mut payload, &context).await;
+    body::discard_body(&context, &mut payload).await;
+    match taken {
         Ok(response) => response,
         Err(problem) => respond::problem_response(&context, &problem),
     }
@@ -34,7 +36,7 @@
 
 async fn issue_key(
     request: &web::HttpRequest,
-    payload: web::types::Payload,
+    payload: &mut web::types::Payload,
     context: &context::ServerContext,
 ) -> intake::Result<web::HttpResponse> {
     let head = respond::request_head(request);
--- a/crates/gateway/src/shell/callers/services.rs
+++ b/crates/gateway/src/shell/callers/services.rs
@@ -16,10 +16,12 @@
 /// Calls a plain service.
 pub async fn post_service(
     request: web::HttpRequest,
-    payload: web::types::Payload,
+    mut payload: web::types::Payload,
     context: web::types::State<context::ServerContext>,
 ) -> web::HttpResponse {
-    match call_service(&request, payload, &context).await {
+    let taken = call_service(&request, &mut payload, &context).await;
+    body::discard_body(&context, &mut payload).await;
+    match taken {
         Ok(response) => response,
         Err(problem) => respond::problem_response(&context, &problem),
     }
@@ -27,7 +29,7 @@
 
 async fn call_service(
     request: &web::HttpRequest,
-    payload: web::types::Payload,
+    payload: &mut web::types::Payload,
     context: &context::ServerContext,
 ) -> intake::Result<web::HttpResponse> {
     let head = respond::request_head(request);
--- a/crates/standin/src/caller/mod.rs
+++ b/crates/standin/src/caller/mod.rs
@@ -14,6 +14,10 @@
 pub use stream::CallerStream;
 pub use stream::StreamItem;
 
+/// Connections of a caller at a time. The library's pool never wakes those that wait for a
+/// connection when it has no limit.
+const CONNECTION_LIMIT: usize = 65_536;
+
 /// Result of a call.
 pub type Result<T> = result::Result<T, CallerError>;
 
@@ -92,7 +96,7 @@
     /// Outside of an ntex system.
     pub async fn new(address: net::SocketAddr, key: &str) -> Self {
         let client = client::Client::builder()
-            .connector::<()>(client::Connector::new().limit(0))
+            .connector::<()>(client::Connector::new().limit(CONNECTION_LIMIT))
             .disable_timeout()
             .build(ntex::SharedCfg::default())
             .await
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod configuration;
 pub mod demo;
 pub mod engine;
+pub mod relay;
 pub mod server;
 pub mod service;
 pub mod system;
--- a/crates/standin/src/system/document.rs
+++ b/crates/standin/src/system/document.rs
@@ -1,7 +1,5 @@
 //! The document of a system on loopback.
 
-use std::net;
-
 use kingcupfall_core::ids;
 use kingcupfall_core::keys;
 use kingcupfall_document::sections;
@@ -19,7 +17,7 @@
 pub const MODEL: &str = "report";
 
 /// Service that the plain services are replicas of.
-pub(super) const SERVICE: &str = "bookings";
+pub const SERVICE: &str = "bookings";
 
 const MODELS: &str = include_str!("sections/models.toml");
 const ORGANISATIONS: &str = include_str!("sections/organisations.toml");
@@ -58,12 +56,7 @@
 fn targets_text(agents: &[RunningAgent]) -> Box<str> {
     let targets = agents
         .iter()
-        .map(|agent| {
-            (
-                agent.target.clone(),
-                target_entry(agent, agent.handle.address()),
-            )
-        })
+        .map(|agent| (agent.target.clone(), target_entry(agent)))
         .collect();
 
     toml::to_string(&TargetDocument { targets })
@@ -71,12 +64,12 @@
         .into()
 }
 
-fn target_entry(agent: &RunningAgent, address: net::SocketAddr) -> sections::TargetEntry {
+fn target_entry(agent: &RunningAgent) -> sections::TargetEntry {
     sections::TargetEntry {
         kind: agent.kind.clone(),
         vm: vm_name(&agent.target),
         zone: agent.zone.clone(),
-        agent: address,
+        agent: agent.advertised,
         leaving: false,
     }
 }
--- a/crates/standin/src/system/mod.rs
+++ b/crates/standin/src/system/mod.rs
@@ -1,12 +1,15 @@
 //! The whole system in one process on loopback: stand-ins, agents and gateways.
 
 mod document;
+mod process;
 mod start;
 
+use std::net;
 use std::result;
 
 use kingcupfall_agent::shell as agent;
 use kingcupfall_core::ids;
+use kingcupfall_document::acceptance;
 use kingcupfall_document::sections;
 use kingcupfall_gateway::shell as gateway;
 use quick_error::quick_error;
@@ -14,6 +17,8 @@
 pub use document::EXAUSTAO_KEY;
 pub use document::MODEL;
 pub use document::QURUM_KEY;
+pub use document::SERVICE;
+pub use process::SystemThread;
 
 use crate::configuration;
 use crate::engine;
@@ -77,6 +82,8 @@
     pub kind: sections::TargetKind,
     /// Zone of its VM.
     pub zone: ids::ZoneName,
+    /// Address at which the document says that it takes links.
+    pub advertised: net::SocketAddr,
     /// Controls it.
     pub handle: agent::AgentHandle,
     /// Its task.
@@ -95,4 +102,29 @@
     pub agents: Vec<RunningAgent>,
     /// Gateways.
     pub gateways: Vec<gateway::GatewayHandle>,
+    secrets: start::SystemSecrets,
+    acceptance: acceptance::DocumentAcceptance,
+}
+
+/// Where a gateway listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GatewayAddresses {
+    /// For callers.
+    pub callers: net::SocketAddr,
+    /// For operators.
+    pub administration: net::SocketAddr,
+}
+
+/// A gateway in a thread of its own.
+pub struct GatewayThread {
+    /// Where it listens.
+    pub addresses: GatewayAddresses,
+    thread: process::SystemThread,
+}
+
+impl GatewayThread {
+    /// Kills the gateway: all its connections break at once.
+    pub async fn kill(self) {
+        self.thread.kill().await;
+    }
 }
--- a/crates/standin/src/system/start.rs
+++ b/crates/standin/src/system/start.rs
@@ -20,11 +20,14 @@
 use kingcupfall_policy::schedule;
 use rand::Rng;
 
+use super::GatewayAddresses;
+use super::GatewayThread;
 use super::LocalSystem;
 use super::Result;
 use super::RunningAgent;
 use super::SystemConfig;
 use super::document;
+use super::process;
 use crate::configuration;
 use crate::engine;
 use crate::service;
@@ -67,36 +70,77 @@
             agents.push(start_service_agent(index, service, &secrets).await?);
         }
 
-        let mut acceptance = acceptance::DocumentAcceptance::default();
+        let mut system = Self {
+            configuration,
+            engines,
+            services,
+            agents,
+            gateways: Vec::new(),
+            secrets,
+            acceptance: acceptance::DocumentAcceptance::default(),
+        };
+        system.publish_document();
+        for _ in 0..config.gateways {
+            system.add_gateway()?;
+        }
+        Ok(system)
+    }
+
+    /// Publishes all sections again, with the agents' addresses as they are advertised now.
+    pub fn publish_document(&mut self) {
         for section in sections::SectionName::ALL {
-            let text = document::section_text(section, &agents);
-            let version = configuration.set_section(section, &text);
-            acceptance.offer(acceptance::SectionText {
+            let text = document::section_text(section, &self.agents);
+            let version = self.configuration.set_section(section, &text);
+            self.acceptance.offer(acceptance::SectionText {
                 section,
                 version,
                 text,
             });
         }
-
-        let mut gateways = Vec::new();
-        for index in 0..config.gateways {
-            let gateway = gateway::start(gateway_setup(index, &secrets))?;
-            gateway.set_document(document_in_force(&acceptance));
-            gateways.push(gateway);
+        for gateway in &self.gateways {
+            gateway.set_document(document_in_force(&self.acceptance));
         }
+    }
 
-        Ok(Self {
-            configuration,
-            engines,
-            services,
-            agents,
-            gateways,
+    /// Starts one more gateway in the current ntex system.
+    ///
+    /// # Errors
+    ///
+    /// [`super::SystemError::Gateway`].
+    pub fn add_gateway(&mut self) -> Result<()> {
+        let setup = gateway_setup(self.gateways.len(), &self.secrets);
+        let gateway = gateway::start(setup)?;
+        gateway.set_document(document_in_force(&self.acceptance));
+        self.gateways.push(gateway);
+        Ok(())
+    }
+
+    /// Starts a gateway in a thread and ntex system of its own, so that it can be killed.
+    ///
+    /// # Errors
+    ///
+    /// [`super::SystemError::Gateway`].
+    pub async fn spawn_gateway(&self) -> Result<GatewayThread> {
+        let secrets = self.secrets.clone();
+        let document = document_in_force(&self.acceptance);
+
+        let (thread, addresses) = process::SystemThread::spawn(move || async move {
+            let gateway = gateway::start(gateway_setup(0, &secrets))?;
+            gateway.set_document(document);
+            let addresses = GatewayAddresses {
+                callers: gateway.caller_address(),
+                administration: gateway.administration_address(),
+            };
+            Ok::<_, gateway::ShellError>((addresses, gateway))
         })
+        .await?;
+        Ok(GatewayThread { addresses, thread })
     }
 }
 
 /// Secrets that the processes of one system share.
-struct SystemSecrets {
+#[derive(Clone)]
+pub(super) struct SystemSecrets {
     link: transport::LinkKey,
     signing: keys::SigningKey,
 }
@@ -175,6 +219,7 @@
         target,
         kind,
         zone: zone(index),
+        advertised: handle.address(),
         handle,
         ended: ntex::rt::spawn(shell.run()),
     })
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test binary uses a part of this module")]
 
 pub mod link;
+pub mod system;
 
 use std::time::Duration;
 
