--- /dev/null
+++ b/crates/telemetry/src/schedule/mod.rs
@@ -0,0 +1,132 @@
+//! What an agent decides about its target's work.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter;
+use prometheus_client::metrics::family;
+use prometheus_client::metrics::gauge;
+use prometheus_client::metrics::histogram;
+
+use crate::labels;
+use crate::registry;
+
+/// Bounds of the buckets for waits in the queue, in seconds.
+const QUEUE_BUCKETS: [f64; 13] = [
+    0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0, 20.0, 40.0, 80.0,
+];
+
+/// Stable code of a refusal.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RefusalLabels {
+    /// The code.
+    pub code: &'static str,
+}
+
+type HistogramFamily =
+    family::Family<labels::CallerLabels, histogram::Histogram, fn() -> histogram::Histogram>;
+
+/// Metrics of an agent's schedule.
+#[derive(Debug, Clone)]
+pub struct ScheduleMetrics {
+    queue_delay: HistogramFamily,
+    refusals: family::Family<RefusalLabels, counter::Counter>,
+    /// Streams that the agent paused.
+    pub pauses: counter::Counter,
+    /// Streams that the engine preempted.
+    pub preemptions: counter::Counter,
+    /// Streams that run.
+    pub running: gauge::Gauge,
+    /// Streams that the agent has paused.
+    pub paused: gauge::Gauge,
+    /// Attempts that wait for admission.
+    pub queued: gauge::Gauge,
+    /// Key-value memory in use, in tokens.
+    pub memory_used: gauge::Gauge,
+    /// Key-value memory in all, in tokens.
+    pub memory_total: gauge::Gauge,
+}
+
+impl ScheduleMetrics {
+    /// Makes the metrics and adds them to `registry`.
+    pub fn register(registry: &mut registry::MetricRegistry) -> Self {
+        let metrics = Self {
+            queue_delay: family::Family::new_with_constructor(queue_histogram),
+            refusals: family::Family::default(),
+            pauses: counter::Counter::default(),
+            preemptions: counter::Counter::default(),
+            running: gauge::Gauge::default(),
+            paused: gauge::Gauge::default(),
+            queued: gauge::Gauge::default(),
+            memory_used: gauge::Gauge::default(),
+            memory_total: gauge::Gauge::default(),
+        };
+
+        metrics.register_counters(registry);
+        metrics.register_gauges(registry);
+        metrics
+    }
+
+    /// Notes that an attempt was admitted after a wait.
+    pub fn record_admission(&self, labels: &labels::CallerLabels, wait: Duration) {
+        self.queue_delay
+            .get_or_create(labels)
+            .observe(wait.as_secs_f64());
+    }
+
+    /// Counts a refused attempt.
+    pub fn record_refusal(&self, code: &'static str) {
+        self.refusals.get_or_create(&RefusalLabels { code }).inc();
+    }
+
+    fn register_counters(&self, registry: &mut registry::MetricRegistry) {
+        registry.register(
+            "queue_delay_seconds",
+            "Time from an attempt's arrival to its admission",
+            self.queue_delay.clone(),
+        );
+        registry.register(
+            "refusals",
+            "Attempts that the agent refused",
+            self.refusals.clone(),
+        );
+        registry.register(
+            "pauses",
+            "Streams that the agent paused",
+            self.pauses.clone(),
+        );
+        registry.register(
+            "preemptions",
+            "Streams that the engine preempted",
+            self.preemptions.clone(),
+        );
+    }
+
+    fn register_gauges(&self, registry: &mut registry::MetricRegistry) {
+        registry.register("streams_running", "Streams that run", self.running.clone());
+        registry.register(
+            "streams_paused",
+            "Streams that the agent has paused",
+            self.paused.clone(),
+        );
+        registry.register(
+            "attempts_queued",
+            "Attempts that wait for admission",
+            self.queued.clone(),
+        );
+        registry.register(
+            "memory_used_tokens",
+            "Key-value memory in use",
+            self.memory_used.clone(),
+        );
+        registry.register(
+            "memory_total_tokens",
+            "Key-value memory in all",
+            self.memory_total.clone(),
+        );
+    }
+}
+
+fn queue_histogram() -> histogram::Histogram {
+    histogram::Histogram::new(QUEUE_BUCKETS)
+}
