Test faults and bookings of the whole system over sockets

Cause: silent links, deaths of gateway, engine and service, planned stops and calls that run at most once had no test over real sockets. The agent's listening and probing tasks now end with its shell.

--- a/crates/agent/src/shell/turn.rs
+++ b/crates/agent/src/shell/turn.rs
@@ -98,7 +98,7 @@
     links: links::LinkTable,
     incoming: mpsc::Receiver<ShellEvent>,
     effects: Vec<reducer::AgentEffect>,
-    tasks: Vec<ntex::rt::JoinHandle<()>>,
+    _tasks: TaskGroup,
     /// Held for life; the kernel frees it only when the process is dead.
     _exclusion: Option<net::TcpListener>,
 }
@@ -158,10 +158,10 @@
             links: links::LinkTable::default(),
             incoming,
             effects: Vec::new(),
-            tasks: vec![
+            _tasks: TaskGroup(vec![
                 ntex::rt::spawn(listening.run()),
                 ntex::rt::spawn(probing.run()),
-            ],
+            ]),
             _exclusion: exclusion,
         };
         let handle = AgentHandle {
@@ -255,10 +255,18 @@
     }
 
     async fn close(self) {
-        for task in self.tasks {
+        self.links.close().await;
+    }
+}
+
+/// Tasks that end with their owner.
+struct TaskGroup(Vec<ntex::rt::JoinHandle<()>>);
+
+impl Drop for TaskGroup {
+    fn drop(&mut self) {
+        for task in self.0.drain(..) {
             task.cancel();
         }
-        self.links.close().await;
     }
 }
 
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -116,6 +116,11 @@
         self.core.generated(stream)
     }
 
+    /// Says whether it has not died.
+    pub fn is_alive(&self) -> bool {
+        self.core.health().is_some()
+    }
+
     /// Kills it: all streams break, and nothing answers any more.
     pub async fn kill(&self) {
         self.core.kill();
--- a/crates/standin/src/system/mod.rs
+++ b/crates/standin/src/system/mod.rs
@@ -82,6 +82,8 @@
     pub kind: sections::TargetKind,
     /// Zone of its VM.
     pub zone: ids::ZoneName,
+    /// Where its target listens.
+    pub address: agent::TargetAddress,
     /// Address at which the document says that it takes links.
     pub advertised: net::SocketAddr,
     /// Controls it.
--- a/crates/standin/src/system/start.rs
+++ b/crates/standin/src/system/start.rs
@@ -102,6 +102,22 @@
         }
     }
 
+    /// Kills an agent and starts another one of the same target, at another address.
+    ///
+    /// # Errors
+    ///
+    /// [`super::SystemError::Agent`].
+    pub async fn restart_agent(&mut self, index: usize) -> Result<()> {
+        let old = self.agents.remove(index);
+        old.ended.cancel();
+
+        let fresh =
+            launch_agent(old.target, old.zone, old.kind, old.address, &self.secrets).await?;
+        self.agents.insert(index, fresh);
+        self.publish_document();
+        Ok(())
+    }
+
     /// Starts one more gateway in the current ntex system.
     ///
     /// # Errors
@@ -200,16 +216,26 @@
     address: agent::TargetAddress,
     secrets: &SystemSecrets,
 ) -> Result<RunningAgent> {
-    let target: ids::TargetName = format!("{prefix}-{}", index + 1)
+    let target = format!("{prefix}-{}", index + 1)
         .parse()
         .expect("a valid name");
+    launch_agent(target, zone(index), kind, address, secrets).await
+}
+
+async fn launch_agent(
+    target: ids::TargetName,
+    zone: ids::ZoneName,
+    kind: sections::TargetKind,
+    address: agent::TargetAddress,
+    secrets: &SystemSecrets,
+) -> Result<RunningAgent> {
     let config = agent::AgentConfig {
         target: target.clone(),
-        zone: zone(index),
+        zone: zone.clone(),
         listen: LOOPBACK,
         exclusion: None,
         link_key: secrets.link.clone(),
-        address,
+        address: address.clone(),
     };
     let incarnation = ids::Incarnation::random(&mut rand::rng());
     let scheduler = Box::new(schedule::NaiveScheduler::new());
@@ -218,7 +244,8 @@
     Ok(RunningAgent {
         target,
         kind,
-        zone: zone(index),
+        zone,
+        address,
         advertised: handle.address(),
         handle,
         ended: ntex::rt::spawn(shell.run()),
--- /dev/null
+++ b/crates/standin/tests/bookings.rs
@@ -0,0 +1,206 @@
+//! Calls of a plain service that must run at most once, over real sockets.
+
+mod common;
+
+use std::time::Duration;
+
+use kingcupfall_core::work;
+use kingcupfall_standin::caller;
+use kingcupfall_standin::system;
+use ntex::client;
+use serde::Deserialize;
+
+use common::system as local;
+
+const PATH: &str = "book";
+const BODY: &str = "{\"kitchen\":12,\"crew\":\"noite\"}";
+
+/// Answer to `POST /v1/idempotency-keys`.
+#[derive(Deserialize)]
+struct KeyAnswer {
+    idempotency_key: Box<str>,
+}
+
+#[ntex::test]
+async fn booking_without_key_runs_once_and_names_its_key() {
+    let system = local::start(0).await;
+    let caller = local::caller(&system).await;
+
+    let response = book(&caller, None, BODY).await.unwrap();
+
+    assert_eq!(response.status().as_u16(), 200);
+    assert!(response.header("idempotency-key").is_some());
+    assert_eq!(system.services[0].runs(PATH, BODY.as_bytes()), 1);
+}
+
+#[ntex::test]
+async fn booking_repeated_with_key_runs_once() {
+    let system = local::start(0).await;
+    let caller = local::caller(&system).await;
+    let key = issue_key(&caller).await;
+
+    let first = book(&caller, Some(&key), BODY).await.unwrap();
+    let first = first.body().await.unwrap();
+    let other = caller.at(system.gateways[1].caller_address());
+    wait_for_target(&other).await;
+    for repeat in [&caller, &other, &caller] {
+        let response = book(repeat, Some(&key), BODY).await.unwrap();
+        assert_eq!(response.header("idempotency-replayed").unwrap(), "true");
+        assert_eq!(response.body().await.unwrap(), first);
+    }
+
+    assert_eq!(system.services[0].runs(PATH, BODY.as_bytes()), 1);
+}
+
+#[ntex::test]
+async fn booking_repeated_while_running_waits_for_first() {
+    let system = local::start(0).await;
+    let caller = local::caller(&system).await;
+    let key = issue_key(&caller).await;
+    let service = &system.services[0];
+    service.hold();
+
+    let first = spawn_booking(&caller, &key);
+    common::wait_until("the first runs", || service.total_runs() == 1).await;
+    let second = spawn_booking(&caller, &key);
+    // The repeat must not reach the service, however long it waits for the first.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(service.total_runs(), 1);
+    service.release();
+
+    let first = common::within("the first answer", first).await.unwrap();
+    let second = common::within("the second answer", second).await.unwrap();
+    assert_eq!(first, second);
+    assert_eq!(service.runs(PATH, BODY.as_bytes()), 1);
+}
+
+#[ntex::test]
+async fn booking_changed_body_refused() {
+    let system = local::start(0).await;
+    let caller = local::caller(&system).await;
+    let key = issue_key(&caller).await;
+    book(&caller, Some(&key), BODY).await.unwrap();
+
+    let refused = book(&caller, Some(&key), "{\"kitchen\":13}").await;
+
+    assert_eq!(problem_code(refused).as_ref(), "key_mismatch");
+    assert_eq!(system.services[0].total_runs(), 1);
+}
+
+#[ntex::test]
+async fn booking_key_of_other_organisation_refused() {
+    let system = local::start(0).await;
+    let caller = local::caller(&system).await;
+    let key = issue_key(&caller).await;
+
+    let address = system.gateways[0].caller_address();
+    let stranger = caller::CallerClient::new(address, system::QURUM_KEY).await;
+    let refused = book(&stranger, Some(&key), BODY).await;
+
+    assert!(matches!(refused, Err(caller::CallerError::Problem(_))));
+    assert_eq!(system.services[0].total_runs(), 0);
+}
+
+#[ntex::test]
+async fn booking_service_death_while_running_is_unknown() {
+    let system = local::start(0).await;
+    let caller = local::caller(&system).await;
+    let key = issue_key(&caller).await;
+    let service = &system.services[0];
+    service.hold();
+    let booking = {
+        let caller = caller.clone();
+        let key = key.clone();
+        ntex::rt::spawn(async move { book(&caller, Some(&key), BODY).await.err() })
+    };
+    common::wait_until("the booking runs", || service.total_runs() == 1).await;
+
+    service.kill().await;
+
+    let error = common::within("an answer", booking).await.unwrap();
+    let Some(caller::CallerError::Problem(problem)) = error else {
+        panic!("a lost booking ends with a problem, not {error:?}");
+    };
+    assert_eq!(problem.outcome, work::CallOutcome::Unknown);
+    assert_eq!(service.total_runs(), 1);
+}
+
+#[ntex::test]
+async fn booking_key_of_old_agent_refused() {
+    let mut system = local::start(0).await;
+    let caller = local::caller(&system).await;
+    let key = issue_key(&caller).await;
+    book(&caller, Some(&key), BODY).await.unwrap();
+
+    // The next agent of the same target is another incarnation and knows no old records.
+    system.restart_agent(0).await.unwrap();
+    wait_for_target(&caller).await;
+    let refused = book(&caller, Some(&key), BODY).await;
+
+    let Err(caller::CallerError::Problem(problem)) = refused else {
+        panic!("an old key is refused");
+    };
+    assert_eq!(problem.outcome, work::CallOutcome::Unknown);
+    assert_eq!(problem.code.as_ref(), "key_expired");
+    assert_eq!(system.services[0].runs(PATH, BODY.as_bytes()), 1);
+}
+
+/// Books, with a key or without.
+async fn book(
+    caller: &caller::CallerClient,
+    key: Option<&str>,
+    body: &'static str,
+) -> caller::Result<client::ClientResponse> {
+    wait_for_target(caller).await;
+    let request = caller
+        .post("v1/services/bookings/book")
+        .content_type("application/json");
+    let request = match key {
+        Some(key) => request.set_header("idempotency-key", key),
+        None => request,
+    };
+    let response = common::within("an answer", request.send_body(body)).await;
+    caller::check(response.unwrap()).await
+}
+
+fn spawn_booking(
+    caller: &caller::CallerClient,
+    key: &str,
+) -> ntex::rt::JoinHandle<ntex::util::Bytes> {
+    let caller = caller.clone();
+    let key: Box<str> = key.into();
+    ntex::rt::spawn(async move {
+        let response = book(&caller, Some(&key), BODY).await.unwrap();
+        response.body().await.unwrap()
+    })
+}
+
+/// Waits until the gateway has a target for the service.
+async fn wait_for_target(caller: &caller::CallerClient) {
+    common::within("a key", async {
+        while request_key(caller).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    })
+    .await;
+}
+
+async fn issue_key(caller: &caller::CallerClient) -> Box<str> {
+    wait_for_target(caller).await;
+    request_key(caller).await.unwrap()
+}
+
+async fn request_key(caller: &caller::CallerClient) -> caller::Result<Box<str>> {
+    let request = caller.post("v1/idempotency-keys");
+    let sending = request.send_body("{\"service\":\"bookings\"}");
+    let response = common::within("an answer", sending).await.unwrap();
+    let answer: KeyAnswer = caller::check(response).await?.json().await.unwrap();
+    Ok(answer.idempotency_key)
+}
+
+fn problem_code(answer: caller::Result<client::ClientResponse>) -> Box<str> {
+    match answer.err() {
+        Some(caller::CallerError::Problem(problem)) => problem.code,
+        other => panic!("expected a problem, not {other:?}"),
+    }
+}
