Add the administration API and the gateway's metrics

Cause: operators could not see what a gateway knows, or why it chooses a target. Change: read-only reports of sections, targets, placement and quarantine, a dry run of a changed section, and metrics at the administration port; the handle takes the state of acceptance, so the stand-in system hands that over (crates/standin/src/system/start.rs). Conclusion: every decision of a gateway can be asked about.

--- a/crates/gateway/src/administration/query.rs
+++ b/crates/gateway/src/administration/query.rs
@@ -1,6 +1,5 @@
 //! Questions about the reducer's state, answered by the task that owns it.
 
-use kingcupfall_core::ids;
 use kingcupfall_core::measures;
 use kingcupfall_core::time;
 use kingcupfall_core::work;
@@ -26,6 +25,8 @@
     },
     /// Suspected and quarantined requests.
     Quarantine,
+    /// Counts for the metrics.
+    Gauges,
 }
 
 /// The answer to a [`StateQuery`].
@@ -37,6 +38,66 @@
     Explain(Vec<report::StandingReport>),
     /// Entries of the quarantine.
     Quarantine(Vec<report::QuarantineReport>),
+    /// Counts for the metrics.
+    Gauges(GaugeReport),
+}
+
+/// Counts for the metrics.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GaugeReport {
+    /// Calls that have not ended.
+    pub calls: usize,
+    /// Condition of each target.
+    pub targets: Vec<TargetCondition>,
+    /// What the reducer counts.
+    pub counters: reducer::GatewayCounters,
+}
+
+/// Whether a target can be chosen, or why not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetCondition {
+    /// It can be chosen.
+    Ready,
+    /// It takes no new work.
+    Leaving,
+    /// There is no link to its agent.
+    NoLink,
+    /// Its agent has been silent too long.
+    Silent,
+    /// Its agent says that it does not answer.
+    TargetDown,
+}
+
+impl TargetCondition {
+    /// All conditions.
+    pub const ALL: [Self; 5] = [
+        Self::Ready,
+        Self::Leaving,
+        Self::NoLink,
+        Self::Silent,
+        Self::TargetDown,
+    ];
+
+    /// Returns the condition as metrics write it.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::Leaving => "leaving",
+            Self::NoLink => "no_link",
+            Self::Silent => "silent",
+            Self::TargetDown => "target_down",
+        }
+    }
+
+    fn of_obstacle(obstacle: Option<state::TargetObstacle>) -> Self {
+        match obstacle {
+            None => Self::Ready,
+            Some(state::TargetObstacle::Leaving) => Self::Leaving,
+            Some(state::TargetObstacle::NoLink) => Self::NoLink,
+            Some(state::TargetObstacle::Silent) => Self::Silent,
+            Some(state::TargetObstacle::TargetDown) => Self::TargetDown,
+        }
+    }
 }
 
 /// Answers a question at the time `now`.
@@ -64,6 +125,15 @@
             let records = reducer.suspects(now);
             StateAnswer::Quarantine(records.iter().map(report::QuarantineReport::new).collect())
         }
+        StateQuery::Gauges => StateAnswer::Gauges(GaugeReport {
+            calls: reducer.calls().len(),
+            targets: reducer
+                .targets()
+                .iter()
+                .map(|target| TargetCondition::of_obstacle(obstacle(target, now)))
+                .collect(),
+            counters: reducer.counters().clone(),
+        }),
     }
 }
 
@@ -71,46 +141,13 @@
     reducer: &reducer::GatewayReducer,
     now: time::Timestamp,
 ) -> Vec<report::TargetReport> {
-    let obstacles = obstacles(reducer, now);
     reducer
         .targets()
         .iter()
-        .map(|target| {
-            let name = &target.listing.name;
-            let obstacle = obstacles
-                .iter()
-                .find(|standing| standing.target == *name)
-                .and_then(|standing| standing.obstacle);
-            report::TargetReport::new(now, target, obstacle)
-        })
+        .map(|target| report::TargetReport::new(now, target, obstacle(target, now)))
         .collect()
 }
 
-/// Returns the standing of all targets for the work that each of them serves.
-fn obstacles(
-    reducer: &reducer::GatewayReducer,
-    now: time::Timestamp,
-) -> Vec<reducer::TargetStanding> {
-    let tag = anonymous_tag();
-    let question = place::PlacementQuestion {
-        tag: &tag,
-        prompt_tokens: measures::TokenCount::ZERO,
-        prefix: None,
-    };
-    reducer
-        .targets()
-        .iter()
-        .flat_map(|target| reducer.explain(now, &target.listing.serves, &question))
-        .collect()
-}
-
-fn anonymous_tag() -> work::CallerTag {
-    let organisation: ids::OrganisationName = "-".parse().expect("a valid name");
-    let class: ids::ClassName = "-".parse().expect("a valid name");
-    work::CallerTag {
-        organisation,
-        class,
-        priority: measures::Priority::ZERO,
-        weight: measures::Weight::new(1),
-    }
+fn obstacle(target: &state::TargetState, now: time::Timestamp) -> Option<state::TargetObstacle> {
+    target.obstacle(now, reducer::SUSPICION_SILENCE)
 }
--- a/crates/gateway/src/administration/report.rs
+++ b/crates/gateway/src/administration/report.rs
@@ -1,9 +1,14 @@
 //! What the administration API reports, as it stands in its JSON.
 
+use std::time::Duration;
+
+use kingcupfall_core::findings;
 use kingcupfall_core::ids;
 use kingcupfall_core::load;
 use kingcupfall_core::measures;
 use kingcupfall_core::time;
+use kingcupfall_document::acceptance;
+use kingcupfall_document::sections;
 use kingcupfall_policy::quarantine;
 use serde::Deserialize;
 use serde::Serialize;
@@ -189,6 +194,71 @@
     }
 }
 
+/// One section of the document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SectionReport {
+    /// Section.
+    pub section: sections::SectionName,
+    /// Version in force.
+    pub version: Option<measures::SectionVersion>,
+    /// Hash of the text in force.
+    pub hash: Option<acceptance::ContentHash>,
+    /// Time since it entered into force here, in seconds.
+    pub age_s: Option<u64>,
+    /// Accepted version that waits because a higher one was accepted elsewhere.
+    pub held: Option<measures::SectionVersion>,
+    /// Higher version that has findings and replaces nothing.
+    pub rejected: Option<measures::SectionVersion>,
+    /// Highest version that was heard of, when its text is not here.
+    pub awaited: Option<measures::SectionVersion>,
+    /// Whether texts that differ were published under the highest version.
+    pub conflict: bool,
+    /// What is wrong with the rejected text.
+    pub findings: findings::FindingList,
+    /// References to missing entries of other sections, which have no effect.
+    pub dangling: findings::FindingList,
+}
+
+impl SectionReport {
+    /// Reports on a section that has been in force for `age`.
+    pub fn new(status: acceptance::SectionStatus, age: Option<Duration>) -> Self {
+        Self {
+            section: status.section,
+            version: status.in_force.map(|mark| mark.version),
+            hash: status.in_force.map(|mark| mark.hash),
+            age_s: age.map(|age| age.as_secs()),
+            held: status.held.map(|mark| mark.version),
+            rejected: status.rejected.map(|mark| mark.version),
+            awaited: status.awaited,
+            conflict: status.conflict.is_some(),
+            findings: status.findings,
+            dangling: status.dangling,
+        }
+    }
+}
+
+/// Answer to `POST /v1/dry-run`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DryRunReport {
+    /// Section that the text was tried as.
+    pub section: sections::SectionName,
+    /// Whether the text would be accepted and leave nothing dangling.
+    pub accepted: bool,
+    /// Everything that is wrong with it.
+    pub findings: findings::FindingList,
+}
+
+/// A question that can't be answered.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RefusalReport {
+    /// HTTP status.
+    pub status: u16,
+    /// Stable code.
+    pub code: Box<str>,
+    /// What happened, for people.
+    pub detail: Box<str>,
+}
+
 fn served_names(serves: &state::ServedWork) -> Vec<Box<str>> {
     match serves {
         state::ServedWork::Models(models) => models.iter().map(|name| display(name)).collect(),
@@ -208,6 +278,6 @@
     }
 }
 
-fn millis(duration: std::time::Duration) -> u64 {
+fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/gateway/src/administration/server.rs
+++ b/crates/gateway/src/administration/server.rs
@@ -1,45 +1,60 @@
-//! The HTTP side of the administration API.
+//! The endpoints of the administration API.
 
-use kingcupfall_core::keys;
-use ntex::http;
+use std::result;
+
+use kingcupfall_document::sections;
+use kingcupfall_telemetry::registry;
+use ntex::util;
 use ntex::web;
-use serde::Serialize;
+use serde::Deserialize;
 
 use super::StateAnswer;
 use super::StateQuery;
+use super::explain;
+use super::report;
+use super::respond;
 use crate::shell;
 
-/// Hash of the administration API's bearer key.
-#[derive(Debug, Clone)]
-pub struct AdministrationKey(keys::KeyHash);
+/// Result of answering a question.
+pub type Result<T> = result::Result<T, report::RefusalReport>;
 
-impl AdministrationKey {
-    /// Takes the hash.
-    pub fn new(hash: keys::KeyHash) -> Self {
-        Self(hash)
-    }
+/// Largest text of a section, in bytes; the configuration service holds no larger values.
+const SECTION_LIMIT_BYTES: usize = 1024 * 1024;
+
+type ContextState = web::types::State<shell::ServerContext>;
+type KeyState = web::types::State<respond::AdministrationKey>;
+
+/// Query of `POST /v1/dry-run`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DryRunQuery {
+    section: sections::SectionName,
 }
 
 /// Adds the endpoints of the administration API to an application.
 pub fn add_routes(config: &mut web::ServiceConfig) {
     config
+        .state(web::types::PayloadConfig::new(SECTION_LIMIT_BYTES))
         .service(web::resource("/v1/sections").route(web::get().to(get_sections)))
         .service(web::resource("/v1/targets").route(web::get().to(get_targets)))
-        .service(web::resource("/v1/quarantine").route(web::get().to(get_quarantine)));
+        .service(web::resource("/v1/explain").route(web::get().to(get_explain)))
+        .service(web::resource("/v1/quarantine").route(web::get().to(get_quarantine)))
+        .service(web::resource("/v1/dry-run").route(web::post().to(post_dry_run)))
+        .service(web::resource("/metrics").route(web::get().to(get_metrics)));
 }
 
-type ContextState = web::types::State<shell::ServerContext>;
-type KeyState = web::types::State<AdministrationKey>;
+/// Answers a request for which there is no endpoint.
+pub async fn refuse_path() -> web::HttpResponse {
+    let refusal = respond::refuse(404, "unknown_path", "there is no such endpoint");
+    respond::response(Err::<(), _>(refusal))
+}
 
 async fn get_sections(
     request: web::HttpRequest,
     context: ContextState,
     key: KeyState,
 ) -> web::HttpResponse {
-    if !is_authorized(&request, &key) {
-        return unauthorized();
-    }
-    json_response(&context.document().sections)
+    respond::response(key.check(&request).map(|()| list_sections(&context)))
 }
 
 async fn get_targets(
@@ -47,10 +62,15 @@
     context: ContextState,
     key: KeyState,
 ) -> web::HttpResponse {
-    if !is_authorized(&request, &key) {
-        return unauthorized();
-    }
-    state_response(&context, StateQuery::Targets).await
+    respond::response(list_targets(&request, &context, &key).await)
+}
+
+async fn get_explain(
+    request: web::HttpRequest,
+    context: ContextState,
+    key: KeyState,
+) -> web::HttpResponse {
+    respond::response(explain_work(&request, &context, &key).await)
 }
 
 async fn get_quarantine(
@@ -58,34 +78,118 @@
     context: ContextState,
     key: KeyState,
 ) -> web::HttpResponse {
-    if !is_authorized(&request, &key) {
-        return unauthorized();
-    }
-    state_response(&context, StateQuery::Quarantine).await
+    respond::response(list_quarantine(&request, &context, &key).await)
 }
 
-async fn state_response(context: &shell::ServerContext, query: StateQuery) -> web::HttpResponse {
-    match context.ask(query).await {
-        Some(StateAnswer::Targets(targets)) => json_response(&targets),
-        Some(StateAnswer::Explain(standings)) => json_response(&standings),
-        Some(StateAnswer::Quarantine(entries)) => json_response(&entries),
-        None => web::HttpResponse::build(http::StatusCode::SERVICE_UNAVAILABLE).finish(),
+async fn post_dry_run(
+    request: web::HttpRequest,
+    body: util::Bytes,
+    context: ContextState,
+    key: KeyState,
+) -> web::HttpResponse {
+    respond::response(try_section(&request, &body, &context, &key))
+}
+
+/// Answers without a key, since scrapers of metrics often have none to send; the port is internal.
+async fn get_metrics(context: ContextState) -> web::HttpResponse {
+    let gauges = match context.ask(StateQuery::Gauges).await {
+        Some(StateAnswer::Gauges(gauges)) => gauges,
+        Some(StateAnswer::Targets(_) | StateAnswer::Explain(_) | StateAnswer::Quarantine(_))
+        | None => return respond::response(Err::<(), _>(ending())),
+    };
+    let text = context.metrics().encode(
+        context.now(),
+        &gauges,
+        context.open_calls(),
+        &context.document(),
+    );
+    web::HttpResponse::Ok()
+        .content_type(registry::CONTENT_TYPE)
+        .body(text)
+}
+
+fn list_sections(context: &shell::ServerContext) -> Vec<report::SectionReport> {
+    let document = context.document();
+    let now = context.now();
+    document
+        .acceptance()
+        .status()
+        .into_iter()
+        .map(|status| {
+            let age = document.age(now, status.section);
+            report::SectionReport::new(status, age)
+        })
+        .collect()
+}
+
+async fn list_targets(
+    request: &web::HttpRequest,
+    context: &shell::ServerContext,
+    key: &respond::AdministrationKey,
+) -> Result<Vec<report::TargetReport>> {
+    key.check(request)?;
+    match context.ask(StateQuery::Targets).await {
+        Some(StateAnswer::Targets(targets)) => Ok(targets),
+        Some(StateAnswer::Explain(_) | StateAnswer::Quarantine(_) | StateAnswer::Gauges(_))
+        | None => Err(ending()),
     }
 }
 
-fn is_authorized(request: &web::HttpRequest, key: &AdministrationKey) -> bool {
-    let header = request.headers().get(http::header::AUTHORIZATION);
-    let text = header.and_then(|value| value.to_str().ok());
-    text.and_then(|text| text.strip_prefix("Bearer "))
-        .is_some_and(|bearer| keys::KeyHash::of_key(bearer).matches(&key.0))
+async fn explain_work(
+    request: &web::HttpRequest,
+    context: &shell::ServerContext,
+    key: &respond::AdministrationKey,
+) -> Result<report::ExplainReport> {
+    key.check(request)?;
+    let query = web::types::Query::<explain::ExplainQuery>::from_query(request.query_string())
+        .map_err(|error| respond::refuse(400, "invalid_query", &error.to_string()))?;
+    let document = context.document();
+    let question = explain::read_question(document.document(), query.into_inner())?;
+
+    let mut report = question.report;
+    report.targets = match context.ask(question.query).await {
+        Some(StateAnswer::Explain(standings)) => standings,
+        Some(StateAnswer::Targets(_) | StateAnswer::Quarantine(_) | StateAnswer::Gauges(_))
+        | None => return Err(ending()),
+    };
+    Ok(report)
 }
 
-fn unauthorized() -> web::HttpResponse {
-    web::HttpResponse::build(http::StatusCode::UNAUTHORIZED)
-        .set_header("www-authenticate", "Bearer")
-        .finish()
+async fn list_quarantine(
+    request: &web::HttpRequest,
+    context: &shell::ServerContext,
+    key: &respond::AdministrationKey,
+) -> Result<Vec<report::QuarantineReport>> {
+    key.check(request)?;
+    match context.ask(StateQuery::Quarantine).await {
+        Some(StateAnswer::Quarantine(entries)) => Ok(entries),
+        Some(StateAnswer::Targets(_) | StateAnswer::Explain(_) | StateAnswer::Gauges(_)) | None => {
+            Err(ending())
+        }
+    }
+}
+
+fn try_section(
+    request: &web::HttpRequest,
+    body: &[u8],
+    context: &shell::ServerContext,
+    key: &respond::AdministrationKey,
+) -> Result<report::DryRunReport> {
+    key.check(request)?;
+    let query = web::types::Query::<DryRunQuery>::from_query(request.query_string())
+        .map_err(|error| respond::refuse(400, "invalid_query", &error.to_string()))?;
+    let text = std::str::from_utf8(body)
+        .map_err(|error| respond::refuse(400, "invalid_text", &error.to_string()))?;
+
+    let document = context.document();
+    let findings = document.acceptance().try_section(query.section, text);
+    Ok(report::DryRunReport {
+        section: query.section,
+        accepted: findings.is_empty(),
+        findings,
+    })
 }
 
-fn json_response(value: &impl Serialize) -> web::HttpResponse {
-    web::HttpResponse::Ok().json(value)
+fn ending() -> report::RefusalReport {
+    respond::refuse(503, "gateway_stopping", "the gateway ends")
 }
--- a/crates/gateway/src/reducer/mod.rs
+++ b/crates/gateway/src/reducer/mod.rs
@@ -32,6 +32,7 @@
 pub use event::LimitListing;
 pub use event::ResumeRequest;
 pub use explain::TargetStanding;
+pub use placing::SUSPICION_SILENCE;
 pub use upkeep::TICK_INTERVAL;
 
 use crate::state;
--- a/crates/gateway/src/reducer/placing.rs
+++ b/crates/gateway/src/reducer/placing.rs
@@ -20,7 +20,7 @@
 use crate::state;
 
 /// Silence after which a target gets no new work.
-pub(super) const SUSPICION_SILENCE: Duration = Duration::from_millis(1_500);
+pub const SUSPICION_SILENCE: Duration = Duration::from_millis(1_500);
 
 /// Wait before a call that found no room is placed again.
 const PLACEMENT_WAIT: Duration = Duration::from_millis(50);
--- a/crates/gateway/src/shell/callers/generations.rs
+++ b/crates/gateway/src/shell/callers/generations.rs
@@ -56,7 +56,7 @@
 ) -> intake::Result<web::HttpResponse> {
     let head = respond::request_head(request);
     let document = context.document();
-    let caller = intake::authenticate(&document.document, &head)?;
+    let caller = intake::authenticate(document.document(), &head)?;
     let Some(slot) = context.take_slot() else {
         return Ok(respond::busy_response(context, head.refusal_outcome()));
     };
@@ -64,7 +64,7 @@
     let body = body::read_body(context, request, payload, outcome).await?;
 
     let call = context.next_call();
-    let intake_context = context.intake(&document.document);
+    let intake_context = context.intake(document.document());
     let call_request = intake::read_generation(&intake_context, &caller, &head, call, &body)?;
     let is_stream = call_request.stream;
     let event = reducer::GatewayEvent::Call(Box::new(call_request));
@@ -93,13 +93,13 @@
 ) -> intake::Result<web::HttpResponse> {
     let head = respond::request_head(request);
     let document = context.document();
-    let caller = intake::authenticate(&document.document, &head)?;
+    let caller = intake::authenticate(document.document(), &head)?;
     let Some(slot) = context.take_slot() else {
         return Ok(respond::busy_response(context, head.refusal_outcome()));
     };
 
     let call = context.next_call();
-    let intake_context = context.intake(&document.document);
+    let intake_context = context.intake(document.document());
     let resume = intake::read_resume(&intake_context, &caller, &head, call)?;
     let event = reducer::GatewayEvent::Resume(Box::new(resume));
     let session = context.open_call(slot, call, event);
--- a/crates/gateway/src/shell/callers/keys.rs
+++ b/crates/gateway/src/shell/callers/keys.rs
@@ -39,7 +39,7 @@
 ) -> intake::Result<web::HttpResponse> {
     let head = respond::request_head(request);
     let document = context.document();
-    let caller = intake::authenticate(&document.document, &head)?;
+    let caller = intake::authenticate(document.document(), &head)?;
     let Some(slot) = context.take_slot() else {
         return Ok(respond::busy_response(context, head.refusal_outcome()));
     };
@@ -47,7 +47,7 @@
     let body = body::read_body(context, request, payload, outcome).await?;
 
     let call = context.next_call();
-    let intake_context = context.intake(&document.document);
+    let intake_context = context.intake(document.document());
     let wish = intake::read_key_request(&intake_context, &caller, &head, call, &body)?;
     let service = wish.service.clone();
     let event = reducer::GatewayEvent::IssueKey(Box::new(wish));
--- a/crates/gateway/src/shell/callers/respond.rs
+++ b/crates/gateway/src/shell/callers/respond.rs
@@ -42,6 +42,7 @@
     context: &context::ServerContext,
     problem: &intake::ProblemDetails,
 ) -> web::HttpResponse {
+    context.metrics().calls().record_problem(problem.code);
     let status = http::StatusCode::from_u16(problem.status)
         .unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
     let mut builder = response_builder(context, status, problem.outcome);
--- a/crates/gateway/src/shell/callers/services.rs
+++ b/crates/gateway/src/shell/callers/services.rs
@@ -32,7 +32,7 @@
 ) -> intake::Result<web::HttpResponse> {
     let head = respond::request_head(request);
     let document = context.document();
-    let caller = intake::authenticate(&document.document, &head)?;
+    let caller = intake::authenticate(document.document(), &head)?;
     let Some(slot) = context.take_slot() else {
         return Ok(respond::busy_response(context, head.refusal_outcome()));
     };
@@ -40,7 +40,7 @@
     let body = body::read_body(context, request, payload, outcome).await?;
 
     let call = context.next_call();
-    let intake_context = context.intake(&document.document);
+    let intake_context = context.intake(document.document());
     let target = service_path(request.uri());
     let call_request = intake::read_service(&intake_context, &caller, &head, call, target, &body)?;
     let event = reducer::GatewayEvent::Call(Box::new(call_request));
--- a/crates/gateway/src/shell/callers/stream.rs
+++ b/crates/gateway/src/shell/callers/stream.rs
@@ -1,10 +1,7 @@
 //! Streams as server-sent events.
 
-use std::time::Duration;
-
 use futures_util::stream;
 use kingcupfall_core::ids;
-use kingcupfall_core::keys;
 use kingcupfall_core::measures;
 use kingcupfall_core::work;
 use ntex::http;
@@ -75,8 +72,7 @@
         given: None,
         has_ended: false,
         organisation,
-        signing_key: context.signing_key().clone(),
-        comment_interval: context.limits().stream_comment_interval,
+        context: context.clone(),
     };
     // The outcome is not known before the last event.
     let mut builder = web::HttpResponse::build(http::StatusCode::OK);
@@ -115,8 +111,7 @@
     given: Option<measures::Sequence>,
     has_ended: bool,
     organisation: ids::OrganisationName,
-    signing_key: keys::SigningKey,
-    comment_interval: Duration,
+    context: context::ServerContext,
 }
 
 /// What the connection gets next.
@@ -148,7 +143,8 @@
         if let Some(first) = self.first.take() {
             return Ok(Some(first));
         }
-        tokio::time::timeout(self.comment_interval, self.session.next()).await
+        let interval = self.context.limits().stream_comment_interval;
+        tokio::time::timeout(interval, self.session.next()).await
     }
 
     fn write_event(&mut self, reply: &reducer::CallReply) -> util::Bytes {
@@ -165,9 +161,9 @@
             }
             reducer::CallReply::Problem(problem) => {
                 self.has_ended = true;
-                let organisation = &self.organisation;
-                let details =
-                    intake::ProblemDetails::of_call(problem, &self.signing_key, organisation);
+                let key = self.context.signing_key();
+                let details = intake::ProblemDetails::of_call(problem, key, &self.organisation);
+                self.context.metrics().calls().record_problem(details.code);
                 event_text(None, "problem", &details)
             }
             reducer::CallReply::Whole(_)
--- a/crates/gateway/src/shell/command.rs
+++ b/crates/gateway/src/shell/command.rs
@@ -1,12 +1,12 @@
 //! What the servers and links tell the task that owns the reducer.
 
 use kingcupfall_core::ids;
+use kingcupfall_document::acceptance;
 use kingcupfall_link::frames;
 use kingcupfall_policy::quarantine;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
-use super::document;
 use crate::administration;
 use crate::reducer;
 
@@ -40,7 +40,7 @@
     /// Something that a caller's connection did.
     Event(reducer::GatewayEvent),
     /// A document to put in force.
-    Document(Box<document::DocumentInForce>),
+    Document(Box<acceptance::DocumentAcceptance>),
     /// Suspects that other gateways know of.
     Suspects(Vec<quarantine::SuspectRecord>),
     /// A question of the administration API.
--- a/crates/gateway/src/shell/context.rs
+++ b/crates/gateway/src/shell/context.rs
@@ -17,6 +17,7 @@
 use super::clock;
 use super::command;
 use super::document;
+use super::metrics;
 use super::session;
 use super::setup;
 use crate::administration;
@@ -37,6 +38,7 @@
     clock: clock::ShellClock,
     signing_key: keys::SigningKey,
     limits: setup::ShellLimits,
+    metrics: Arc<metrics::GatewayMetrics>,
 }
 
 impl ServerContext {
@@ -57,6 +59,7 @@
             clock,
             signing_key,
             limits,
+            metrics: Arc::default(),
         }
     }
 
@@ -70,6 +73,11 @@
         &self.signing_key
     }
 
+    /// Returns the metrics.
+    pub fn metrics(&self) -> &metrics::GatewayMetrics {
+        &self.metrics
+    }
+
     /// Returns the limits on callers.
     pub fn limits(&self) -> &setup::ShellLimits {
         &self.limits
--- a/crates/gateway/src/shell/document.rs
+++ b/crates/gateway/src/shell/document.rs
@@ -1,36 +1,72 @@
 //! The document in force, as the shell hands it to the reducer and to the servers.
 
-use kingcupfall_core::findings;
-use kingcupfall_core::measures;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
 use kingcupfall_core::time;
+use kingcupfall_document::acceptance;
 use kingcupfall_document::sections;
 use kingcupfall_policy::limit;
-use serde::Serialize;
 
 use crate::reducer;
 use crate::state;
 
-/// One section of the document as this gateway has it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct SectionStanding {
-    /// Name of the section.
-    pub name: Box<str>,
-    /// Version in force; `None` while none was accepted.
-    pub version: Option<measures::SectionVersion>,
-    /// Time on the gateway's clock at which that version was accepted.
-    #[serde(skip)]
-    pub accepted_at: time::Timestamp,
-    /// What is wrong with the newest version seen, when it was not accepted.
-    pub findings: findings::FindingList,
+/// When a text entered into force here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct SectionEntry {
+    mark: acceptance::SectionMark,
+    entered_at: time::Timestamp,
 }
 
-/// The document in force with the standing of its sections.
+/// The document in force, and since when each section has been.
 #[derive(Debug, Clone, Default)]
 pub struct DocumentInForce {
-    /// Accepted values of all sections.
-    pub document: sections::OperatorDocument,
-    /// Standing of each section.
-    pub sections: Vec<SectionStanding>,
+    acceptance: acceptance::DocumentAcceptance,
+    entries: BTreeMap<sections::SectionName, SectionEntry>,
+}
+
+impl DocumentInForce {
+    /// Returns what follows on this document when `acceptance` is put in force at the time `now`.
+    #[must_use]
+    pub fn succeed(
+        &self,
+        now: time::Timestamp,
+        acceptance: acceptance::DocumentAcceptance,
+    ) -> Self {
+        let entry = |section: sections::SectionName| {
+            let mark = acceptance.in_force(section)?;
+            let former = self.entries.get(&section);
+            let entered_at = former
+                .filter(|former| former.mark == mark)
+                .map_or(now, |former| former.entered_at);
+            Some((section, SectionEntry { mark, entered_at }))
+        };
+        let entries = sections::SectionName::ALL
+            .into_iter()
+            .filter_map(entry)
+            .collect();
+
+        Self {
+            acceptance,
+            entries,
+        }
+    }
+
+    /// Returns the accepted values of all sections.
+    pub fn document(&self) -> &sections::OperatorDocument {
+        self.acceptance.document()
+    }
+
+    /// Returns the state of acceptance.
+    pub fn acceptance(&self) -> &acceptance::DocumentAcceptance {
+        &self.acceptance
+    }
+
+    /// Returns how long the text of `section` has been in force here; `None` while none is.
+    pub fn age(&self, now: time::Timestamp, section: sections::SectionName) -> Option<Duration> {
+        let entry = self.entries.get(&section)?;
+        Some(now.since(entry.entered_at))
+    }
 }
 
 /// Returns the events that put `document` in force in a gateway's reducer.
--- a/crates/gateway/src/shell/driver.rs
+++ b/crates/gateway/src/shell/driver.rs
@@ -1,17 +1,18 @@
 //! The task that owns the reducer: takes commands and notices in, and carries effects out.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
+use kingcupfall_document::acceptance;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
-use super::clock;
 use super::command;
+use super::context;
 use super::document;
 use super::links;
+use super::meters;
 use super::replies;
 use crate::administration;
 use crate::reducer;
@@ -35,12 +36,12 @@
 /// Owner of the reducer.
 pub struct ReducerDriver {
     reducer: reducer::GatewayReducer,
-    clock: clock::ShellClock,
+    context: context::ServerContext,
     channels: DriverChannels,
     links: links::LinkTable,
     replies: replies::ReplyTable,
+    meters: meters::MeterTable,
     effects: Vec<reducer::GatewayEffect>,
-    write_timeout: Duration,
     exited: bool,
 }
 
@@ -48,19 +49,18 @@
     /// Makes a driver that has not started.
     pub fn new(
         reducer: reducer::GatewayReducer,
-        clock: clock::ShellClock,
         channels: DriverChannels,
         links: links::LinkTable,
-        write_timeout: Duration,
+        context: context::ServerContext,
     ) -> Self {
         Self {
             reducer,
-            clock,
             channels,
             links,
             replies: replies::ReplyTable::default(),
+            meters: meters::MeterTable::new(context.metrics().calls().clone()),
             effects: Vec::new(),
-            write_timeout,
+            context,
             exited: false,
         }
     }
@@ -98,7 +98,7 @@
     }
 
     fn take_command(&mut self, command: command::DriverCommand) {
-        let now = self.clock.now();
+        let now = self.context.now();
         match command {
             command::DriverCommand::Open {
                 call,
@@ -106,6 +106,7 @@
                 outlet,
             } => {
                 self.replies.insert(now, call, outlet);
+                self.meters.open(now, &event);
                 self.apply(now, event);
             }
             command::DriverCommand::Event(event) => self.take_caller_event(now, event),
@@ -128,19 +129,22 @@
         }
         if let reducer::GatewayEvent::CallerGone { call } = event {
             self.replies.remove(call);
+            self.meters.abandon(call);
         }
         self.apply(now, event);
     }
 
-    fn take_document(&mut self, now: time::Timestamp, document: document::DocumentInForce) {
-        for event in document::document_events(&document.document) {
+    fn take_document(&mut self, now: time::Timestamp, accepted: acceptance::DocumentAcceptance) {
+        for event in document::document_events(accepted.document()) {
             self.apply(now, event);
         }
+
+        let document = self.context.document().succeed(now, accepted);
         self.channels.documents.send_replace(Arc::new(document));
     }
 
     fn take_notice(&mut self, notice: command::LinkNotice) {
-        let now = self.clock.now();
+        let now = self.context.now();
         match notice {
             command::LinkNotice::Opened { link } => {
                 self.apply(now, reducer::GatewayEvent::LinkOpened { link });
@@ -158,14 +162,21 @@
     }
 
     fn tick(&mut self) {
-        let now = self.clock.now();
+        let now = self.context.now();
         self.apply(now, reducer::GatewayEvent::Tick);
 
-        for call in self.replies.remove_stuck(now, self.write_timeout) {
-            self.apply(now, reducer::GatewayEvent::CallerGone { call });
+        let write_timeout = self.context.limits().write_timeout;
+        for call in self.replies.remove_stuck(now, write_timeout) {
+            self.abandon(now, call);
         }
     }
 
+    /// Drops a call whose caller can't be reached.
+    fn abandon(&mut self, now: time::Timestamp, call: ids::CallId) {
+        self.meters.abandon(call);
+        self.apply(now, reducer::GatewayEvent::CallerGone { call });
+    }
+
     /// Gives an event to the reducer and carries out its effects, but for sending frames.
     fn apply(&mut self, now: time::Timestamp, event: reducer::GatewayEvent) {
         let mut effects = std::mem::take(&mut self.effects);
@@ -177,7 +188,7 @@
         }
         self.effects = effects;
         for call in gone {
-            self.apply(now, reducer::GatewayEvent::CallerGone { call });
+            self.abandon(now, call);
         }
     }
 
@@ -194,6 +205,7 @@
             reducer::GatewayEffect::CloseLink { link } => self.links.close(link),
             reducer::GatewayEffect::Send { link, frame } => self.links.push(link, frame),
             reducer::GatewayEffect::Reply { call, reply } => {
+                self.meters.record(now, call, &reply);
                 match self.replies.give(now, call, reply) {
                     replies::ReplyStanding::Given => {}
                     replies::ReplyStanding::Undeliverable => gone.push(call),
@@ -205,7 +217,7 @@
 
     /// Sends the frames of the turn.
     fn finish_turn(&mut self) {
-        let now = self.clock.now();
+        let now = self.context.now();
         for link in self.links.flush() {
             self.apply(now, reducer::GatewayEvent::LinkClosed { link });
         }
--- a/crates/gateway/src/shell/handle.rs
+++ b/crates/gateway/src/shell/handle.rs
@@ -3,6 +3,8 @@
 use std::net;
 use std::sync::Arc;
 
+use kingcupfall_document::acceptance;
+use kingcupfall_policy::quarantine;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
@@ -10,13 +12,11 @@
 use super::clock;
 use super::command;
 use super::context;
-use super::document;
 use super::driver;
 use super::links;
 use super::server;
 use super::setup;
 use crate::reducer;
-use kingcupfall_policy::quarantine;
 
 /// A gateway that runs in this process.
 pub struct GatewayHandle {
@@ -42,25 +42,23 @@
     let (command_sender, commands) = mpsc::unbounded_channel();
     let (notice_sender, notices) = mpsc::channel(driver::NOTICE_LIMIT);
     let (document_sender, documents) = watch::channel(Arc::default());
-    let limits = setup.limits;
     let context = context::ServerContext::new(
         command_sender,
         documents,
         clock,
         setup.signing_key,
-        limits.clone(),
+        setup.limits,
     );
 
     let driver = driver::ReducerDriver::new(
         reducer::GatewayReducer::new(setup.identity, setup.policies),
-        clock,
         driver::DriverChannels {
             commands,
             notices,
             documents: document_sender,
         },
         links::LinkTable::new(setup.connector, notice_sender),
-        limits.write_timeout,
+        context.clone(),
     );
     let servers = server::GatewayServers {
         callers: server::run_callers(callers, &context),
@@ -92,7 +90,7 @@
     }
 
     /// Puts a document in force.
-    pub fn set_document(&self, document: document::DocumentInForce) {
+    pub fn set_document(&self, document: acceptance::DocumentAcceptance) {
         self.context
             .command(command::DriverCommand::Document(Box::new(document)));
     }
--- /dev/null
+++ b/crates/gateway/src/shell/metrics.rs
@@ -0,0 +1,200 @@
+//! Metrics of a gateway.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use kingcupfall_core::time;
+use kingcupfall_document::sections;
+use kingcupfall_telemetry::calls;
+use kingcupfall_telemetry::registry;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter;
+use prometheus_client::metrics::family;
+use prometheus_client::metrics::gauge;
+
+use super::document;
+use crate::administration;
+use crate::reducer;
+
+/// Name of a section.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SectionLabels {
+    section: &'static str,
+}
+
+/// State of a target: `ready`, or its obstacle.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StateLabels {
+    state: &'static str,
+}
+
+type SecondsGauge = gauge::Gauge<f64, AtomicU64>;
+
+/// All metrics of a gateway; shared by its threads.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    registry: registry::MetricRegistry,
+    calls: calls::CallMetrics,
+    counters: CounterMetrics,
+    calls_in_progress: gauge::Gauge,
+    open_connections: gauge::Gauge,
+    targets: family::Family<StateLabels, gauge::Gauge>,
+    section_version: family::Family<SectionLabels, gauge::Gauge>,
+    section_age: family::Family<SectionLabels, SecondsGauge>,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        let mut registry = registry::MetricRegistry::default();
+        let calls = calls::CallMetrics::register(&mut registry);
+        let counters = CounterMetrics::register(&mut registry);
+        let mut metrics = Self {
+            registry,
+            calls,
+            counters,
+            calls_in_progress: gauge::Gauge::default(),
+            open_connections: gauge::Gauge::default(),
+            targets: family::Family::default(),
+            section_version: family::Family::default(),
+            section_age: family::Family::default(),
+        };
+        metrics.register_gauges();
+        metrics
+    }
+}
+
+impl GatewayMetrics {
+    /// Returns the metrics of calls.
+    pub fn calls(&self) -> &calls::CallMetrics {
+        &self.calls
+    }
+
+    /// Writes all metrics, with the gauges as they are now.
+    pub fn encode(
+        &self,
+        now: time::Timestamp,
+        gauges: &administration::GaugeReport,
+        open_calls: usize,
+        document: &document::DocumentInForce,
+    ) -> String {
+        self.counters.set(&gauges.counters);
+        self.calls_in_progress.set(signed(gauges.calls));
+        self.open_connections.set(signed(open_calls));
+        self.set_targets(gauges);
+        self.set_sections(now, document);
+        self.registry.encode()
+    }
+
+    fn register_gauges(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "calls_in_progress",
+            "Calls that have not ended",
+            self.calls_in_progress.clone(),
+        );
+        registry.register(
+            "answers_in_progress",
+            "Calls whose callers' connections have not taken the whole answer",
+            self.open_connections.clone(),
+        );
+        registry.register(
+            "targets",
+            "Targets by state: ready, or why they can't be chosen",
+            self.targets.clone(),
+        );
+        registry.register(
+            "section_version",
+            "Version in force of a section of the document",
+            self.section_version.clone(),
+        );
+        registry.register(
+            "section_age_seconds",
+            "Time since the version in force entered into force here",
+            self.section_age.clone(),
+        );
+    }
+
+    fn set_targets(&self, gauges: &administration::GaugeReport) {
+        for state in administration::TargetCondition::ALL {
+            let count = gauges
+                .targets
+                .iter()
+                .filter(|condition| **condition == state)
+                .count();
+            let labels = StateLabels {
+                state: state.as_str(),
+            };
+            self.targets.get_or_create(&labels).set(signed(count));
+        }
+    }
+
+    fn set_sections(&self, now: time::Timestamp, document: &document::DocumentInForce) {
+        for section in sections::SectionName::ALL {
+            let labels = SectionLabels {
+                section: section.as_str(),
+            };
+            let mark = document.acceptance().in_force(section);
+            let version = mark.map_or(0, |mark| mark.version.get());
+            let version = i64::try_from(version).unwrap_or(i64::MAX);
+            self.section_version.get_or_create(&labels).set(version);
+
+            let age = document.age(now, section).unwrap_or_default();
+            self.section_age
+                .get_or_create(&labels)
+                .set(age.as_secs_f64());
+        }
+    }
+}
+
+/// Counters that the reducer keeps.
+#[derive(Debug)]
+struct CounterMetrics {
+    attempts: counter::Counter,
+    retries: counter::Counter,
+    moves: counter::Counter,
+    stray_frames: counter::Counter,
+    silent_links: counter::Counter,
+    resumes: counter::Counter,
+}
+
+impl CounterMetrics {
+    fn register(registry: &mut registry::MetricRegistry) -> Self {
+        let mut add = |name: &str, help: &str| {
+            let counter = counter::Counter::default();
+            registry.register(name, help, counter.clone());
+            counter
+        };
+        Self {
+            attempts: add("attempts", "Attempts sent to targets"),
+            retries: add("retries", "Attempts after the first of their calls"),
+            moves: add(
+                "moves",
+                "Waiting attempts that were moved to another target",
+            ),
+            stray_frames: add(
+                "stray_frames",
+                "Frames for attempts that are not known, or that came twice",
+            ),
+            silent_links: add("silent_links", "Links replaced because they were silent"),
+            resumes: add("stream_resumes", "Streams asked for again on another link"),
+        }
+    }
+
+    fn set(&self, counters: &reducer::GatewayCounters) {
+        let pairs = [
+            (&self.attempts, counters.attempts),
+            (&self.retries, counters.retries),
+            (&self.moves, counters.moves),
+            (&self.stray_frames, counters.stray_frames),
+            (&self.silent_links, counters.silent_links),
+            (&self.resumes, counters.resumes),
+        ];
+        for (counter, value) in pairs {
+            counter.inner().store(value, Ordering::Relaxed);
+        }
+    }
+}
+
+fn signed(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/crates/gateway/tests/http/system.rs
+++ b/crates/gateway/tests/http/system.rs
@@ -7,6 +7,8 @@
 
 use kingcupfall_core::ids;
 use kingcupfall_core::keys;
+use kingcupfall_core::measures;
+use kingcupfall_document::acceptance;
 use kingcupfall_document::sections;
 use kingcupfall_gateway::reducer;
 use kingcupfall_gateway::shell;
@@ -94,10 +96,7 @@
             connector: Box::new(fleet),
         })
         .unwrap();
-        gateway.set_document(shell::DocumentInForce {
-            document: document(),
-            sections: Vec::new(),
-        });
+        gateway.set_document(document());
 
         let system = Self {
             gateway,
@@ -139,45 +138,42 @@
 }
 
 /// Returns the document of all tests.
-pub fn document() -> sections::OperatorDocument {
-    let text = format!(
-        r#"
-        [models.report]
-        version = "7"
-        max_tokens = 200
-
-        [organisations.exaustao]
-        key_hashes = ["{exaustao}"]
-
-        [organisations.qurum]
-        key_hashes = ["{qurum}"]
-
-        [targets.engine-1]
-        kind = "engine"
-        models = ["report"]
-        vm = "vm-1"
-        zone = "a"
-        agent = "{ENGINE_ADDRESS}"
-
-        [targets.bookings-1]
-        kind = "service"
-        service = "bookings"
-        vm = "vm-2"
-        zone = "a"
-        agent = "{BOOKINGS_ADDRESS}"
-
-        [priorities.exaustao.report]
-        priority = 2
-
-        [services.bookings]
-        repeatable_paths = ["lookups"]
-
-        [services.records]
-        "#,
-        exaustao = keys::KeyHash::of_key(EXAUSTAO_KEY),
-        qurum = keys::KeyHash::of_key(QURUM_KEY),
-    );
-    toml::from_str(&text).unwrap()
+fn document() -> acceptance::DocumentAcceptance {
+    let mut accepted = acceptance::DocumentAcceptance::default();
+    for section in sections::SectionName::ALL {
+        let outcome = accepted.offer(acceptance::SectionText {
+            section,
+            version: measures::SectionVersion::new(1),
+            text: section_text(section).into(),
+        });
+        assert_eq!(outcome, acceptance::OfferOutcome::InForce, "{section}");
+    }
+    accepted
+}
+
+fn section_text(section: sections::SectionName) -> String {
+    match section {
+        sections::SectionName::Models => {
+            "[models.report]\nversion = \"7\"\nmax_tokens = 200".into()
+        }
+        sections::SectionName::Organisations => format!(
+            "[organisations.exaustao]\nkey_hashes = [\"{}\"]\n\
+             [organisations.qurum]\nkey_hashes = [\"{}\"]\n",
+            keys::KeyHash::of_key(EXAUSTAO_KEY),
+            keys::KeyHash::of_key(QURUM_KEY),
+        ),
+        sections::SectionName::Targets => format!(
+            "[targets.engine-1]\nkind = \"engine\"\nmodels = [\"report\"]\nvm = \"vm-1\"\n\
+             zone = \"a\"\nagent = \"{ENGINE_ADDRESS}\"\n\
+             [targets.bookings-1]\nkind = \"service\"\nservice = \"bookings\"\nvm = \"vm-2\"\n\
+             zone = \"a\"\nagent = \"{BOOKINGS_ADDRESS}\"\n"
+        ),
+        sections::SectionName::Priorities => "[priorities.exaustao.report]\npriority = 2".into(),
+        sections::SectionName::Services => {
+            "[services.bookings]\nrepeatable_paths = [\"lookups\"]\n[services.records]".into()
+        }
+        sections::SectionName::Limits => "[limits]".into(),
+    }
 }
 
 /// Makes a request for a generation.
--- a/crates/standin/src/system/start.rs
+++ b/crates/standin/src/system/start.rs
@@ -7,7 +7,6 @@
 use kingcupfall_core::engine::FencingMode;
 use kingcupfall_core::ids;
 use kingcupfall_core::keys;
-use kingcupfall_core::time;
 use kingcupfall_document::acceptance;
 use kingcupfall_document::sections;
 use kingcupfall_gateway::reducer as gateway_reducer;
@@ -81,7 +80,7 @@
         let mut gateways = Vec::new();
         for index in 0..config.gateways {
             let gateway = gateway::start(gateway_setup(index, &secrets))?;
-            gateway.set_document(document_in_force(&acceptance));
+            gateway.set_document(acceptance.clone());
             gateways.push(gateway);
         }
 
@@ -202,23 +201,6 @@
     }
 }
 
-fn document_in_force(acceptance: &acceptance::DocumentAcceptance) -> gateway::DocumentInForce {
-    let standing = |section: sections::SectionName| gateway::SectionStanding {
-        name: section.as_str().into(),
-        version: acceptance.in_force(section).map(|mark| mark.version),
-        accepted_at: time::Timestamp::ZERO,
-        findings: kingcupfall_core::findings::FindingList::default(),
-    };
-
-    gateway::DocumentInForce {
-        document: acceptance.document().clone(),
-        sections: sections::SectionName::ALL
-            .into_iter()
-            .map(standing)
-            .collect(),
-    }
-}
-
 fn zone(index: usize) -> ids::ZoneName {
     ZONES[index % ZONES.len()].parse().expect("a valid name")
 }
--- a/crates/telemetry/src/calls/meter.rs
+++ b/crates/telemetry/src/calls/meter.rs
@@ -16,6 +16,9 @@
 /// Time between tokens beyond which a stream counts as stalled.
 pub const GAP_ALLOWANCE: Duration = Duration::from_millis(200);
 
+/// Stands in place of the outcome of a call whose caller left before its end.
+const CALLER_GONE: &str = "caller_gone";
+
 /// Measures one call from its start to its end.
 #[derive(Debug)]
 pub struct CallMeter {
@@ -73,7 +76,12 @@
             let stall = self.metrics.stall(&self.labels);
             stall.observe(self.stalled.as_secs_f64());
         }
-        self.metrics.record_end(&self.labels, outcome);
+        self.metrics.record_end(&self.labels, &outcome.to_string());
+    }
+
+    /// Notes that the caller left before the call ended.
+    pub fn abandon(self) {
+        self.metrics.record_end(&self.labels, CALLER_GONE);
     }
 
     fn record_first(&mut self, now: time::Timestamp) {
--- a/crates/telemetry/src/calls/metrics.rs
+++ b/crates/telemetry/src/calls/metrics.rs
@@ -1,7 +1,6 @@
 //! Metrics of calls.
 
 use kingcupfall_core::time;
-use kingcupfall_core::work;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter;
 use prometheus_client::metrics::family;
@@ -125,11 +124,11 @@
     }
 
     /// Counts the end of a call.
-    pub(super) fn record_end(&self, labels: &labels::CallerLabels, outcome: work::CallOutcome) {
+    pub(super) fn record_end(&self, labels: &labels::CallerLabels, outcome: &str) {
         let labels = OutcomeLabels {
             organisation: labels.organisation.clone(),
             class: labels.class.clone(),
-            outcome: outcome.to_string(),
+            outcome: outcome.into(),
         };
         self.ended.get_or_create(&labels).inc();
     }
