Add the fleet's shell: peer links, reads of the platform, document in force

Cause: the reducer needs sockets, timers and HTTP, and gateway and agent need a small border to plug it in.

Change: one task owns the reducer; links between gateways use the link transport; the configuration service and the VM list are read by HTTP. The host trait takes frames, documents, suspects and departures. A fresh gateway believes the service once all listed peers have answered.

Conclusion: gateway and agent can implement the host trait.

--- a/crates/fleet/src/judge/mod.rs
+++ b/crates/fleet/src/judge/mod.rs
@@ -1,8 +1,12 @@
 //! Check of sections before they are in force.
 
 mod always;
+mod document;
 
 pub use always::TrustingJudge;
+pub use document::DocumentJudge;
+pub use document::DocumentState;
+pub use document::SectionStanding;
 
 use std::fmt;
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod messages;
 pub mod reducer;
 pub mod sections;
+pub mod shell;
 pub mod simulation;
 pub mod subset;
 pub mod suspects;
--- a/crates/fleet/src/messages/mod.rs
+++ b/crates/fleet/src/messages/mod.rs
@@ -123,11 +123,21 @@
     check_size(bytes.len())?;
     let message: FleetMessage = codec::decode(bytes)?;
 
-    let length = list_length(&message);
+    check(&message)?;
+    Ok(message)
+}
+
+/// Checks the limits of a decoded message.
+///
+/// # Errors
+///
+/// [`MessageError::TooLong`] when a list is too long, [`MessageError::TooLarge`] when a value is.
+pub fn check(message: &FleetMessage) -> Result<()> {
+    let length = list_length(message);
     if length > LIST_LIMIT {
         return Err(MessageError::TooLong(length));
     }
-    Ok(message)
+    check_size(value_size(message))
 }
 
 fn check_size(length: usize) -> Result<()> {
@@ -154,3 +164,22 @@
         | FleetMessage::Unavailable(_) => 0,
     }
 }
+
+fn value_size(message: &FleetMessage) -> usize {
+    match message {
+        FleetMessage::Patch(patch) => patch.middle.len(),
+        FleetMessage::Part(part) => part.bytes.len(),
+        FleetMessage::Manifest(manifest) => manifest.parts.len() * size_of::<u64>(),
+        FleetMessage::Hello(_)
+        | FleetMessage::Subscribe
+        | FleetMessage::Heartbeat(_)
+        | FleetMessage::AllHeads(_)
+        | FleetMessage::NewHeads(_)
+        | FleetMessage::Pull(_)
+        | FleetMessage::PullParts(_)
+        | FleetMessage::Unavailable(_)
+        | FleetMessage::Members(_)
+        | FleetMessage::Suspects(_)
+        | FleetMessage::Departures(_) => 0,
+    }
+}
--- a/crates/fleet/src/reducer/joining.rs
+++ b/crates/fleet/src/reducer/joining.rs
@@ -40,8 +40,10 @@
 pub(super) struct JoinState {
     pub(super) phase: JoinPhase,
     started_at: time::Timestamp,
-    answers: BTreeSet<ids::LinkId>,
-    full_answers: BTreeSet<ids::LinkId>,
+    /// VMs whose gateways have answered.
+    answers: BTreeSet<ids::VmName>,
+    /// Those among them that had sections.
+    full_answers: BTreeSet<ids::VmName>,
     /// Values that are not in force yet, the newest of each section.
     aside: BTreeMap<sections::SectionName, sections::SectionValue>,
 }
@@ -65,14 +67,25 @@
 
 impl FleetReducer {
     /// Notes that a peer has told all its heads.
-    pub(super) fn take_answer(&mut self, link: ids::LinkId, heads: &[sections::SectionHead]) {
+    pub(super) fn take_answer(
+        &mut self,
+        now: time::Timestamp,
+        link: ids::LinkId,
+        heads: &[sections::SectionHead],
+        effects: &mut Vec<FleetEffect>,
+    ) {
         if self.join.phase == JoinPhase::Confirmed {
             return;
         }
-        self.join.answers.insert(link);
+        let peer = self.links.get(&link).and_then(|peer| peer.vm.clone());
+        let Some(vm) = peer else {
+            return;
+        };
         if !heads.is_empty() {
-            self.join.full_answers.insert(link);
+            self.join.full_answers.insert(vm.clone());
         }
+        self.join.answers.insert(vm);
+        self.check_join(now, effects);
     }
 
     /// Takes a value from the configuration service.
@@ -135,8 +148,10 @@
         let is_alone = self.vm_list.was_read() && others == 0;
         let needed = ANSWERS_NEEDED.min(others.max(1));
         let has_answers = self.join.full_answers.len() >= needed;
-        let has_empty_answers = age >= EMPTY_PATIENCE && self.join.answers.len() >= needed;
-        if is_alone || has_answers || has_empty_answers {
+        let answers = self.join.answers.len();
+        let has_all_answers = self.vm_list.was_read() && answers >= others.max(1);
+        let has_empty_answers = age >= EMPTY_PATIENCE && answers >= needed;
+        if is_alone || has_answers || has_all_answers || has_empty_answers {
             return JoinPhase::Confirmed;
         }
 
--- a/crates/fleet/src/reducer/mod.rs
+++ b/crates/fleet/src/reducer/mod.rs
@@ -169,8 +169,8 @@
                 self.take_heartbeat(now, link, heartbeat, effects);
             }
             messages::FleetMessage::AllHeads(heads) => {
-                self.take_answer(link, &heads);
-                self.take_heads(now, link, heads, effects);
+                self.take_heads(now, link, heads.clone(), effects);
+                self.take_answer(now, link, &heads, effects);
             }
             messages::FleetMessage::NewHeads(heads) => self.take_heads(now, link, heads, effects),
             messages::FleetMessage::Pull(wish) => self.answer_pull(link, &wish, effects),
--- a/crates/fleet/src/reducer/reading.rs
+++ b/crates/fleet/src/reducer/reading.rs
@@ -18,8 +18,11 @@
 /// Gateways of a zone that read for it.
 const READERS_PER_ZONE: usize = 3;
 
-/// Longest wait before a gateway that has become a reader begins.
-const START_JITTER: Duration = Duration::from_secs(1);
+/// Longest wait before a gateway that has become a reader begins, for each gateway of its zone.
+const START_JITTER: Duration = Duration::from_millis(20);
+
+/// Longest such wait in a large zone.
+const LONGEST_START_JITTER: Duration = Duration::from_secs(1);
 
 /// Time for which a reader goes on after others have taken its place.
 const OVERLAP_TIME: Duration = Duration::from_secs(5);
@@ -40,7 +43,7 @@
 const FULL_READ_INTERVAL: Duration = Duration::from_secs(60);
 
 /// Least time between two readings of the VM list by one reader.
-const LIST_INTERVAL: Duration = Duration::from_secs(10);
+const LIST_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Bytes a second that a reader spends on the VM list.
 const LIST_BYTES_PER_S: f64 = 8_000.0;
@@ -107,7 +110,11 @@
         if is_ranked {
             self.reader.displaced_at = None;
             if self.reader.begins_at.is_none() {
-                let jitter = self.generator.random_range(Duration::ZERO..START_JITTER);
+                let gateways = u32::try_from(self.members.listed_zone()).unwrap_or(u32::MAX);
+                let longest = START_JITTER
+                    .saturating_mul(gateways.max(1))
+                    .min(LONGEST_START_JITTER);
+                let jitter = self.generator.random_range(Duration::ZERO..longest);
                 self.reader.begins_at = Some(now + jitter);
             }
             return;
@@ -207,7 +214,10 @@
 
         self.members.take_list(now, &listing.gateways);
         self.reader.forget_rank();
+        self.check_rank(now);
         self.schedule_list(now);
+        self.check_join(now, effects);
+        self.maintain_links(now, effects);
         self.spread_departures(now, None, &listing.leaving, effects);
     }
 
--- a/crates/link/src/frames/agent.rs
+++ b/crates/link/src/frames/agent.rs
@@ -9,6 +9,7 @@
 use kingcupfall_core::work;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::Bytes;
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
@@ -140,6 +141,7 @@
 }
 
 /// A frame from an agent to a gateway.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum AgentFrame {
     /// Opens the link.
@@ -162,5 +164,5 @@
     /// Ends an attempt without its answer.
     Failed(FailureReport),
     /// Frame of the fleet crate, encoded by it.
-    Fleet(Vec<u8>),
+    Fleet(#[serde_as(as = "Bytes")] Vec<u8>),
 }
--- a/crates/link/src/frames/gateway.rs
+++ b/crates/link/src/frames/gateway.rs
@@ -7,6 +7,8 @@
 use kingcupfall_core::work;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::Bytes;
+use serde_with::serde_as;
 
 /// First frame of a gateway on a link.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,6 +68,7 @@
 }
 
 /// A frame from a gateway to an agent.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum GatewayFrame {
     /// Opens the link.
@@ -91,5 +94,5 @@
     /// Shows that the gateway is alive.
     Heartbeat,
     /// Frame of the fleet crate, encoded by it.
-    Fleet(Vec<u8>),
+    Fleet(#[serde_as(as = "Bytes")] Vec<u8>),
 }
