--- a/crates/link/src/frames/agent.rs
+++ b/crates/link/src/frames/agent.rs
@@ -9,6 +9,7 @@
 use kingcupfall_core::work;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::Bytes;
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
@@ -87,14 +88,10 @@
     Cancelled,
     /// Another suspect runs here.
     SuspectBusy,
-    /// The attempt id was seen before.
-    Duplicate,
     /// The key names another incarnation or has expired.
     KeyExpired,
     /// The key was used with another request.
     KeyMismatch,
-    /// The attempt is not known here, or belongs to another organisation.
-    NotFound,
     /// The target cannot run the request, such as one longer than its memory.
     Unfit,
 }
@@ -126,6 +123,8 @@
     Expired,
     /// A call with this key ran, and its answer is not known.
     AnswerLost,
+    /// The caller took the stream over through another gateway.
+    Superseded,
 }
 
 /// An attempt that failed after it started.
@@ -140,6 +139,7 @@
 }
 
 /// A frame from an agent to a gateway.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum AgentFrame {
     /// Opens the link.
@@ -162,5 +162,5 @@
     /// Ends an attempt without its answer.
     Failed(FailureReport),
     /// Frame of the fleet crate, encoded by it.
-    Fleet(Vec<u8>),
+    Fleet(#[serde_as(as = "Bytes")] Vec<u8>),
 }
