Decide upgrades at each agent, and give engines fenced orders

Cause: targets are upgraded every night, without a coordinator, on engines of which some ignore fencing numbers.

Change: a pure reducer ranks the targets of a model by a hash of model, version and target, waits for its time slot, and holds while others have failed, too many are upgraded, or too few serve. It drains, checks engine and port, orders with the next fencing number, checks the version and serves again as a new incarnation. Windows say how many targets load at a time. It is not yet wired to the agent's shell and the fleet's messages.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod reducer;
 pub mod shell;
 pub mod state;
+pub mod upgrade;
--- a/crates/document/src/sections/models.rs
+++ b/crates/document/src/sections/models.rs
@@ -47,6 +47,9 @@
     pub start_minute: u32,
     /// Length of the window in minutes, from 1 to 1440.
     pub length_minutes: u32,
+    /// Targets that load a version at a time, as the weight store's rate allows.
+    #[serde(default = "default_loads")]
+    pub parallel_loads: u32,
 }
 
 impl reader::TableValue for ModelEntry {
@@ -73,10 +76,12 @@
     fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
         let start_minute = reader.required_ranged("start_minute", &START_RANGE);
         let length_minutes = reader.required_ranged("length_minutes", &LENGTH_RANGE);
+        let parallel_loads = reader.ranged("parallel_loads", DEFAULT_LOADS, &LOADS_RANGE);
 
         Some(Self {
             start_minute: start_minute?,
             length_minutes: length_minutes?,
+            parallel_loads,
         })
     }
 }
@@ -97,6 +102,12 @@
 /// Minutes that a window may last.
 const LENGTH_RANGE: RangeInclusive<u32> = 1..=1_440;
 
+/// Targets that may load a version at a time.
+const LOADS_RANGE: RangeInclusive<u32> = 1..=1_000;
+
+/// Targets that load a version at a time unless the window says otherwise.
+const DEFAULT_LOADS: u32 = 4;
+
 /// Milliseconds between tokens that a model keeps unless its entry says otherwise.
 const DEFAULT_GAP_MS: u64 = 38;
 
@@ -110,3 +121,7 @@
 fn default_floor() -> f64 {
     DEFAULT_FLOOR
 }
+
+fn default_loads() -> u32 {
+    DEFAULT_LOADS
+}
