--- a/crates/agent/tests/upgrade/fencing.rs
+++ b/crates/agent/tests/upgrade/fencing.rs
@@ -123,18 +123,18 @@
 
     /// Returns the number of the latest preparation that it asked for.
     fn asked(&self) -> upgrade::QuestionNumber {
-        let questions = self.effects.iter().filter_map(|effect| {
+        let mut questions = self.effects.iter().filter_map(|effect| {
             let upgrade::UpgradeEffect::Prepare { question } = effect else {
                 return None;
             };
             Some(*question)
         });
-        questions.last().unwrap()
+        questions.next_back().unwrap()
     }
 
     /// Sends the order that it has prepared.
     fn send(&mut self, now: time::Timestamp, engine: &mut FakeEngine) -> upgrade::OrderOutcome {
-        let orders = self.effects.iter().filter_map(|effect| {
+        let mut orders = self.effects.iter().filter_map(|effect| {
             let upgrade::UpgradeEffect::GiveOrder {
                 question,
                 fencing,
@@ -146,7 +146,7 @@
             };
             Some((*question, *fencing, order.clone()))
         });
-        let (question, fencing, order) = orders.last().unwrap();
+        let (question, fencing, order) = orders.next_back().unwrap();
         let outcome = engine.order(now, fencing, &order);
         self.apply(now, upgrade::UpgradeEvent::OrderEnded { question, outcome });
         outcome
--- a/crates/agent/tests/upgrade/holds.rs
+++ b/crates/agent/tests/upgrade/holds.rs
@@ -117,6 +117,41 @@
     assert!(world.least_serving >= 6);
 }
 
+#[test]
+fn hold_when_slot_mates_would_break_the_floor() {
+    let mut world = World::new(8, 0.5, 4, FencingMode::Checked);
+    world.want_version("2");
+    let ranking = world.ranking();
+    for target in &ranking[5..] {
+        world.node(target).engine.die();
+    }
+
+    // Five targets serve and four are needed, so that the four of a slot go one by one.
+    assert!(world.run_until(WINDOW - 10, |world| world.count_serving("2") == 5));
+    assert_eq!(world.least_serving, 4);
+}
+
+#[test]
+fn hold_when_failed_target_comes_back() {
+    let mut world = World::new(8, 0.5, 4, FencingMode::Checked);
+    world.want_version("2");
+    let first = world.ranking()[0].clone();
+    assert!(world.run_until(60, |world| world.is_upgrading(&first)));
+    world.run(2);
+
+    world.lose(&first);
+    world.run(5);
+    world.join(&first);
+    world.node(&first).engine.fatal_version = Some("2".into());
+    world.run(3);
+    let reason = HoldReason::OthersFailed { failed: 1, done: 0 };
+    assert_eq!(hold_of(&mut world, 1), Some(reason));
+
+    world.run(WINDOW - 100);
+    assert_eq!(hold_of(&mut world, 1), Some(reason));
+    assert_eq!(world.count_serving("1"), 7);
+}
+
 #[test]
 fn hold_after_window() {
     let mut world = World::new(4, 0.5, 1, FencingMode::Checked);
--- a/crates/agent/tests/upgrade/world.rs
+++ b/crates/agent/tests/upgrade/world.rs
@@ -42,6 +42,9 @@
     pub now: time::Timestamp,
     pub document: sections::OperatorDocument,
     pub nodes: BTreeMap<ids::TargetName, Node>,
+    mode: engine::FencingMode,
+    /// Agents that were started.
+    starts: u128,
     /// Most targets that were upgraded at a time.
     pub most_upgrading: usize,
     /// Fewest targets that served.
@@ -62,6 +65,8 @@
             now: time::Timestamp::ZERO,
             nodes: nodes.collect(),
             document,
+            mode,
+            starts: targets as u128,
             most_upgrading: 0,
             least_serving: targets,
         };
@@ -104,6 +109,21 @@
         }
     }
 
+    /// Starts a new agent for a target whose agent was lost; the engine has its first version.
+    pub fn join(&mut self, target: &ids::TargetName) {
+        self.starts += 1;
+        let process = ids::Incarnation::from_u128(self.starts);
+        let reducer = upgrade::UpgradeReducer::new(target.clone(), process);
+        let mut node = Node::new(reducer, self.mode);
+
+        let plan = upgrade::UpgradePlan::of_document(&self.document, target);
+        node.inbox.push(upgrade::UpgradeEvent::PlanChanged(plan));
+        let notes = self.nodes.values().flat_map(|node| node.reducer.notes());
+        let events = notes.cloned().map(upgrade::UpgradeEvent::PeerNoted);
+        node.inbox.extend(events);
+        self.nodes.insert(target.clone(), node);
+    }
+
     /// Cuts all targets off from each other, and tells each that the others are gone.
     pub fn cut_off_all(&mut self) {
         let targets: Vec<ids::TargetName> = self.nodes.keys().cloned().collect();
