Serve metrics and health of agents, and close links in order

Cause: agents had no metrics; a link that was closed while the peer still sent could take back its last frames by a reset. Change: an administration port with Prometheus text and health, logs by log4rs; closing a link waits until the peer has closed its end, while the receiving half is read on. The tests' gateway answers pulses of a leaving agent and settles ends, as the protocol now asks. Conclusion: a test closes a link in the middle of 500 frames each way and gets all of them.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -11,6 +11,7 @@
 use kingcupfall_link::transport;
 use kingcupfall_policy::schedule;
 use kingcupfall_settings::agent;
+use kingcupfall_telemetry::logs;
 use tokio::signal::unix;
 
 /// Exit status for settings with findings.
@@ -33,10 +34,14 @@
     let system = ntex::rt::System::build()
         .name("kingcupfall-agent")
         .build(ntex::rt::DefaultRuntime);
+    if let Err(error) = logs::start(settings.log.level.get()) {
+        eprintln!("{error}");
+        return process::ExitCode::FAILURE;
+    }
     match system.block_on(run(settings)) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("{error}");
+            log::error!("{error}");
             process::ExitCode::FAILURE
         }
     }
@@ -64,9 +69,15 @@
     let deadline = settings.drain.deadline;
     let incarnation = ids::Incarnation::random(&mut rand::rng());
     let scheduler = Box::new(schedule::NaiveScheduler::new());
+    let target = settings.target.name.clone();
     let config = agent_config(settings);
     let (agent, handle) = shell::AgentShell::open(config, incarnation, scheduler).await?;
 
+    log::info!(
+        "agent of {target}: links at {}, administration at {}",
+        handle.address(),
+        handle.administration_address()
+    );
     ntex::rt::spawn(stop_on_signal(handle, deadline));
     agent.run().await;
     Ok(())
@@ -86,6 +97,7 @@
         target: settings.target.name,
         zone: settings.node.zone,
         listen: settings.listen.links,
+        administration: settings.listen.administration,
         exclusion: Some(settings.listen.fence),
         link_key: transport::LinkKey::new(settings.link.key.as_bytes()),
         address,
--- a/crates/agent/src/reducer/mod.rs
+++ b/crates/agent/src/reducer/mod.rs
@@ -154,6 +154,11 @@
         self.departure
     }
 
+    /// Says whether the target answers.
+    pub fn is_target_up(&self) -> bool {
+        self.target_up
+    }
+
     /// Returns the attempts it keeps.
     pub fn attempts(&self) -> &state::AttemptTable {
         &self.attempts
--- a/crates/agent/src/shell/config.rs
+++ b/crates/agent/src/shell/config.rs
@@ -38,6 +38,8 @@
     pub zone: ids::ZoneName,
     /// Where gateways open links; port 0 picks a free one.
     pub listen: net::SocketAddr,
+    /// Where operators read metrics and health; port 0 picks a free one.
+    pub administration: net::SocketAddr,
     /// Loopback port that is held for life, so that no second agent of the target can start.
     pub exclusion: Option<net::SocketAddr>,
     /// Key of the links.
--- a/crates/agent/src/shell/mod.rs
+++ b/crates/agent/src/shell/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! One task owns the reducer. Everything else sends it events through one bounded channel.
 
+mod administration;
 mod clock;
 mod config;
 mod driver;
 mod http;
 mod links;
+mod metrics;
 mod probe;
 mod stream;
 mod turn;
@@ -22,6 +24,7 @@
 pub use config::TargetAddress;
 pub use driver::TargetDriver;
 pub use http::HttpDriver;
+pub use metrics::MetricSource;
 pub use turn::AgentHandle;
 pub use turn::AgentShell;
 
--- a/crates/agent/src/shell/turn.rs
+++ b/crates/agent/src/shell/turn.rs
@@ -2,6 +2,8 @@
 
 use std::net;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use kingcupfall_core::ids;
@@ -19,8 +21,10 @@
 use super::ShellError;
 use super::TargetAddress;
 use super::TargetDriver;
+use super::administration;
 use super::http;
 use super::links;
+use super::metrics;
 use super::probe;
 use crate::reducer;
 
@@ -65,6 +69,7 @@
 pub struct AgentHandle {
     events: mpsc::Sender<ShellEvent>,
     address: net::SocketAddr,
+    administration: net::SocketAddr,
     counters: Arc<links::LinkCounters>,
 }
 
@@ -74,6 +79,11 @@
         self.address
     }
 
+    /// Returns where the agent serves metrics and health.
+    pub fn administration_address(&self) -> net::SocketAddr {
+        self.administration
+    }
+
     /// Returns the counts of its listening port.
     pub fn link_counters(&self) -> &links::LinkCounters {
         &self.counters
@@ -98,6 +108,9 @@
     links: links::LinkTable,
     incoming: mpsc::Receiver<ShellEvent>,
     effects: Vec<reducer::AgentEffect>,
+    metrics: metrics::AgentMetrics,
+    ready: Arc<AtomicBool>,
+    _administration: administration::AdministrationServer,
     _tasks: TaskGroup,
     /// Held for life; the kernel frees it only when the process is dead.
     _exclusion: Option<net::TcpListener>,
@@ -126,6 +139,14 @@
         let clock = ShellClock::start();
         let (events, incoming) = mpsc::channel(EVENT_QUEUE);
         let counters = Arc::new(links::LinkCounters::default());
+        let (metrics, source) = metrics::AgentMetrics::new();
+        let ready = Arc::new(AtomicBool::new(false));
+        let state = administration::AdministrationState {
+            metrics: source,
+            ready: Arc::clone(&ready),
+        };
+        let administration =
+            administration::AdministrationServer::start(config.administration, state)?;
 
         let listening = links::LinkListener {
             listener,
@@ -151,6 +172,12 @@
             zone: config.zone,
         };
 
+        let handle = AgentHandle {
+            events,
+            address,
+            administration: administration.address(),
+            counters,
+        };
         let shell = Self {
             reducer: reducer::AgentReducer::new(identity, scheduler),
             clock,
@@ -158,17 +185,15 @@
             links: links::LinkTable::default(),
             incoming,
             effects: Vec::new(),
+            metrics,
+            ready,
+            _administration: administration,
             _tasks: TaskGroup(vec![
                 ntex::rt::spawn(listening.run()),
                 ntex::rt::spawn(probing.run()),
             ]),
             _exclusion: exclusion,
         };
-        let handle = AgentHandle {
-            events,
-            address,
-            counters,
-        };
         Ok((shell, handle))
     }
 
@@ -180,7 +205,7 @@
 
         loop {
             tokio::select! {
-                _ = ticks.tick() => self.apply(reducer::AgentEvent::Tick),
+                _ = ticks.tick() => self.tick(),
                 _ = self.incoming.recv_many(&mut events, TURN_EVENTS) => {
                     for event in events.drain(..) {
                         self.take(event);
@@ -196,6 +221,16 @@
         self.close().await;
     }
 
+    fn tick(&mut self) {
+        self.apply(reducer::AgentEvent::Tick);
+
+        let load = self.reducer.load(self.clock.now());
+        self.metrics.observe_load(&load);
+        let is_serving = self.reducer.departure() == reducer::DeparturePhase::Serving;
+        let is_ready = is_serving && self.reducer.is_target_up();
+        self.ready.store(is_ready, Ordering::Relaxed);
+    }
+
     fn take(&mut self, event: ShellEvent) {
         match event {
             ShellEvent::Reducer(event) => self.apply(event),
@@ -218,9 +253,11 @@
     fn apply(&mut self, event: reducer::AgentEvent) {
         let now = self.clock.now();
         let mut effects = std::mem::take(&mut self.effects);
+        self.metrics.observe_event(&event);
         self.reducer.apply(now, event, &mut effects);
 
         for effect in effects.drain(..) {
+            self.metrics.observe_effect(now, &effect, &self.reducer);
             self.carry_out(effect);
         }
         self.effects = effects;
@@ -254,8 +291,15 @@
         }
     }
 
-    async fn close(self) {
-        self.links.close().await;
+    async fn close(mut self) {
+        let dropping = async {
+            // The links are read until their peers have closed them too.
+            while self.incoming.recv().await.is_some() {}
+        };
+        tokio::select! {
+            () = self.links.close() => {}
+            () = dropping => {}
+        }
     }
 }
 
--- a/crates/link/src/frames/agent.rs
+++ b/crates/link/src/frames/agent.rs
@@ -95,6 +95,23 @@
     Unfit,
 }
 
+impl RefusalCode {
+    /// Returns the stable text, for metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::TargetDown => "target_down",
+            Self::Overloaded => "overloaded",
+            Self::TooLate => "too_late",
+            Self::Cancelled => "cancelled",
+            Self::SuspectBusy => "suspect_busy",
+            Self::KeyExpired => "key_expired",
+            Self::KeyMismatch => "key_mismatch",
+            Self::Unfit => "unfit",
+        }
+    }
+}
+
 /// An attempt that did not start.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/link/src/transport/socket.rs
+++ b/crates/link/src/transport/socket.rs
@@ -20,8 +20,8 @@
 use super::queue;
 use crate::codec;
 
-/// Time in which [`LinkSender::close`] writes what still waits.
-const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time in which [`LinkSender::close`] writes what still waits and the peer closes its end.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
 type SocketSink = stream::SplitSink<WebSocketStream<TcpStream>, Message>;
 type SocketSource = stream::SplitStream<WebSocketStream<TcpStream>>;
@@ -58,8 +58,8 @@
             outgoing: PhantomData,
         };
         let receiver = LinkReceiver {
-            source,
-            _abort: abort,
+            source: Some(source),
+            abort,
             aborted,
             incoming: PhantomData,
         };
@@ -96,7 +96,10 @@
         self.abort.send_replace(true);
     }
 
-    /// Writes what waits, then closes the link; gives up after a few seconds.
+    /// Writes what waits, closes the link and waits until the peer has closed its end too.
+    ///
+    /// Gives up after a few seconds. The receiving half must be read meanwhile: a socket that is
+    /// closed before its incoming bytes are read may take back what it has sent.
     pub async fn close(self) {
         let Self {
             queue,
@@ -106,7 +109,13 @@
         } = self;
         drop(queue);
 
-        if time::timeout(FLUSH_TIMEOUT, writer).await.is_err() {
+        let mut aborted = abort.subscribe();
+        let closing = async {
+            // An error means that the writer was aborted.
+            let _ = writer.await;
+            let _ = aborted.wait_for(|aborted| *aborted).await;
+        };
+        if time::timeout(CLOSE_TIMEOUT, closing).await.is_err() {
             abort.send_replace(true);
         }
     }
@@ -129,9 +138,9 @@
 
 /// Half that receives.
 pub struct LinkReceiver<I> {
-    source: SocketSource,
-    /// Keeps `aborted` open when the sending half is gone.
-    _abort: watch::Sender<bool>,
+    /// Dropped at the end of the link, so that the socket is closed with the other half.
+    source: Option<SocketSource>,
+    abort: watch::Sender<bool>,
     aborted: watch::Receiver<bool>,
     incoming: PhantomData<fn() -> I>,
 }
@@ -141,19 +150,29 @@
     ///
     /// After an error the link must be dropped.
     pub async fn receive(&mut self) -> Option<Result<Vec<I>>> {
+        let received = self.read().await;
+        if !matches!(received, Some(Ok(_))) {
+            self.source = None;
+            self.abort.send_replace(true);
+        }
+        received
+    }
+
+    async fn read(&mut self) -> Option<Result<Vec<I>>> {
+        let source = self.source.as_mut()?;
         loop {
             let message = tokio::select! {
                 biased;
                 _ = self.aborted.wait_for(|aborted| *aborted) => return None,
-                message = self.source.next() => message?,
+                message = source.next() => message?,
             };
 
             match message {
                 Ok(Message::Binary(bytes)) => {
                     return Some(codec::decode(&bytes).map_err(TransportError::from));
                 }
-                Ok(Message::Close(_)) => return None,
-                Ok(Message::Ping(_) | Message::Pong(_)) => {}
+                // After a close frame, the next read sends the answer to it.
+                Ok(Message::Close(_) | Message::Ping(_) | Message::Pong(_)) => {}
                 Ok(Message::Text(_) | Message::Frame(_)) => {
                     return Some(Err(TransportError::UnexpectedMessage));
                 }
@@ -163,19 +182,28 @@
     }
 }
 
+impl<I> Drop for LinkReceiver<I> {
+    fn drop(&mut self) {
+        self.abort.send_replace(true);
+    }
+}
+
 async fn run_writer(
     mut sink: SocketSink,
     mut output: queue::QueueOutput,
     abort: watch::Sender<bool>,
 ) {
     let mut aborted = abort.subscribe();
-    tokio::select! {
+    let is_flushed = tokio::select! {
         biased;
-        _ = aborted.wait_for(|aborted| *aborted) => {}
-        _ = write_all(&mut sink, &mut output) => {}
+        _ = aborted.wait_for(|aborted| *aborted) => false,
+        written = write_all(&mut sink, &mut output) => written.is_ok(),
+    };
+
+    if !is_flushed {
+        // The receiving half stops too, so that both halves of the socket are dropped.
+        abort.send_replace(true);
     }
-    // The receiving half stops too, so that both halves of the socket are dropped.
-    abort.send_replace(true);
 }
 
 async fn write_all(sink: &mut SocketSink, output: &mut queue::QueueOutput) -> Result<()> {
--- a/crates/link/tests/transport.rs
+++ b/crates/link/tests/transport.rs
@@ -71,16 +71,27 @@
 }
 
 #[tokio::test]
-async fn link_closed_after_flush() {
+async fn link_closed_after_flush_although_peer_still_sends() {
+    const FRAMES: usize = 500;
     let (client, server) = open_pair(&link_key(), &link_key()).await;
-    let (client_sender, _client_receiver) = client.unwrap().split();
-    let (_server_sender, mut server_receiver) = server.unwrap().split();
+    let (client_sender, mut client_receiver) = client.unwrap().split();
+    let (server_sender, mut server_receiver) = server.unwrap().split();
+    for _ in 0..FRAMES {
+        client_sender.send(vec!["x".repeat(1_000).into()]).unwrap();
+        server_sender.send(vec![7]).unwrap();
+    }
 
-    client_sender.send(vec!["last".into()]).unwrap();
-    let (received, ()) = tokio::join!(server_receiver.receive(), client_sender.close());
+    let reading_client = async { while let Some(Ok(_)) = client_receiver.receive().await {} };
+    let reading_server = async {
+        let mut received = 0;
+        while let Some(frames) = server_receiver.receive().await {
+            received += frames.unwrap().len();
+        }
+        received
+    };
+    let ((), (), received) = tokio::join!(client_sender.close(), reading_client, reading_server);
 
-    assert_eq!(received.unwrap().unwrap(), ["last".into()]);
-    assert!(server_receiver.receive().await.is_none());
+    assert_eq!(received, FRAMES);
 }
 
 #[tokio::test]
--- a/crates/standin/src/system/start.rs
+++ b/crates/standin/src/system/start.rs
@@ -233,6 +233,7 @@
         target: target.clone(),
         zone: zone.clone(),
         listen: LOOPBACK,
+        administration: LOOPBACK,
         exclusion: None,
         link_key: secrets.link.clone(),
         address: address.clone(),
--- a/crates/standin/tests/agent.rs
+++ b/crates/standin/tests/agent.rs
@@ -107,6 +107,43 @@
     common::within("the agent ends", agent.ended).await.unwrap();
 }
 
+#[ntex::test]
+async fn metrics_count_admissions_by_organisation_and_class() {
+    let engine = common::start_engine();
+    let address = shell::TargetAddress::Engine(engine.address());
+    let agent = common::start_agent("engine-1", address).await;
+    let mut link = link::GatewayLink::open(agent.handle.address()).await;
+    let attempt = link.start("duct 7", 5);
+    link.read_tokens(attempt, 5).await;
+
+    let administration = agent.handle.administration_address();
+    let client = ntex::client::Client::new().await;
+    let url = format!("http://{administration}/metrics");
+    let response = common::within("metrics", client.get(url).send()).await;
+    let body = response.unwrap().body().await.unwrap();
+    let text = String::from_utf8(body.to_vec()).unwrap();
+
+    let count = "kingcupfall_queue_delay_seconds_count\
+                 {organisation=\"exaustao\",class=\"report\"} 1";
+    assert!(text.contains(count), "{text}");
+}
+
+#[ntex::test]
+async fn health_follows_target_and_stop() {
+    let engine = common::start_engine();
+    let address = shell::TargetAddress::Engine(engine.address());
+    let agent = common::start_agent("engine-1", address).await;
+    let mut link = link::GatewayLink::open(agent.handle.address()).await;
+    let attempt = link.start("keeps the agent alive", 4_000);
+    link.read_tokens(attempt, 1).await;
+    let url = format!("http://{}/healthz", agent.handle.administration_address());
+    wait_for_status(&url, 200).await;
+
+    agent.handle.stop().await;
+
+    wait_for_status(&url, 503).await;
+}
+
 #[ntex::test]
 async fn second_agent_of_target_refused() {
     let engine = common::start_engine();
@@ -115,6 +152,7 @@
         target: "engine-1".parse().unwrap(),
         zone: "a".parse().unwrap(),
         listen: "127.0.0.1:0".parse().unwrap(),
+        administration: "127.0.0.1:0".parse().unwrap(),
         exclusion: Some(holder.local_addr().unwrap()),
         link_key: common::link_key(),
         address: shell::TargetAddress::Engine(engine.address()),
@@ -129,3 +167,17 @@
         shell::ShellError::Occupied(..)
     ));
 }
+
+async fn wait_for_status(url: &str, status: u16) {
+    let client = ntex::client::Client::new().await;
+    common::within("a status", async {
+        loop {
+            let response = client.get(url).send().await.unwrap();
+            if response.status().as_u16() == status {
+                return;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    })
+    .await;
+}
--- a/crates/standin/tests/common/link.rs
+++ b/crates/standin/tests/common/link.rs
@@ -63,9 +63,12 @@
     pub async fn next(&mut self) -> Option<frames::AgentFrame> {
         loop {
             match self.next_any().await? {
-                frames::AgentFrame::Pulse(pulse) => self.agent_now = pulse.now,
+                frames::AgentFrame::Pulse(pulse) => self.take_pulse(&pulse),
                 frames::AgentFrame::Hello(hello) => self.hello = Some(hello),
-                frame => return Some(frame),
+                frame => {
+                    self.settle(&frame);
+                    return Some(frame);
+                }
             }
         }
     }
@@ -99,6 +102,30 @@
         TokenReading { text, next }
     }
 
+    /// Answers a pulse as a gateway does.
+    fn take_pulse(&mut self, pulse: &frames::AgentPulse) {
+        self.agent_now = pulse.now;
+        if pulse.leaving {
+            self.send(frames::GatewayFrame::LeavingSeen { pulse: pulse.now });
+        }
+    }
+
+    /// Tells the agent that the end of an attempt was taken.
+    fn settle(&self, frame: &frames::AgentFrame) {
+        let attempt = match frame {
+            frames::AgentFrame::Finished(report) => report.attempt,
+            frames::AgentFrame::Failed(report) => report.attempt,
+            frames::AgentFrame::Answered(report) => report.attempt,
+            frames::AgentFrame::Refused(report) => report.attempt,
+            frames::AgentFrame::Hello(_)
+            | frames::AgentFrame::Pulse(_)
+            | frames::AgentFrame::Accepted { .. }
+            | frames::AgentFrame::Tokens(_)
+            | frames::AgentFrame::Fleet(_) => return,
+        };
+        self.send(frames::GatewayFrame::Settled { attempt });
+    }
+
     async fn wait_for_target(&mut self) {
         loop {
             match self.next_any().await.expect("the link is open") {
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -60,6 +60,7 @@
         target: target.parse().unwrap(),
         zone: "a".parse().unwrap(),
         listen: "127.0.0.1:0".parse().unwrap(),
+        administration: "127.0.0.1:0".parse().unwrap(),
         exclusion: None,
         link_key: link_key(),
         address,
--- a/crates/telemetry/src/logs/mod.rs
+++ b/crates/telemetry/src/logs/mod.rs
@@ -11,12 +11,13 @@
 const APPENDER_NAME: &str = "stdout";
 
 /// Libraries whose messages below a warning are of no use to operators.
-const QUIET_LIBRARIES: [&str; 7] = [
+const QUIET_LIBRARIES: [&str; 8] = [
     "ntex",
     "ntex_io",
     "ntex_net",
     "ntex_rt",
     "ntex_server",
+    "ntex_service",
     "tokio_tungstenite",
     "tungstenite",
 ];
