--- a/crates/standin/tests/common/link.rs
+++ b/crates/standin/tests/common/link.rs
@@ -65,12 +65,10 @@
             match self.next_any().await? {
                 frames::AgentFrame::Pulse(pulse) => self.take_pulse(&pulse),
                 frames::AgentFrame::Hello(hello) => self.hello = Some(hello),
-                frames::AgentFrame::Finished(report) => {
-                    let attempt = report.attempt;
-                    self.send(frames::GatewayFrame::Settled { attempt });
-                    return Some(frames::AgentFrame::Finished(report));
+                frame => {
+                    self.settle(&frame);
+                    return Some(frame);
                 }
-                frame => return Some(frame),
             }
         }
     }
@@ -104,7 +102,7 @@
         TokenReading { text, next }
     }
 
-    /// Answers the pulse of a leaving agent, as a gateway does.
+    /// Answers a pulse as a gateway does.
     fn take_pulse(&mut self, pulse: &frames::AgentPulse) {
         self.agent_now = pulse.now;
         if pulse.leaving {
@@ -112,6 +110,22 @@
         }
     }
 
+    /// Tells the agent that the end of an attempt was taken.
+    fn settle(&self, frame: &frames::AgentFrame) {
+        let attempt = match frame {
+            frames::AgentFrame::Finished(report) => report.attempt,
+            frames::AgentFrame::Failed(report) => report.attempt,
+            frames::AgentFrame::Answered(report) => report.attempt,
+            frames::AgentFrame::Refused(report) => report.attempt,
+            frames::AgentFrame::Hello(_)
+            | frames::AgentFrame::Pulse(_)
+            | frames::AgentFrame::Accepted { .. }
+            | frames::AgentFrame::Tokens(_)
+            | frames::AgentFrame::Fleet(_) => return,
+        };
+        self.send(frames::GatewayFrame::Settled { attempt });
+    }
+
     async fn wait_for_target(&mut self) {
         loop {
             match self.next_any().await.expect("the link is open") {
