Make the gateway a member of the fleet, and add its binary

Cause: the gateway had no process of its own, and took documents only by hand. Change: frames of the fleet travel on the links to agents; documents, suspects and departed VMs go from the fleet to the reducer and suspects back; the binary reads its settings, logs JSON lines and stops gracefully on SIGTERM. In fleet: notices carry the state of acceptance, and the sections of the configuration service are read under the name that the stand-in writes (section). Conclusion: a gateway starts from its settings alone.

--- a/crates/fleet/src/shell/driver.rs
+++ b/crates/fleet/src/shell/driver.rs
@@ -268,6 +268,7 @@
             let state = self.document.borrow();
             self.host.take_document(host::DocumentNotice {
                 document: Arc::new(state.acceptance().document().clone()),
+                acceptance: Arc::new(state.acceptance().clone()),
                 standings: state.standings().clone(),
             });
         }
--- a/crates/fleet/src/shell/host.rs
+++ b/crates/fleet/src/shell/host.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use kingcupfall_core::ids;
+use kingcupfall_document::acceptance;
 use kingcupfall_document::sections;
 use kingcupfall_policy::quarantine;
 
@@ -14,6 +15,8 @@
 pub struct DocumentNotice {
     /// Accepted values of all sections.
     pub document: Arc<sections::OperatorDocument>,
+    /// State of acceptance, for dry runs and the status of sections.
+    pub acceptance: Arc<acceptance::DocumentAcceptance>,
     /// Standing of each section that was seen.
     pub standings: BTreeMap<sections::SectionName, judge::SectionStanding>,
 }
--- a/crates/fleet/src/shell/platform.rs
+++ b/crates/fleet/src/shell/platform.rs
@@ -44,7 +44,7 @@
 /// A section as the configuration service writes it.
 #[derive(Debug, Deserialize)]
 struct SectionAnswer {
-    name: sections::SectionName,
+    section: sections::SectionName,
     version: measures::SectionVersion,
     text: Box<str>,
 }
@@ -175,7 +175,7 @@
 
 fn reading(answer: ServiceAnswer) -> reducer::ServiceReading {
     let sections = answer.sections.into_iter().map(|section| {
-        sections::SectionValue::new(section.name, section.version, section.text.as_bytes())
+        sections::SectionValue::new(section.section, section.version, section.text.as_bytes())
     });
     reducer::ServiceReading {
         revision: answer.revision,
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,2 +1,178 @@
-//! Placeholder.
-fn main() {}
+//! `kingcupfall-gateway`: takes callers' calls, and brings their answers back whole and once.
+
+mod command;
+
+use std::error;
+use std::fs;
+use std::process;
+use std::time::Duration;
+
+use kingcupfall_core::ids;
+use kingcupfall_core::keys;
+use kingcupfall_fleet::reducer as fleet_reducer;
+use kingcupfall_fleet::shell as fleet_shell;
+use kingcupfall_gateway::reducer;
+use kingcupfall_gateway::shell;
+use kingcupfall_link::transport;
+use kingcupfall_settings::gateway;
+use kingcupfall_telemetry::logs;
+use rand::Rng;
+use tokio::signal::unix;
+
+/// Exit status for settings with findings.
+const FINDINGS_STATUS: u8 = 2;
+
+/// Distinguishes the key of idempotency keys from that of links, which has the same secret.
+const SIGNING_LABEL: &[u8] = b"idempotency-keys:";
+
+/// Result of running the process.
+type Result<T> = std::result::Result<T, Box<dyn error::Error>>;
+
+fn main() -> process::ExitCode {
+    let command = command::parse().run();
+    let settings = match read_settings(&command) {
+        Ok(settings) => settings,
+        Err(status) => return status,
+    };
+    if command.check {
+        println!("{}: no findings", command.settings.display());
+        return process::ExitCode::SUCCESS;
+    }
+
+    let system = ntex::rt::System::build()
+        .name("kingcupfall-gateway")
+        .build(ntex::rt::DefaultRuntime);
+    match system.block_on(run(settings)) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+/// Reads the settings, or prints what is wrong with them.
+fn read_settings(
+    command: &command::GatewayCommand,
+) -> std::result::Result<gateway::GatewaySettings, process::ExitCode> {
+    let name = command.settings.display();
+    let text = fs::read_to_string(&command.settings).map_err(|error| {
+        eprintln!("{name}: {error}");
+        process::ExitCode::FAILURE
+    })?;
+
+    kingcupfall_settings::load(&text).map_err(|findings| {
+        for finding in findings.iter() {
+            println!("{finding}");
+        }
+        process::ExitCode::from(FINDINGS_STATUS)
+    })
+}
+
+async fn run(settings: gateway::GatewaySettings) -> Result<()> {
+    logs::start(settings.log.level.get())?;
+    let process = ids::ProcessId::random(&mut rand::rng());
+    let gateway = shell::start(gateway_setup(&settings, process))?;
+    let fleet = fleet_shell::start(fleet_setup(&settings, process, gateway.fleet_host())).await?;
+    gateway.join_fleet(fleet);
+    log::info!(
+        "gateway {process} on {}: callers at {}, administration at {}",
+        settings.node.vm,
+        gateway.caller_address(),
+        gateway.administration_address(),
+    );
+
+    wait_for_signal().await;
+    log::info!("stopping: no new calls, calls in progress end first");
+    gateway.stop();
+    wait_for_end(&gateway, settings.drain.deadline).await;
+    log::info!("stopped");
+    Ok(())
+}
+
+fn gateway_setup(
+    settings: &gateway::GatewaySettings,
+    process: ids::ProcessId,
+) -> shell::GatewaySetup {
+    let secret = settings.link.key.as_bytes();
+    shell::GatewaySetup {
+        identity: reducer::GatewayIdentity {
+            process,
+            zone: settings.node.zone.clone(),
+            seed: rand::rng().random(),
+        },
+        policies: shell::standard_policies(rand::rng().random()),
+        signing_key: keys::SigningKey::new(&[SIGNING_LABEL, secret].concat()),
+        caller_address: settings.listen.callers,
+        administration_address: settings.listen.administration,
+        administration_key: settings.administration.key_hash,
+        limits: shell_limits(&settings.limits),
+        connector: Box::new(shell::TransportConnector::new(link_key(settings))),
+    }
+}
+
+fn shell_limits(limits: &gateway::GatewayLimits) -> shell::ShellLimits {
+    let connections = usize::try_from(limits.connections).unwrap_or(usize::MAX);
+    shell::ShellLimits {
+        body_bytes: usize::try_from(limits.body.get()).unwrap_or(usize::MAX),
+        connections,
+        concurrent_calls: connections,
+        keep_alive: limits.idle,
+        write_timeout: limits.idle,
+        ..shell::ShellLimits::default()
+    }
+}
+
+fn fleet_setup(
+    settings: &gateway::GatewaySettings,
+    process: ids::ProcessId,
+    host: Box<dyn fleet_shell::FleetHost>,
+) -> fleet_shell::FleetSetup {
+    fleet_shell::FleetSetup {
+        identity: fleet_reducer::FleetIdentity {
+            vm: settings.node.vm.clone(),
+            zone: settings.node.zone.clone(),
+            address: settings.listen.peers,
+            process,
+            role: fleet_reducer::FleetRole::Gateway,
+            seed: rand::rng().random(),
+        },
+        link_key: link_key(settings),
+        platform: Some(fleet_shell::PlatformAddresses {
+            configuration_service: settings.platform.configuration_service,
+            vm_list: settings.platform.vm_list,
+        }),
+        host,
+    }
+}
+
+fn link_key(settings: &gateway::GatewaySettings) -> transport::LinkKey {
+    transport::LinkKey::new(settings.link.key.as_bytes())
+}
+
+/// Waits until the calls in progress have ended, or for the deadline, if any.
+async fn wait_for_end(gateway: &shell::GatewayHandle, deadline: Option<Duration>) {
+    let Some(deadline) = deadline else {
+        return gateway.wait().await;
+    };
+    if tokio::time::timeout(deadline, gateway.wait())
+        .await
+        .is_err()
+    {
+        log::warn!("the drain deadline has passed; what still runs is cut off");
+    }
+}
+
+async fn wait_for_signal() {
+    let terminate = unix::signal(unix::SignalKind::terminate());
+    let interrupt = unix::signal(unix::SignalKind::interrupt());
+    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
+        log::error!("can't wait for signals; the process ends only when it is killed");
+        return std::future::pending().await;
+    };
+
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- a/crates/gateway/src/shell/command.rs
+++ b/crates/gateway/src/shell/command.rs
@@ -1,7 +1,10 @@
 //! What the servers and links tell the task that owns the reducer.
 
+use std::sync::Arc;
+
 use kingcupfall_core::ids;
 use kingcupfall_document::acceptance;
+use kingcupfall_fleet::shell as fleet;
 use kingcupfall_link::frames;
 use kingcupfall_policy::quarantine;
 use tokio::sync::mpsc;
@@ -26,7 +29,6 @@
 }
 
 /// A command to the task that owns the reducer.
-#[derive(Debug)]
 pub enum DriverCommand {
     /// A new call, resumed stream or wish for a key.
     Open {
@@ -40,7 +42,18 @@
     /// Something that a caller's connection did.
     Event(reducer::GatewayEvent),
     /// A document to put in force.
-    Document(Box<acceptance::DocumentAcceptance>),
+    Document(Arc<acceptance::DocumentAcceptance>),
+    /// VMs that are newly known to leave.
+    Departures(Vec<ids::VmName>),
+    /// The fleet that the gateway belongs to from now on.
+    JoinFleet(fleet::FleetHandle),
+    /// Bytes of the fleet for an agent.
+    FleetFrame {
+        /// Link to send on.
+        link: ids::LinkId,
+        /// The bytes.
+        bytes: Vec<u8>,
+    },
     /// Suspects that other gateways know of.
     Suspects(Vec<quarantine::SuspectRecord>),
     /// A question of the administration API.
--- a/crates/gateway/src/shell/document.rs
+++ b/crates/gateway/src/shell/document.rs
@@ -1,8 +1,11 @@
 //! The document in force, as the shell hands it to the reducer and to the servers.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
+use kingcupfall_core::ids;
 use kingcupfall_core::time;
 use kingcupfall_document::acceptance;
 use kingcupfall_document::sections;
@@ -21,7 +24,7 @@
 /// The document in force, and since when each section has been.
 #[derive(Debug, Clone, Default)]
 pub struct DocumentInForce {
-    acceptance: acceptance::DocumentAcceptance,
+    acceptance: Arc<acceptance::DocumentAcceptance>,
     entries: BTreeMap<sections::SectionName, SectionEntry>,
 }
 
@@ -31,7 +34,7 @@
     pub fn succeed(
         &self,
         now: time::Timestamp,
-        acceptance: acceptance::DocumentAcceptance,
+        acceptance: Arc<acceptance::DocumentAcceptance>,
     ) -> Self {
         let entry = |section: sections::SectionName| {
             let mark = acceptance.in_force(section)?;
@@ -69,9 +72,14 @@
     }
 }
 
-/// Returns the events that put `document` in force in a gateway's reducer.
-pub fn document_events(document: &sections::OperatorDocument) -> Vec<reducer::GatewayEvent> {
-    let targets = document
+/// Returns the event that puts the targets of `document` in force in a gateway's reducer.
+///
+/// A target leaves when the document says so, or when its VM is in `leaving`.
+pub fn target_event(
+    document: &sections::OperatorDocument,
+    leaving: &BTreeSet<ids::VmName>,
+) -> reducer::GatewayEvent {
+    let listings = document
         .targets
         .iter()
         .map(|(name, entry)| state::TargetListing {
@@ -79,33 +87,32 @@
             address: entry.agent,
             zone: entry.zone.clone(),
             serves: served_work(&entry.kind),
-            leaving: entry.leaving,
+            leaving: entry.leaving || leaving.contains(&entry.vm),
         })
         .collect();
-
-    vec![
-        reducer::GatewayEvent::Targets(targets),
-        reducer::GatewayEvent::Limits(limit_listings(document)),
-    ]
-}
-
-fn served_work(kind: &sections::TargetKind) -> state::ServedWork {
-    match kind {
-        sections::TargetKind::Engine { models, .. } => state::ServedWork::Models(models.clone()),
-        sections::TargetKind::Service { service } => state::ServedWork::Service(service.clone()),
-    }
+    reducer::GatewayEvent::Targets(listings)
 }
 
-/// Lists every organisation, so that one whose limits were removed is freed of them.
-fn limit_listings(document: &sections::OperatorDocument) -> Vec<reducer::LimitListing> {
-    document
+/// Returns the event that puts the limits of `document` in force in a gateway's reducer.
+///
+/// It lists every organisation, so that one whose limits were removed is freed of them.
+pub fn limit_event(document: &sections::OperatorDocument) -> reducer::GatewayEvent {
+    let listings = document
         .organisations
         .keys()
         .map(|organisation| reducer::LimitListing {
             organisation: organisation.clone(),
             limit: document.limits.get(organisation).map(organisation_limit),
         })
-        .collect()
+        .collect();
+    reducer::GatewayEvent::Limits(listings)
+}
+
+fn served_work(kind: &sections::TargetKind) -> state::ServedWork {
+    match kind {
+        sections::TargetKind::Engine { models, .. } => state::ServedWork::Models(models.clone()),
+        sections::TargetKind::Service { service } => state::ServedWork::Service(service.clone()),
+    }
 }
 
 fn organisation_limit(entry: &sections::LimitEntry) -> limit::OrganisationLimit {
--- a/crates/gateway/src/shell/driver.rs
+++ b/crates/gateway/src/shell/driver.rs
@@ -1,16 +1,20 @@
 //! The task that owns the reducer: takes commands and notices in, and carries effects out.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
 use kingcupfall_document::acceptance;
+use kingcupfall_link::frames;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 use super::command;
 use super::context;
+use super::departures;
 use super::document;
+use super::fleet;
 use super::links;
 use super::meters;
 use super::replies;
@@ -33,6 +37,9 @@
     pub documents: watch::Sender<Arc<document::DocumentInForce>>,
 }
 
+/// Time between two looks for suspects to spread, departures to forget and callers that are stuck.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Owner of the reducer.
 pub struct ReducerDriver {
     reducer: reducer::GatewayReducer,
@@ -41,6 +48,9 @@
     links: links::LinkTable,
     replies: replies::ReplyTable,
     meters: meters::MeterTable,
+    fleet: fleet::FleetPort,
+    departures: departures::DepartureTable,
+    next_upkeep: time::Timestamp,
     effects: Vec<reducer::GatewayEffect>,
     exited: bool,
 }
@@ -59,6 +69,9 @@
             links,
             replies: replies::ReplyTable::default(),
             meters: meters::MeterTable::new(context.metrics().calls().clone()),
+            fleet: fleet::FleetPort::default(),
+            departures: departures::DepartureTable::default(),
+            next_upkeep: time::Timestamp::ZERO,
             effects: Vec::new(),
             context,
             exited: false,
@@ -110,16 +123,24 @@
                 self.apply(now, event);
             }
             command::DriverCommand::Event(event) => self.take_caller_event(now, event),
-            command::DriverCommand::Document(document) => self.take_document(now, *document),
+            command::DriverCommand::Document(document) => self.take_document(now, document),
             command::DriverCommand::Suspects(records) => {
                 self.apply(now, reducer::GatewayEvent::Suspects(records));
             }
+            command::DriverCommand::Departures(vms) => self.take_departures(now, vms),
+            command::DriverCommand::JoinFleet(handle) => self.fleet.join(handle),
+            command::DriverCommand::FleetFrame { link, bytes } => {
+                self.links.push(link, frames::GatewayFrame::Fleet(bytes));
+            }
             command::DriverCommand::Query { query, answer } => {
                 let state = administration::answer_query(&self.reducer, now, &query);
                 // An error means that the asker has gone.
                 let _ = answer.send(state);
             }
-            command::DriverCommand::Stop => self.apply(now, reducer::GatewayEvent::Stop),
+            command::DriverCommand::Stop => {
+                self.fleet.leave();
+                self.apply(now, reducer::GatewayEvent::Stop);
+            }
         }
     }
 
@@ -134,36 +155,81 @@
         self.apply(now, event);
     }
 
-    fn take_document(&mut self, now: time::Timestamp, accepted: acceptance::DocumentAcceptance) {
-        for event in document::document_events(accepted.document()) {
-            self.apply(now, event);
-        }
+    fn take_document(
+        &mut self,
+        now: time::Timestamp,
+        accepted: Arc<acceptance::DocumentAcceptance>,
+    ) {
+        let document = accepted.document();
+        self.apply(now, document::target_event(document, self.departures.vms()));
+        self.apply(now, document::limit_event(document));
 
         let document = self.context.document().succeed(now, accepted);
         self.channels.documents.send_replace(Arc::new(document));
     }
 
+    fn take_departures(&mut self, now: time::Timestamp, vms: Vec<ids::VmName>) {
+        self.departures.add(now, vms);
+        self.apply_targets(now);
+    }
+
+    fn apply_targets(&mut self, now: time::Timestamp) {
+        let document = self.context.document();
+        let event = document::target_event(document.document(), self.departures.vms());
+        self.apply(now, event);
+    }
+
     fn take_notice(&mut self, notice: command::LinkNotice) {
         let now = self.context.now();
         match notice {
             command::LinkNotice::Opened { link } => {
                 self.apply(now, reducer::GatewayEvent::LinkOpened { link });
+                self.fleet.open_link(link);
             }
             command::LinkNotice::Frames { link, frames } => {
                 for frame in frames {
-                    self.apply(now, reducer::GatewayEvent::Frame { link, frame });
+                    self.take_frame(now, link, frame);
                 }
             }
             command::LinkNotice::Closed { link } => {
-                self.links.close(link);
+                self.close_link(link);
                 self.apply(now, reducer::GatewayEvent::LinkClosed { link });
             }
         }
     }
 
+    fn take_frame(&mut self, now: time::Timestamp, link: ids::LinkId, frame: frames::AgentFrame) {
+        let frame = match frame {
+            frames::AgentFrame::Fleet(bytes) => {
+                self.fleet.take_frame(link, bytes);
+                // To the reducer it is but a sign of life.
+                frames::AgentFrame::Fleet(Vec::new())
+            }
+            other => other,
+        };
+        self.apply(now, reducer::GatewayEvent::Frame { link, frame });
+    }
+
+    fn close_link(&mut self, link: ids::LinkId) {
+        self.links.close(link);
+        self.fleet.close_link(link);
+    }
+
     fn tick(&mut self) {
         let now = self.context.now();
         self.apply(now, reducer::GatewayEvent::Tick);
+        if now >= self.next_upkeep {
+            self.next_upkeep = now + UPKEEP_INTERVAL;
+            self.keep_up(now);
+        }
+    }
+
+    /// Does what need not be done at every tick.
+    fn keep_up(&mut self, now: time::Timestamp) {
+        self.fleet.spread_suspects(self.reducer.suspects(now));
+        if self.departures.expire(now) {
+            self.apply_targets(now);
+        }
 
         let write_timeout = self.context.limits().write_timeout;
         for call in self.replies.remove_stuck(now, write_timeout) {
@@ -202,7 +268,7 @@
             reducer::GatewayEffect::Connect { link, address, .. } => {
                 self.links.open(link, address);
             }
-            reducer::GatewayEffect::CloseLink { link } => self.links.close(link),
+            reducer::GatewayEffect::CloseLink { link } => self.close_link(link),
             reducer::GatewayEffect::Send { link, frame } => self.links.push(link, frame),
             reducer::GatewayEffect::Reply { call, reply } => {
                 self.meters.record(now, call, &reply);
@@ -219,11 +285,13 @@
     fn finish_turn(&mut self) {
         let now = self.context.now();
         for link in self.links.flush() {
+            self.fleet.close_link(link);
             self.apply(now, reducer::GatewayEvent::LinkClosed { link });
         }
         if self.exited {
             // Frames that the last event asked for.
             self.links.flush();
+            self.fleet.stop();
         }
     }
 }
--- a/crates/gateway/src/shell/handle.rs
+++ b/crates/gateway/src/shell/handle.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use kingcupfall_document::acceptance;
+use kingcupfall_fleet::shell as fleet_shell;
 use kingcupfall_policy::quarantine;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -13,6 +14,7 @@
 use super::command;
 use super::context;
 use super::driver;
+use super::fleet;
 use super::links;
 use super::server;
 use super::setup;
@@ -91,8 +93,20 @@
 
     /// Puts a document in force.
     pub fn set_document(&self, document: acceptance::DocumentAcceptance) {
+        let document = Arc::new(document);
         self.context
-            .command(command::DriverCommand::Document(Box::new(document)));
+            .command(command::DriverCommand::Document(document));
+    }
+
+    /// Returns what takes in the fleet's news for this gateway.
+    pub fn fleet_host(&self) -> Box<dyn fleet_shell::FleetHost> {
+        Box::new(fleet::GatewayHost::new(self.context.clone()))
+    }
+
+    /// Makes the gateway a member of a fleet, which was started with [`Self::fleet_host`].
+    pub fn join_fleet(&self, handle: fleet_shell::FleetHandle) {
+        self.context
+            .command(command::DriverCommand::JoinFleet(handle));
     }
 
     /// Takes suspects that other gateways know of.
