--- a/crates/fleet/src/simulation/mod.rs
+++ b/crates/fleet/src/simulation/mod.rs
@@ -44,6 +44,8 @@
     Arrival(NodeIndex, reducer::FleetEvent, u64),
     /// A connection that a gateway asked for is tried.
     Connect(NodeIndex, ids::VmName),
+    /// Agents give up their silent links to a lost VM.
+    DropAgentLinks(NodeIndex),
     /// An agent that has lost a link gets another.
     Relink(NodeIndex),
     /// A process ticks.
@@ -83,6 +85,9 @@
 /// Time for which a watch waits at the service.
 const WATCH_TIME: Duration = Duration::from_secs(25);
 
+/// Silence after which an agent closes a link, whatever travels on it.
+const AGENT_LINK_SILENCE: Duration = Duration::from_secs(10);
+
 /// Time of a call at the platform.
 const PLATFORM_DELAY: Duration = Duration::from_millis(3);
 
@@ -195,8 +200,9 @@
         node.loss = Some(loss);
         node.died_at = Some(self.now);
         self.watches.retain(|watch| watch.node != index);
-        if loss == LossKind::Process {
-            self.close_links(index);
+        match loss {
+            LossKind::Process => self.close_links(index),
+            LossKind::Vm => self.schedule(AGENT_LINK_SILENCE, Occurrence::DropAgentLinks(index)),
         }
     }
 
@@ -345,6 +351,7 @@
                 self.apply(index, event);
             }
             Occurrence::Connect(index, vm) => self.try_connect(index, &vm),
+            Occurrence::DropAgentLinks(index) => self.drop_agent_links(index),
             Occurrence::Relink(index) => self.relink_agent(index),
             Occurrence::Tick(index) => {
                 if self.nodes[index.0].is_alive() {
--- a/crates/fleet/src/simulation/network.rs
+++ b/crates/fleet/src/simulation/network.rs
@@ -110,6 +110,21 @@
         }
     }
 
+    pub(super) fn drop_agent_links(&mut self, lost: NodeIndex) {
+        let links = self.links.ends.iter();
+        let links: Vec<(ids::LinkId, NodeIndex)> = links
+            .filter(|(_, [left, _])| *left == lost)
+            .filter(|(_, [_, right])| !self.nodes[right.0].is_gateway())
+            .map(|(link, [_, right])| (*link, *right))
+            .collect();
+        for (link, agent) in links {
+            self.links.ends.remove(&link);
+            let event = reducer::FleetEvent::LinkClosed { link };
+            self.schedule(Duration::ZERO, Occurrence::Event(agent, event));
+            self.relink_later(agent);
+        }
+    }
+
     pub(super) fn try_connect(&mut self, index: NodeIndex, vm: &ids::VmName) {
         let other = self.vms.get(vm).copied();
         let reachable =
