--- /dev/null
+++ b/crates/agent/tests/orders.rs
@@ -0,0 +1,382 @@
+//! Orders of gateways to one agent, at the reducer.
+
+use std::time::Duration;
+
+use kingcupfall_agent::reducer;
+use kingcupfall_core::ids;
+use kingcupfall_core::keys;
+use kingcupfall_core::measures;
+use kingcupfall_core::time;
+use kingcupfall_core::work;
+use kingcupfall_link::frames;
+use kingcupfall_policy::schedule;
+use yare::parameterized;
+
+const FIRST: ids::LinkId = ids::LinkId::new(1);
+const SECOND: ids::LinkId = ids::LinkId::new(2);
+const START_PATIENCE: Duration = Duration::from_secs(30);
+
+/// An agent with two gateways and what it asked for.
+struct OrderHarness {
+    now: time::Timestamp,
+    agent: reducer::AgentReducer,
+    effects: Vec<reducer::AgentEffect>,
+}
+
+impl OrderHarness {
+    fn new() -> Self {
+        let identity = reducer::AgentIdentity {
+            target: "records-1".parse().unwrap(),
+            incarnation: ids::Incarnation::from_u128(5),
+            zone: "a".parse().unwrap(),
+        };
+        let mut harness = Self {
+            now: time::Timestamp::from_micros(1_000_000),
+            agent: reducer::AgentReducer::new(identity, Box::new(schedule::NaiveScheduler::new())),
+            effects: Vec::new(),
+        };
+        harness.apply(reducer::AgentEvent::TargetHealth { up: true });
+        for (link, process) in [(FIRST, 1), (SECOND, 2)] {
+            harness.apply(reducer::AgentEvent::LinkOpened { link });
+            let hello = frames::GatewayHello {
+                version: frames::PROTOCOL_VERSION,
+                gateway: ids::ProcessId::from_u128(process),
+                zone: "a".parse().unwrap(),
+            };
+            harness.frame(link, frames::GatewayFrame::Hello(hello));
+        }
+        harness.effects.clear();
+        harness
+    }
+
+    fn apply(&mut self, event: reducer::AgentEvent) {
+        self.agent.apply(self.now, event, &mut self.effects);
+    }
+
+    fn frame(&mut self, link: ids::LinkId, frame: frames::GatewayFrame) {
+        self.apply(reducer::AgentEvent::Frame { link, frame });
+    }
+
+    fn start(&mut self, link: ids::LinkId, order: frames::StartOrder) {
+        self.frame(link, frames::GatewayFrame::Start(Box::new(order)));
+    }
+
+    fn order(&self, attempt: u128, key: Option<keys::ExecutionKey>) -> frames::StartOrder {
+        frames::StartOrder {
+            attempt: ids::AttemptId::from_u128(attempt),
+            tag: work::CallerTag {
+                organisation: "qurum".parse().unwrap(),
+                class: "sign-off".parse().unwrap(),
+                priority: measures::Priority::new(3),
+                weight: measures::Weight::new(1),
+            },
+            fingerprint: work::RequestFingerprint::new(9),
+            request: work::WorkRequest::Service(work::ServiceRequest {
+                service: "records".parse().unwrap(),
+                path: "sign-offs".into(),
+                content_type: "application/json".into(),
+                body: b"{}".to_vec(),
+            }),
+            start_by: self.now + START_PATIENCE,
+            key,
+            stream: false,
+            suspect: false,
+        }
+    }
+
+    fn key(&self, nonce: u128) -> keys::ExecutionKey {
+        keys::ExecutionKey {
+            target: "records-1".parse().unwrap(),
+            incarnation: ids::Incarnation::from_u128(5),
+            expires_at: self.now + Duration::from_secs(600),
+            nonce: ids::Nonce::from_u128(nonce),
+        }
+    }
+
+    fn answer(&mut self, attempt: u128, body: &str) {
+        self.apply(reducer::AgentEvent::Answered {
+            attempt: ids::AttemptId::from_u128(attempt),
+            answer: work::ServiceAnswer {
+                status: 201,
+                content_type: "text/plain".into(),
+                body: body.as_bytes().to_vec(),
+            },
+        });
+    }
+
+    fn starts(&self) -> usize {
+        self.effects
+            .iter()
+            .filter(|effect| matches!(effect, reducer::AgentEffect::CallService { .. }))
+            .count()
+    }
+
+    fn refusals(&self) -> Vec<frames::RefusalCode> {
+        self.sent()
+            .filter_map(|frame| match frame {
+                frames::AgentFrame::Refused(report) => Some(report.code),
+                _ => None,
+            })
+            .collect()
+    }
+
+    fn failures(&self) -> Vec<frames::FailureCause> {
+        self.sent()
+            .filter_map(|frame| match frame {
+                frames::AgentFrame::Failed(report) => Some(report.cause),
+                _ => None,
+            })
+            .collect()
+    }
+
+    fn answers(&self) -> Vec<frames::AnswerReport> {
+        self.sent()
+            .filter_map(|frame| match frame {
+                frames::AgentFrame::Answered(report) => Some(report.clone()),
+                _ => None,
+            })
+            .collect()
+    }
+
+    fn sent(&self) -> impl Iterator<Item = &frames::AgentFrame> {
+        self.effects.iter().filter_map(|effect| match effect {
+            reducer::AgentEffect::Send { frame, .. } => Some(frame),
+            _ => None,
+        })
+    }
+}
+
+#[test]
+fn repeat_while_running_waits_for_the_one_answer() {
+    let mut harness = OrderHarness::new();
+    harness.start(FIRST, harness.order(1, Some(harness.key(1))));
+    harness.start(SECOND, harness.order(2, Some(harness.key(1))));
+
+    harness.answer(1, "signed");
+
+    assert_eq!(harness.starts(), 1);
+    let answers = harness.answers();
+    assert_eq!(answers.len(), 2);
+    assert!(!answers[0].replayed);
+    assert!(answers[1].replayed);
+    assert_eq!(answers[0].answer, answers[1].answer);
+}
+
+#[test]
+fn repeat_after_the_end_gets_the_recorded_answer() {
+    let mut harness = OrderHarness::new();
+    harness.start(FIRST, harness.order(1, Some(harness.key(1))));
+    harness.answer(1, "signed");
+    harness.now = harness.now + Duration::from_secs(300);
+    harness.frame(SECOND, frames::GatewayFrame::Heartbeat);
+    harness.apply(reducer::AgentEvent::Tick);
+
+    let key = keys::ExecutionKey {
+        expires_at: time::Timestamp::from_micros(1_000_000) + Duration::from_secs(600),
+        ..harness.key(1)
+    };
+    harness.start(SECOND, harness.order(2, Some(key)));
+
+    assert_eq!(harness.starts(), 1);
+    assert_eq!(harness.answers().len(), 2);
+}
+
+#[test]
+fn repeat_of_a_lost_call_is_told_that_its_answer_is_lost() {
+    let mut harness = OrderHarness::new();
+    harness.start(FIRST, harness.order(1, Some(harness.key(1))));
+    harness.apply(reducer::AgentEvent::TargetHealth { up: false });
+    harness.apply(reducer::AgentEvent::TargetHealth { up: true });
+
+    harness.start(SECOND, harness.order(2, Some(harness.key(1))));
+
+    assert_eq!(harness.starts(), 1);
+    assert_eq!(
+        harness.failures(),
+        [
+            frames::FailureCause::TargetLost,
+            frames::FailureCause::AnswerLost
+        ]
+    );
+}
+
+#[test]
+fn changed_body_under_a_used_key_is_refused() {
+    let mut harness = OrderHarness::new();
+    harness.start(FIRST, harness.order(1, Some(harness.key(1))));
+    let changed = frames::StartOrder {
+        fingerprint: work::RequestFingerprint::new(10),
+        ..harness.order(2, Some(harness.key(1)))
+    };
+
+    harness.start(SECOND, changed);
+
+    assert_eq!(harness.starts(), 1);
+    assert_eq!(harness.refusals(), [frames::RefusalCode::KeyMismatch]);
+}
+
+#[test]
+fn other_organisation_under_a_used_key_is_refused() {
+    let mut harness = OrderHarness::new();
+    harness.start(FIRST, harness.order(1, Some(harness.key(1))));
+    let mut foreign = harness.order(2, Some(harness.key(1)));
+    foreign.tag.organisation = "rivals".parse().unwrap();
+
+    harness.start(SECOND, foreign);
+
+    assert_eq!(harness.starts(), 1);
+    assert_eq!(harness.refusals(), [frames::RefusalCode::KeyMismatch]);
+}
+
+#[parameterized(
+    other_life = { |key: keys::ExecutionKey| keys::ExecutionKey {
+        incarnation: ids::Incarnation::from_u128(4), ..key
+    } },
+    other_target = { |key: keys::ExecutionKey| keys::ExecutionKey {
+        target: "records-2".parse().unwrap(), ..key
+    } },
+    expired = { |key: keys::ExecutionKey| keys::ExecutionKey {
+        expires_at: time::Timestamp::from_micros(999_999), ..key
+    } },
+    too_long = { |key: keys::ExecutionKey| keys::ExecutionKey {
+        expires_at: key.expires_at + Duration::from_secs(100_000), ..key
+    } },
+)]
+fn key_of_another_executor_runs_nothing(change: fn(keys::ExecutionKey) -> keys::ExecutionKey) {
+    let mut harness = OrderHarness::new();
+    let key = change(harness.key(1));
+
+    harness.start(FIRST, harness.order(1, Some(key)));
+
+    assert_eq!(harness.starts(), 0);
+    assert_eq!(harness.refusals(), [frames::RefusalCode::KeyExpired]);
+}
+
+#[test]
+fn cancelled_before_it_came_never_starts() {
+    let mut harness = OrderHarness::new();
+    let order = harness.order(1, None);
+    let cancel = frames::CancelOrder {
+        attempt: order.attempt,
+        start_by: order.start_by,
+        only_waiting: false,
+    };
+
+    harness.frame(SECOND, frames::GatewayFrame::Cancel(cancel));
+    harness.start(FIRST, order);
+
+    assert_eq!(harness.starts(), 0);
+    assert_eq!(
+        harness.refusals(),
+        [
+            frames::RefusalCode::Cancelled,
+            frames::RefusalCode::Cancelled
+        ]
+    );
+}
+
+#[test]
+fn order_after_its_deadline_never_starts() {
+    let mut harness = OrderHarness::new();
+    let order = harness.order(1, None);
+    harness.now = harness.now + START_PATIENCE + Duration::from_micros(1);
+
+    harness.start(FIRST, order);
+
+    assert_eq!(harness.starts(), 0);
+    assert_eq!(harness.refusals(), [frames::RefusalCode::TooLate]);
+}
+
+#[test]
+fn question_long_after_the_deadline_is_not_answered_with_not_run() {
+    let mut harness = OrderHarness::new();
+    let order = harness.order(1, None);
+    let cancel = frames::CancelOrder {
+        attempt: order.attempt,
+        start_by: order.start_by,
+        only_waiting: false,
+    };
+    harness.now = harness.now + Duration::from_secs(3_600);
+
+    harness.frame(FIRST, frames::GatewayFrame::Cancel(cancel));
+
+    assert_eq!(harness.refusals(), []);
+    assert_eq!(harness.failures(), [frames::FailureCause::Expired]);
+}
+
+#[test]
+fn second_suspect_is_refused_while_one_runs() {
+    let mut harness = OrderHarness::new();
+    let suspect = |order| frames::StartOrder {
+        suspect: true,
+        ..order
+    };
+    harness.start(FIRST, suspect(harness.order(1, None)));
+    harness.start(FIRST, suspect(harness.order(2, None)));
+    harness.start(FIRST, harness.order(3, None));
+
+    assert_eq!(harness.starts(), 2);
+    assert_eq!(harness.refusals(), [frames::RefusalCode::SuspectBusy]);
+}
+
+#[test]
+fn former_gateway_of_a_resumed_stream_is_told() {
+    let mut harness = OrderHarness::new();
+    let mut order = harness.order(1, None);
+    order.stream = true;
+    let resume = frames::ResumeOrder {
+        attempt: order.attempt,
+        organisation: order.tag.organisation.clone(),
+        next: measures::Sequence::ZERO,
+        start_by: None,
+    };
+    harness.start(FIRST, order);
+
+    harness.frame(SECOND, frames::GatewayFrame::Resume(resume));
+
+    assert!(harness.effects.iter().any(|effect| matches!(
+        effect,
+        reducer::AgentEffect::Send { link: FIRST, frame: frames::AgentFrame::Failed(report) }
+            if report.cause == frames::FailureCause::Superseded
+    )));
+}
+
+#[test]
+fn other_organisation_can_not_resume() {
+    let mut harness = OrderHarness::new();
+    let order = harness.order(1, None);
+    let resume = frames::ResumeOrder {
+        attempt: order.attempt,
+        organisation: "rivals".parse().unwrap(),
+        next: measures::Sequence::ZERO,
+        start_by: None,
+    };
+    harness.start(FIRST, order);
+
+    harness.frame(SECOND, frames::GatewayFrame::Resume(resume));
+    harness.answer(1, "signed");
+
+    assert_eq!(harness.failures(), [frames::FailureCause::Expired]);
+    assert!(harness.effects.iter().any(|effect| matches!(
+        effect,
+        reducer::AgentEffect::Send {
+            link: FIRST,
+            frame: frames::AgentFrame::Answered(_)
+        }
+    )));
+}
+
+#[test]
+fn frame_before_the_hello_closes_the_link() {
+    let mut harness = OrderHarness::new();
+    let link = ids::LinkId::new(3);
+    harness.apply(reducer::AgentEvent::LinkOpened { link });
+
+    harness.frame(link, frames::GatewayFrame::Heartbeat);
+
+    assert!(
+        harness
+            .effects
+            .contains(&reducer::AgentEffect::CloseLink { link })
+    );
+}
--- /dev/null
+++ b/crates/policy/tests/quarantine.rs
@@ -0,0 +1,161 @@
+//! Suspicion and quarantine of requests that crash targets.
+
+use std::time::Duration;
+
+use kingcupfall_core::ids;
+use kingcupfall_core::time;
+use kingcupfall_core::work;
+use kingcupfall_policy::quarantine;
+use kingcupfall_policy::quarantine::QuarantinePolicy;
+
+const NOW: time::Timestamp = time::Timestamp::from_micros(1_000_000);
+
+#[test]
+fn first_crash_makes_a_suspect() {
+    let mut policy = quarantine::SuspectQuarantine::default();
+
+    policy.record_crash(NOW, request(1), attempt(1));
+
+    assert_eq!(
+        policy.judge(NOW, request(1)),
+        quarantine::SuspectVerdict::Suspect
+    );
+    assert_eq!(
+        policy.judge(NOW, request(2)),
+        quarantine::SuspectVerdict::Clear
+    );
+}
+
+#[test]
+fn second_crash_quarantines() {
+    let mut policy = quarantine::SuspectQuarantine::default();
+
+    policy.record_crash(NOW, request(1), attempt(1));
+    policy.record_crash(NOW, request(1), attempt(2));
+
+    assert!(is_quarantined(&mut policy, NOW, request(1)));
+}
+
+#[test]
+fn same_crash_counts_once() {
+    let mut policy = quarantine::SuspectQuarantine::default();
+
+    policy.record_crash(NOW, request(1), attempt(1));
+    policy.record_crash(NOW, request(1), attempt(1));
+
+    assert!(!is_quarantined(&mut policy, NOW, request(1)));
+}
+
+#[test]
+fn completion_clears_a_suspect_but_no_quarantine() {
+    let mut policy = quarantine::SuspectQuarantine::default();
+    policy.record_crash(NOW, request(1), attempt(1));
+    policy.record_crash(NOW, request(2), attempt(2));
+    policy.record_crash(NOW, request(2), attempt(3));
+
+    policy.record_completion(NOW, request(1));
+    policy.record_completion(NOW, request(2));
+
+    assert_eq!(
+        policy.judge(NOW, request(1)),
+        quarantine::SuspectVerdict::Clear
+    );
+    assert!(is_quarantined(&mut policy, NOW, request(2)));
+}
+
+#[test]
+fn entries_end_with_their_time() {
+    let mut policy = quarantine::SuspectQuarantine::default();
+    policy.record_crash(NOW, request(1), attempt(1));
+    policy.record_crash(NOW, request(2), attempt(2));
+    policy.record_crash(NOW, request(2), attempt(3));
+
+    let after_suspicion = NOW + Duration::from_secs(601);
+    let after_quarantine = NOW + Duration::from_secs(1_801);
+
+    assert_eq!(
+        policy.judge(after_suspicion, request(1)),
+        quarantine::SuspectVerdict::Clear
+    );
+    assert!(is_quarantined(&mut policy, after_suspicion, request(2)));
+    assert!(!is_quarantined(&mut policy, after_quarantine, request(2)));
+}
+
+#[test]
+fn records_of_two_gateways_make_a_quarantine_in_any_order() {
+    let mut first = quarantine::SuspectQuarantine::default();
+    let mut second = quarantine::SuspectQuarantine::default();
+    first.record_crash(NOW, request(1), attempt(1));
+    second.record_crash(NOW, request(1), attempt(2));
+
+    let from_first = first.records(NOW);
+    let from_second = second.records(NOW);
+    from_second
+        .iter()
+        .for_each(|record| first.merge(NOW, record));
+    from_first
+        .iter()
+        .for_each(|record| second.merge(NOW, record));
+    from_first
+        .iter()
+        .for_each(|record| second.merge(NOW, record));
+
+    assert!(is_quarantined(&mut first, NOW, request(1)));
+    assert!(is_quarantined(&mut second, NOW, request(1)));
+}
+
+#[test]
+fn merged_records_do_not_live_longer_by_going_round() {
+    let mut first = quarantine::SuspectQuarantine::default();
+    let mut second = quarantine::SuspectQuarantine::default();
+    first.record_crash(NOW, request(1), attempt(1));
+
+    let mut now = NOW;
+    for _ in 0..100 {
+        now = now + Duration::from_secs(10);
+        first
+            .records(now)
+            .iter()
+            .for_each(|record| second.merge(now, record));
+        second
+            .records(now)
+            .iter()
+            .for_each(|record| first.merge(now, record));
+    }
+
+    assert!(first.records(now).is_empty());
+    assert!(second.records(now).is_empty());
+}
+
+#[test]
+fn table_is_bounded_and_keeps_quarantines() {
+    let mut policy = quarantine::SuspectQuarantine::default();
+    policy.record_crash(NOW, request(0), attempt(1));
+    policy.record_crash(NOW, request(0), attempt(2));
+
+    for number in 1..10_000 {
+        policy.record_crash(NOW, request(number), attempt(number + 2));
+    }
+
+    assert!(policy.len() <= 4_096);
+    assert!(is_quarantined(&mut policy, NOW, request(0)));
+}
+
+fn is_quarantined(
+    policy: &mut quarantine::SuspectQuarantine,
+    now: time::Timestamp,
+    request: work::RequestFingerprint,
+) -> bool {
+    matches!(
+        policy.judge(now, request),
+        quarantine::SuspectVerdict::Quarantined { .. }
+    )
+}
+
+fn request(number: u64) -> work::RequestFingerprint {
+    work::RequestFingerprint::new(number)
+}
+
+fn attempt(number: u64) -> ids::AttemptId {
+    ids::AttemptId::from_u128(u128::from(number))
+}
