--- a/crates/agent/src/upgrade/judge.rs
+++ b/crates/agent/src/upgrade/judge.rs
@@ -1,5 +1,7 @@
 //! Whether a target may begin its upgrade.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::time::Duration;
 
@@ -78,9 +80,12 @@
 }
 
 /// Judges whether this target may begin to upgrade `model` at `wall`.
+///
+/// The floors of all `plans` count, since the target serves none of its models meanwhile.
 pub(super) fn judge_start(
     model: &ids::ModelName,
     plan: &ModelPlan,
+    plans: &BTreeMap<ids::ModelName, ModelPlan>,
     peers: &PeerTable,
     wall: WallTime,
 ) -> Result<(), HoldReason> {
@@ -90,7 +95,10 @@
     view.judge_failures()?;
     view.judge_proof()?;
     view.judge_crowd()?;
-    view.judge_capacity()
+    for (served, plan) in plans {
+        view.judge_capacity(served, plan)?;
+    }
+    Ok(())
 }
 
 /// Judges whether too many other targets have failed to take the version.
@@ -123,6 +131,7 @@
 impl<'view> PeerView<'view> {
     fn judge_failures(&self) -> Result<(), HoldReason> {
         let failed = self
+            .plan
             .others()
             .filter(|target| self.has_failed(target))
             .count();
@@ -146,7 +155,10 @@
     }
 
     fn judge_crowd(&self) -> Result<(), HoldReason> {
-        let running = self.others().filter(|target| self.is_upgrading(target));
+        let running = self
+            .plan
+            .others()
+            .filter(|target| self.is_upgrading(target));
         let about_to = self
             .starting_mates()
             .filter(|target| !self.is_upgrading(target));
@@ -158,15 +170,15 @@
         }
     }
 
-    fn judge_capacity(&self) -> Result<(), HoldReason> {
-        let is_starting =
-            |target: &ids::TargetName| self.starting_mates().any(|mate| mate == target);
-        let serving = self
+    /// Judges whether enough other targets serve the model `served`.
+    fn judge_capacity(&self, served: &ids::ModelName, plan: &ModelPlan) -> Result<(), HoldReason> {
+        let starting: BTreeSet<&ids::TargetName> = self.starting_mates().collect();
+        let serving = plan
             .others()
-            .filter(|target| self.peers.is_serving(self.model, target))
-            .filter(|target| !is_starting(target))
+            .filter(|target| self.peers.is_serving(served, target))
+            .filter(|target| !starting.contains(target))
             .count();
-        let needed = self.plan.targets_needed();
+        let needed = plan.targets_needed();
 
         match serving < needed {
             true => Err(HoldReason::CapacityFloor { serving, needed }),
@@ -185,16 +197,11 @@
         })
     }
 
-    fn others(&self) -> impl Iterator<Item = &'view ids::TargetName> {
-        let own = self.plan.rank;
-        let ranking = self.plan.ranking.iter().enumerate();
-        ranking
-            .filter(move |(rank, _)| *rank != own)
-            .map(|(_, target)| target)
-    }
-
     fn count_done(&self) -> usize {
-        self.others().filter(|target| self.is_done(target)).count()
+        self.plan
+            .others()
+            .filter(|target| self.is_done(target))
+            .count()
     }
 
     fn is_done(&self, target: &ids::TargetName) -> bool {
--- a/crates/agent/src/upgrade/plan.rs
+++ b/crates/agent/src/upgrade/plan.rs
@@ -70,6 +70,15 @@
         }
     }
 
+    /// Returns the model's other targets, by rank.
+    pub fn others(&self) -> impl Iterator<Item = &ids::TargetName> {
+        let own = self.rank;
+        let ranked = self.ranking.iter().enumerate();
+        ranked
+            .filter(move |(rank, _)| *rank != own)
+            .map(|(_, target)| target)
+    }
+
     /// Returns how many targets must serve while this one does not.
     pub fn targets_needed(&self) -> usize {
         let share = self.capacity_floor * self.ranking.len() as f64;
--- a/crates/agent/src/upgrade/reducer.rs
+++ b/crates/agent/src/upgrade/reducer.rs
@@ -193,7 +193,7 @@
                 Some(_) | None => Ok(()),
             },
             RunKind::Upgrade => {
-                judge::judge_start(model, plan, &self.peers, wall)?;
+                judge::judge_start(model, plan, &self.plan.models, &self.peers, wall)?;
                 match failure {
                     Some(failure) if failure.day == self.window_day(model) => {
                         Err(HoldReason::OwnFailure)
