--- a/crates/standin/src/system/start.rs
+++ b/crates/standin/src/system/start.rs
@@ -7,7 +7,6 @@
 use kingcupfall_core::engine::FencingMode;
 use kingcupfall_core::ids;
 use kingcupfall_core::keys;
-use kingcupfall_core::time;
 use kingcupfall_document::acceptance;
 use kingcupfall_document::sections;
 use kingcupfall_gateway::reducer as gateway_reducer;
@@ -98,7 +97,7 @@
             });
         }
         for gateway in &self.gateways {
-            gateway.set_document(document_in_force(&self.acceptance));
+            gateway.set_document(self.acceptance.clone());
         }
     }
 
@@ -126,7 +125,7 @@
     pub fn add_gateway(&mut self) -> Result<()> {
         let setup = gateway_setup(self.gateways.len(), &self.secrets);
         let gateway = gateway::start(setup)?;
-        gateway.set_document(document_in_force(&self.acceptance));
+        gateway.set_document(self.acceptance.clone());
         self.gateways.push(gateway);
         Ok(())
     }
@@ -138,7 +137,7 @@
     /// [`super::SystemError::Gateway`].
     pub async fn spawn_gateway(&self) -> Result<GatewayThread> {
         let secrets = self.secrets.clone();
-        let document = document_in_force(&self.acceptance);
+        let document = self.acceptance.clone();
 
         let (thread, addresses) = process::SystemThread::spawn(move || async move {
             let gateway = gateway::start(gateway_setup(0, &secrets))?;
@@ -275,23 +274,6 @@
     }
 }
 
-fn document_in_force(acceptance: &acceptance::DocumentAcceptance) -> gateway::DocumentInForce {
-    let standing = |section: sections::SectionName| gateway::SectionStanding {
-        name: section.as_str().into(),
-        version: acceptance.in_force(section).map(|mark| mark.version),
-        accepted_at: time::Timestamp::ZERO,
-        findings: kingcupfall_core::findings::FindingList::default(),
-    };
-
-    gateway::DocumentInForce {
-        document: acceptance.document().clone(),
-        sections: sections::SectionName::ALL
-            .into_iter()
-            .map(standing)
-            .collect(),
-    }
-}
-
 fn zone(index: usize) -> ids::ZoneName {
     ZONES[index % ZONES.len()].parse().expect("a valid name")
 }
