Measure the delay that gateway and agent add to a token

Cause: the delay of the system's own hops was not known. Change: kingcupfall-bench latency streams from one engine directly and through a gateway side by side; every token must arrive once. Stand-ins run as subcommands of their own, and follow a file where they take the platform's place.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Bench that drives the real gateway and agent reducers over modelled engines in simulated time.
 
+pub mod latency;
 pub mod observer;
 pub mod policies;
 pub mod report;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use bpaf::Parser;
+use kingcupfall_bench::latency;
 use kingcupfall_bench::observer;
 use kingcupfall_bench::policies;
 use kingcupfall_bench::report;
@@ -21,6 +22,21 @@
 /// Value of `--policy` that stands for all sets.
 const ALL_POLICIES: &str = "all";
 
+/// Streams on each side of the latency measurement, unless the command says otherwise.
+const DEFAULT_STREAMS: usize = 8;
+
+/// Tokens of each of these streams, unless the command says otherwise.
+const DEFAULT_TOKENS: u64 = 500;
+
+/// What to measure.
+#[derive(Debug, Clone)]
+enum BenchCommand {
+    /// Policies in simulated time.
+    Run(RunArguments),
+    /// Delay of tokens over sockets.
+    Latency(latency::LatencyArguments),
+}
+
 /// Arguments of `run`.
 #[derive(Debug, Clone)]
 struct RunArguments {
@@ -30,8 +46,11 @@
 }
 
 fn main() -> ExitCode {
-    let arguments = arguments().run();
-    match run(&arguments) {
+    let result = match arguments().run() {
+        BenchCommand::Run(arguments) => run(&arguments),
+        BenchCommand::Latency(arguments) => latency::run(&arguments).map_err(Into::into),
+    };
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
@@ -40,7 +59,19 @@
     }
 }
 
-fn arguments() -> bpaf::OptionParser<RunArguments> {
+fn arguments() -> bpaf::OptionParser<BenchCommand> {
+    let run = run_arguments();
+    let latency = latency_arguments();
+
+    bpaf::construct!([run, latency])
+        .to_options()
+        .descr(
+            "Measures the decisions of kingcupfall in simulated time, and its delay over sockets",
+        )
+        .version(env!("CARGO_PKG_VERSION"))
+}
+
+fn run_arguments() -> impl Parser<BenchCommand> {
     let scenario = bpaf::long("scenario")
         .help("Scenario to run")
         .argument::<PathBuf>("FILE");
@@ -62,9 +93,35 @@
     run.to_options()
         .descr("Runs a scenario under one or all policies")
         .command("run")
+        .map(BenchCommand::Run)
+}
+
+fn latency_arguments() -> impl Parser<BenchCommand> {
+    let streams = bpaf::long("streams")
+        .help("Streams at a time, on each of the two sides")
+        .argument::<usize>("COUNT")
+        .fallback(DEFAULT_STREAMS)
+        .display_fallback();
+    let tokens = bpaf::long("tokens")
+        .help("Tokens of each stream")
+        .argument::<u64>("COUNT")
+        .fallback(DEFAULT_TOKENS)
+        .display_fallback();
+    let json = bpaf::long("json")
+        .help("Where the figures are written as JSON")
+        .argument::<PathBuf>("OUT")
+        .optional();
+    let arguments = bpaf::construct!(latency::LatencyArguments {
+        streams,
+        tokens,
+        json,
+    });
+
+    arguments
         .to_options()
-        .descr("Measures the decisions of kingcupfall in simulated time")
-        .version(env!("CARGO_PKG_VERSION"))
+        .descr("Measures the delay that gateway and agent add to a token, over loopback")
+        .command("latency")
+        .map(BenchCommand::Latency)
 }
 
 fn run(arguments: &RunArguments) -> Result<()> {
--- a/crates/standin/src/engine/core.rs
+++ b/crates/standin/src/engine/core.rs
@@ -6,6 +6,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use kingcupfall_agent::protocol;
 use kingcupfall_agent::shell::ShellClock;
@@ -52,9 +53,22 @@
     /// Number of the first event in `cache_events`.
     first_event: u64,
     samples: VecDeque<engine::EngineReport>,
+    /// Times of tokens, when they are recorded.
+    emissions: Option<Vec<TokenEmission>>,
     dead: bool,
 }
 
+/// When a token was given out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TokenEmission {
+    /// Stream of the token.
+    pub stream: ids::AttemptId,
+    /// Its place.
+    pub index: measures::Sequence,
+    /// When it was given to its connection.
+    pub at: Instant,
+}
+
 /// Why a generation is not taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum SubmitError {
@@ -80,6 +94,7 @@
             cache_events: VecDeque::new(),
             first_event: 0,
             samples: VecDeque::new(),
+            emissions: config.record_emissions.then(Vec::new),
             dead: false,
         };
 
@@ -214,6 +229,14 @@
         (!state.dead).then_some(body)
     }
 
+    /// Takes the times of the tokens that were recorded.
+    pub(super) fn take_emissions(&self) -> Vec<TokenEmission> {
+        match &mut self.lock().emissions {
+            Some(emissions) => std::mem::take(emissions),
+            None => Vec::new(),
+        }
+    }
+
     /// Breaks all streams, and takes nothing more.
     pub(super) fn kill(&self) {
         self.lock().die();
@@ -289,6 +312,7 @@
             match output {
                 EngineOutput::Token { attempt, index, .. } => {
                     let text = text::token_text(attempt, index);
+                    self.note_emission(attempt, index);
                     if !self.streams.give_token(attempt, index, text) {
                         self.model.cancel(attempt);
                         self.streams.cancel(attempt);
@@ -300,6 +324,13 @@
         }
     }
 
+    fn note_emission(&mut self, stream: ids::AttemptId, index: measures::Sequence) {
+        if let Some(emissions) = &mut self.emissions {
+            let at = Instant::now();
+            emissions.push(TokenEmission { stream, index, at });
+        }
+    }
+
     fn keep_event(&mut self, event: engine::CacheEvent) {
         self.cache_events.push_back(event);
         if self.cache_events.len() > CACHE_EVENT_LIMIT {
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -18,6 +18,7 @@
 use kingcupfall_core::measures;
 use kingcupfall_model::EngineProfile;
 
+pub use core::TokenEmission;
 pub use lengths::LengthSource;
 pub use streams::EngineCounters;
 
@@ -40,6 +41,8 @@
     pub report_lag: Duration,
     /// Text in a prompt that kills the engine.
     pub crash_marker: Option<Box<str>>,
+    /// Whether the time of each token is kept for [`EngineStandin::take_emissions`].
+    pub record_emissions: bool,
     /// Seed of lengths and of lost cache events.
     pub seed: u64,
 }
@@ -61,6 +64,7 @@
             lengths: LengthSource::Requested,
             report_lag: Duration::from_secs(1),
             crash_marker: None,
+            record_emissions: false,
             seed: 1,
         }
     }
@@ -116,6 +120,11 @@
         self.core.generated(stream)
     }
 
+    /// Takes the times at which tokens were given out so far.
+    pub fn take_emissions(&self) -> Vec<TokenEmission> {
+        self.core.take_emissions()
+    }
+
     /// Says whether it has not died.
     pub fn is_alive(&self) -> bool {
         self.core.health().is_some()
--- /dev/null
+++ b/crates/standin/src/files.rs
@@ -0,0 +1,103 @@
+//! Files that stand-ins of the platform follow.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path;
+use std::time::Duration;
+
+use kingcupfall_core::ids;
+use kingcupfall_document::sections;
+use kingcupfall_standin::configuration;
+use kingcupfall_standin::vms;
+use tokio::time;
+
+use super::Result;
+
+/// Time between two looks at a file.
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Publishes each section of the document that has changed, for ever.
+///
+/// # Errors
+///
+/// When the file can't be read at the start, or is no TOML then. Later such states are printed and
+/// passed over.
+pub async fn follow_document(
+    standin: &configuration::ConfigurationStandin,
+    file: &path::Path,
+) -> Result<()> {
+    let mut published = read_sections(file)?;
+    for (section, text) in &published {
+        standin.set_section(*section, text);
+    }
+
+    loop {
+        time::sleep(LOOK_INTERVAL).await;
+        match read_sections(file) {
+            Ok(texts) => {
+                for (section, text) in texts {
+                    if published.get(&section) != Some(&text) {
+                        let version = standin.set_section(section, &text);
+                        eprintln!("section {section}: version {version}");
+                        published.insert(section, text);
+                    }
+                }
+            }
+            Err(error) => eprintln!("{}: {error}", file.display()),
+        }
+    }
+}
+
+/// Publishes the list of VMs when it has changed, for ever.
+///
+/// # Errors
+///
+/// When the file can't be read at the start, or is not the expected JSON then.
+pub async fn follow_vms(standin: &vms::VmStandin, file: &path::Path) -> Result<()> {
+    let mut published = BTreeMap::new();
+    update_vms(standin, &mut published, read_vms(file)?);
+
+    loop {
+        time::sleep(LOOK_INTERVAL).await;
+        match read_vms(file) {
+            Ok(entries) => update_vms(standin, &mut published, entries),
+            Err(error) => eprintln!("{}: {error}", file.display()),
+        }
+    }
+}
+
+fn read_sections(file: &path::Path) -> Result<BTreeMap<sections::SectionName, String>> {
+    let text = fs::read_to_string(file)?;
+    let table: toml::Table = text.parse()?;
+
+    let mut texts = BTreeMap::new();
+    for (name, value) in table {
+        let section: sections::SectionName = name.parse()?;
+        let document = toml::Table::from_iter([(name, value)]);
+        texts.insert(section, toml::to_string(&document)?);
+    }
+    Ok(texts)
+}
+
+type VmMap = BTreeMap<ids::VmName, vms::VmEntry>;
+
+fn read_vms(file: &path::Path) -> Result<VmMap> {
+    let text = fs::read_to_string(file)?;
+    let snapshot: vms::VmSnapshot = serde_json::from_str(&text)?;
+    let entries = snapshot.vms.into_iter();
+    Ok(entries.map(|entry| (entry.name.clone(), entry)).collect())
+}
+
+fn update_vms(standin: &vms::VmStandin, published: &mut VmMap, entries: VmMap) {
+    for name in published.keys() {
+        if !entries.contains_key(name) {
+            standin.remove_vm(name);
+        }
+    }
+    for (name, entry) in &entries {
+        if published.get(name) != Some(entry) {
+            standin.set_vm(entry.clone());
+        }
+    }
+    *published = entries;
+}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,11 +1,26 @@
 //! Stand-ins of targets and platform, and a demonstration of the whole system.
 
 mod command;
+mod files;
 
+use std::error;
 use std::io;
+use std::net;
 use std::process;
+use std::result;
+use std::time::Duration;
 
+use kingcupfall_core::engine as core_engine;
+use kingcupfall_core::measures;
+use kingcupfall_standin::configuration;
 use kingcupfall_standin::demo;
+use kingcupfall_standin::engine;
+use kingcupfall_standin::service;
+use kingcupfall_standin::vms;
+use kingcupfall_standin::weights;
+
+/// Result of a command.
+type Result<T> = result::Result<T, Box<dyn error::Error>>;
 
 fn main() -> process::ExitCode {
     let command = command::parse().run();
@@ -22,11 +37,69 @@
     }
 }
 
-async fn run(command: command::StandinCommand) -> Result<(), Box<dyn std::error::Error>> {
+async fn run(command: command::StandinCommand) -> Result<()> {
     match command {
         command::StandinCommand::Demo { once } => {
-            demo::run(once, &mut io::stdout()).await?;
+            return Ok(demo::run(once, &mut io::stdout()).await?);
+        }
+        command::StandinCommand::Engine {
+            listen,
+            model,
+            ignore_fencing,
+        } => {
+            let config = engine_config(listen, &model, ignore_fencing)?;
+            announce(engine::EngineStandin::start(config)?.address());
+        }
+        command::StandinCommand::Service { listen } => {
+            announce(service::ServiceStandin::start(listen)?.address());
+        }
+        command::StandinCommand::Configuration { listen, document } => {
+            let standin = configuration::ConfigurationStandin::start(listen)?;
+            announce(standin.address());
+            return files::follow_document(&standin, &document).await;
+        }
+        command::StandinCommand::Vms {
+            listen,
+            vms,
+            lag_ms,
+        } => {
+            let standin = vms::VmStandin::start(listen, Duration::from_millis(lag_ms))?;
+            announce(standin.address());
+            return files::follow_vms(&standin, &vms).await;
+        }
+        command::StandinCommand::Weights {
+            listen,
+            size,
+            rate,
+            downloads,
+        } => {
+            let config = weights::WeightConfig {
+                listen,
+                size: measures::ByteSize::new(size),
+                bytes_per_s: rate,
+                downloads,
+            };
+            announce(weights::WeightStandin::start(config)?.address());
         }
     }
+
+    tokio::signal::ctrl_c().await?;
     Ok(())
 }
+
+fn engine_config(
+    listen: net::SocketAddr,
+    model: &str,
+    ignore_fencing: bool,
+) -> Result<engine::EngineConfig> {
+    let mut config = engine::EngineConfig::on_loopback(&model.parse()?);
+    config.listen = listen;
+    if ignore_fencing {
+        config.fencing = core_engine::FencingMode::Ignored;
+    }
+    Ok(config)
+}
+
+fn announce(address: net::SocketAddr) {
+    println!("http://{address}");
+}
