Add kingcupfall-ctl, and measure streams apart from whole answers

Cause: operators had no command line; the stall of a whole answer was its whole length. Change: status, explain, dry-run and check, as tables and as JSON; first tokens and stalls are measured for streams alone, and the length of every answer in a histogram of its own. Conclusion: a document is checked without a gateway, and a gateway is asked without curl.

--- /dev/null
+++ b/crates/ctl/tests/commands.rs
@@ -0,0 +1,161 @@
+//! Commands and what they print.
+
+use std::path;
+
+use kingcupfall_core::findings;
+use kingcupfall_core::ids;
+use kingcupfall_core::measures;
+use kingcupfall_ctl::command;
+use kingcupfall_ctl::run;
+use kingcupfall_ctl::show;
+use kingcupfall_document::sections;
+use kingcupfall_gateway::administration;
+
+#[yare::parameterized(
+    right = { "right", false, 0 },
+    wrong = { "wrong", false, 2 },
+    wrong_json = { "wrong", true, 2 },
+    no_toml = { "no_toml", false, 2 },
+)]
+#[test_macro(ntex::test)]
+async fn check_reports(name: &str, json: bool, status: u8) {
+    let document = text_file(name);
+
+    let output = run::run(command::CtlCommand::Check { json, document })
+        .await
+        .unwrap();
+
+    assert_eq!(output.status, status);
+    insta::assert_snapshot!(format!("check_{name}_json_{json}"), output.text);
+}
+
+#[ntex::test]
+async fn check_missing_file_fails() {
+    let document = text_file("absent");
+
+    let result = run::run(command::CtlCommand::Check {
+        json: false,
+        document,
+    })
+    .await;
+
+    assert!(matches!(result, Err(run::RunError::File(_, _))));
+}
+
+#[yare::parameterized(
+    status = { &["status", "--gateway", "127.0.0.1:1", "--key", "k", "--json"], true },
+    explain = {
+        &["explain", "--gateway", "127.0.0.1:1", "--key", "k", "--model", "m", "--organisation", "o"],
+        true
+    },
+    dry_run = { &["dry-run", "--gateway", "127.0.0.1:1", "--key", "k", "models", "f.toml"], true },
+    check = { &["check", "d.toml"], true },
+    unknown_section = {
+        &["dry-run", "--gateway", "127.0.0.1:1", "--key", "k", "colours", "f.toml"],
+        false
+    },
+    host_name = { &["status", "--gateway", "gateway:1", "--key", "k"], false },
+    no_command = { &[], false },
+)]
+fn command_line_parses(arguments: &[&str], is_right: bool) {
+    let parsed = command::parse().run_inner(arguments);
+
+    assert_eq!(parsed.is_ok(), is_right, "{parsed:?}");
+}
+
+#[test]
+fn status_shows_tables() {
+    insta::assert_snapshot!(show::show_status(&status()));
+}
+
+#[test]
+fn explain_shows_costs_and_obstacles() {
+    let report = administration::ExplainReport {
+        wanted: "report".into(),
+        organisation: "exaustao".parse().unwrap(),
+        class: "report".parse().unwrap(),
+        priority: measures::Priority::new(5),
+        targets: vec![
+            administration::StandingReport {
+                target: "engine-1".parse().unwrap(),
+                obstacle: None,
+                cost_s: Some(0.25),
+                reason: Some("queue 0.2 s, other zone 0.05 s".into()),
+            },
+            administration::StandingReport {
+                target: "engine-2".parse().unwrap(),
+                obstacle: Some(administration::ObstacleReport::Silent),
+                cost_s: None,
+                reason: None,
+            },
+        ],
+    };
+
+    insta::assert_snapshot!(show::show_explain(&report));
+}
+
+fn status() -> show::StatusReport {
+    let mut findings = findings::FindingList::default();
+    findings.push(findings::InputFinding {
+        path: "models.report.version".into(),
+        position: Some(findings::TextPosition {
+            line: 2,
+            column: 11,
+        }),
+        message: "must be a text".into(),
+    });
+    show::StatusReport {
+        sections: vec![administration::SectionReport {
+            section: sections::SectionName::Models,
+            version: Some(measures::SectionVersion::new(41)),
+            hash: None,
+            age_s: Some(3_600),
+            held: None,
+            rejected: Some(measures::SectionVersion::new(42)),
+            awaited: Some(measures::SectionVersion::new(43)),
+            conflict: true,
+            findings,
+            dangling: findings::FindingList::default(),
+        }],
+        targets: vec![target("engine-1", None), target("engine-22", leaving())],
+        quarantine: vec![administration::QuarantineReport {
+            fingerprint: "00000000000000ff".into(),
+            crashes: 2,
+            quarantined: true,
+            seconds_left: 540,
+        }],
+    }
+}
+
+fn target(
+    name: &str,
+    obstacle: Option<administration::ObstacleReport>,
+) -> administration::TargetReport {
+    administration::TargetReport {
+        target: name.parse().unwrap(),
+        zone: "south-a".parse().unwrap(),
+        serves: vec!["report".into(), "tag".into()],
+        link: administration::LinkReport::Open,
+        obstacle,
+        silent_ms: 120,
+        incarnation: Some(ids::Incarnation::from_u128(7)),
+        in_flight: 3,
+        load: administration::LoadReport {
+            running: 12,
+            paused: 1,
+            queued: 4,
+            memory_used: measures::TokenCount::new(51_000),
+            memory_total: measures::TokenCount::new(60_000),
+            queue_delay_ms: 800,
+        },
+    }
+}
+
+fn leaving() -> Option<administration::ObstacleReport> {
+    Some(administration::ObstacleReport::Leaving)
+}
+
+fn text_file(name: &str) -> path::PathBuf {
+    let folder = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/texts");
+    folder.join(format!("{name}.toml"))
+}
--- a/crates/telemetry/src/calls/meter.rs
+++ b/crates/telemetry/src/calls/meter.rs
@@ -24,10 +24,16 @@
 pub struct CallMeter {
     metrics: CallMetrics,
     labels: labels::CallerLabels,
+    started_at: time::Timestamp,
+    stream: Option<StreamMeter>,
+}
+
+/// The part of a meter that a streamed call has from its first token on.
+#[derive(Debug)]
+struct StreamMeter {
     gap: histogram::Histogram,
     tokens: counter::Counter,
-    started_at: time::Timestamp,
-    last_token_at: Option<time::Timestamp>,
+    last_token_at: time::Timestamp,
     stalled: Duration,
 }
 
@@ -38,43 +44,39 @@
         now: time::Timestamp,
     ) -> Self {
         Self {
-            gap: metrics.gap(&labels),
-            tokens: metrics.tokens(&labels),
             metrics,
             labels,
             started_at: now,
-            last_token_at: None,
-            stalled: Duration::ZERO,
+            stream: None,
         }
     }
 
-    /// Notes that `count` tokens came at `now`.
+    /// Notes that `count` tokens of a stream came at `now`.
     ///
     /// Tokens that come together count as one arrival.
     pub fn record_tokens(&mut self, now: time::Timestamp, count: usize) {
-        self.tokens.inc_by(count as u64);
-        match self.last_token_at.replace(now) {
-            Some(last) => {
-                let gap = now.since(last);
-                self.gap.observe(gap.as_secs_f64());
-                self.stalled += gap.saturating_sub(GAP_ALLOWANCE);
-            }
-            None => self.record_first(now),
+        match &mut self.stream {
+            Some(stream) => stream.record_gap(now),
+            None => self.stream = Some(self.start_stream(now)),
+        }
+        if let Some(stream) = &self.stream {
+            stream.tokens.inc_by(count as u64);
         }
     }
 
-    /// Notes the end of the call at `now`. A whole answer counts as its own first token.
-    pub fn finish(mut self, now: time::Timestamp, outcome: work::CallOutcome) {
-        let is_completed = match outcome {
-            work::CallOutcome::Completed => true,
-            work::CallOutcome::NotRun | work::CallOutcome::Unknown => false,
-        };
-        if is_completed && self.last_token_at.is_none() {
-            self.record_first(now);
-        }
-        if is_completed || self.last_token_at.is_some() {
+    /// Notes the end of the call at `now`.
+    pub fn finish(self, now: time::Timestamp, outcome: work::CallOutcome) {
+        if let Some(stream) = &self.stream {
             let stall = self.metrics.stall(&self.labels);
-            stall.observe(self.stalled.as_secs_f64());
+            stall.observe(stream.stalled.as_secs_f64());
+        }
+        match outcome {
+            work::CallOutcome::Completed => {
+                let wait = now.since(self.started_at);
+                let answer = self.metrics.answer(&self.labels);
+                answer.observe(wait.as_secs_f64());
+            }
+            work::CallOutcome::NotRun | work::CallOutcome::Unknown => {}
         }
         self.metrics.record_end(&self.labels, &outcome.to_string());
     }
@@ -84,11 +86,25 @@
         self.metrics.record_end(&self.labels, CALLER_GONE);
     }
 
-    fn record_first(&mut self, now: time::Timestamp) {
+    fn start_stream(&self, now: time::Timestamp) -> StreamMeter {
         let wait = now.since(self.started_at);
-        self.metrics
-            .first_token(&self.labels)
-            .observe(wait.as_secs_f64());
-        self.stalled += wait.saturating_sub(FIRST_TOKEN_ALLOWANCE);
+        let first_token = self.metrics.first_token(&self.labels);
+        first_token.observe(wait.as_secs_f64());
+
+        StreamMeter {
+            gap: self.metrics.gap(&self.labels),
+            tokens: self.metrics.tokens(&self.labels),
+            last_token_at: now,
+            stalled: wait.saturating_sub(FIRST_TOKEN_ALLOWANCE),
+        }
+    }
+}
+
+impl StreamMeter {
+    fn record_gap(&mut self, now: time::Timestamp) {
+        let gap = now.since(self.last_token_at);
+        self.last_token_at = now;
+        self.gap.observe(gap.as_secs_f64());
+        self.stalled += gap.saturating_sub(GAP_ALLOWANCE);
     }
 }
--- a/crates/telemetry/src/calls/metrics.rs
+++ b/crates/telemetry/src/calls/metrics.rs
@@ -47,6 +47,7 @@
     first_token: HistogramFamily,
     gap: HistogramFamily,
     stall: HistogramFamily,
+    answer: HistogramFamily,
     tokens: family::Family<labels::CallerLabels, counter::Counter>,
     ended: family::Family<OutcomeLabels, counter::Counter>,
     problems: family::Family<CodeLabels, counter::Counter>,
@@ -59,6 +60,7 @@
             first_token: family::Family::new_with_constructor(wait_histogram),
             gap: family::Family::new_with_constructor(gap_histogram),
             stall: family::Family::new_with_constructor(wait_histogram),
+            answer: family::Family::new_with_constructor(wait_histogram),
             tokens: family::Family::default(),
             ended: family::Family::default(),
             problems: family::Family::default(),
@@ -66,7 +68,7 @@
 
         registry.register(
             "first_token_seconds",
-            "Time from a call to its first token or whole answer",
+            "Time from a streamed call to its first token",
             metrics.first_token.clone(),
         );
         registry.register(
@@ -79,6 +81,11 @@
             "Time that one stream stood still beyond what is allowed, at its end",
             metrics.stall.clone(),
         );
+        registry.register(
+            "answer_seconds",
+            "Time from a call to the end of its answer, streamed or whole",
+            metrics.answer.clone(),
+        );
         registry.register(
             "tokens",
             "Tokens given to callers' connections",
@@ -118,6 +125,11 @@
         self.stall.get_or_create_owned(labels)
     }
 
+    /// Returns the histogram of whole answers.
+    pub(super) fn answer(&self, labels: &labels::CallerLabels) -> histogram::Histogram {
+        self.answer.get_or_create_owned(labels)
+    }
+
     /// Returns the counter of tokens.
     pub(super) fn tokens(&self, labels: &labels::CallerLabels) -> counter::Counter {
         self.tokens.get_or_create_owned(labels)
