--- a/crates/fleet/tests/properties.rs
+++ b/crates/fleet/tests/properties.rs
@@ -235,7 +235,7 @@
 }
 
 proptest! {
-    #![proptest_config(fixed_config(200, 11))]
+    #![proptest_config(fixed_config(60, 11))]
 
     #[test]
     fn history_with_faults_settles(
@@ -251,7 +251,7 @@
 }
 
 proptest! {
-    #![proptest_config(fixed_config(50, 12))]
+    #![proptest_config(fixed_config(25, 12))]
 
     #[test]
     fn history_with_loss_settles(
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test binary uses a part of this module")]
 
 pub mod link;
+pub mod system;
 
 use std::time::Duration;
 
@@ -59,6 +60,7 @@
         target: target.parse().unwrap(),
         zone: "a".parse().unwrap(),
         listen: "127.0.0.1:0".parse().unwrap(),
+        administration: "127.0.0.1:0".parse().unwrap(),
         exclusion: None,
         link_key: link_key(),
         address,
