--- a/crates/gateway/src/shell/callers/mod.rs
+++ b/crates/gateway/src/shell/callers/mod.rs
@@ -32,12 +32,17 @@
             web::resource("/v1/services/{service}/{path}*")
                 .route(web::post().to(services::post_service))
                 .default_service(web::to(refuse_method)),
-        )
-        .service(
-            web::resource("/healthz")
-                .route(web::get().to(health::get_health))
-                .default_service(web::to(refuse_method)),
         );
+    add_health(config);
+}
+
+/// Adds the health endpoint to an application.
+pub fn add_health(config: &mut web::ServiceConfig) {
+    config.service(
+        web::resource("/healthz")
+            .route(web::get().to(health::get_health))
+            .default_service(web::to(refuse_method)),
+    );
 }
 
 /// Answers a request for which there is no endpoint.
--- a/crates/gateway/src/shell/callers/respond.rs
+++ b/crates/gateway/src/shell/callers/respond.rs
@@ -54,6 +54,8 @@
     }
     if status == http::StatusCode::UNAUTHORIZED {
         builder.set_header("www-authenticate", "Bearer");
+        // The body has not been read; a stranger's is not waited for.
+        builder.force_close();
     }
 
     builder.content_type(PROBLEM_TYPE).body(json_text(problem))
--- a/crates/gateway/src/shell/server.rs
+++ b/crates/gateway/src/shell/server.rs
@@ -93,6 +93,7 @@
             .state(context.clone())
             .state(administration::AdministrationKey::new(key))
             .configure(administration::add_routes)
+            .configure(callers::add_health)
             .default_service(web::to(administration::refuse_path))
     };
 
--- a/crates/gateway/tests/http/administration.rs
+++ b/crates/gateway/tests/http/administration.rs
@@ -112,3 +112,15 @@
         assert!(text.contains(line), "no {line} in {text}");
     }
 }
+
+#[ntex::test]
+async fn health_served_beside_metrics() {
+    let system = system::TestSystem::start(system::SystemOptions::default()).await;
+
+    let healthy = system.ask("/healthz").await;
+    system.gateway.stop();
+    let stopping = system.ask("/healthz").await;
+
+    assert_eq!(healthy.status(), "200");
+    assert_eq!(stopping.status(), "503");
+}
