Show the fleet to operators, and send callers of a starting gateway elsewhere

Cause: a gateway without a document told right callers that their keys were wrong; the connection of a request with an unread body closed or not by the order of two threads. Change: 503 gateway_starting and an unready health endpoint until section organisations is in force; requests refused before their body is read close their connection; the fleet's view in the administration API, the metrics and kingcupfall-ctl status. Conclusion: a fresh VM refuses nobody for good.

--- a/crates/ctl/src/client/mod.rs
+++ b/crates/ctl/src/client/mod.rs
@@ -83,6 +83,15 @@
         self.get("/v1/quarantine").await
     }
 
+    /// Returns the gateway's view of its fleet, when it is a member of one.
+    ///
+    /// # Errors
+    ///
+    /// Any [`ClientError`].
+    pub async fn fleet(&self) -> Result<Option<administration::FleetReport>> {
+        self.get("/v1/fleet").await
+    }
+
     /// Returns how the targets stand for a caller's work.
     ///
     /// # Errors
--- a/crates/ctl/src/run/mod.rs
+++ b/crates/ctl/src/run/mod.rs
@@ -70,6 +70,7 @@
         sections: client.sections().await?,
         targets: client.targets().await?,
         quarantine: client.quarantine().await?,
+        fleet: client.fleet().await?,
     };
     Ok(output(options.json, &status, show::show_status(&status), 0))
 }
--- a/crates/ctl/src/show/mod.rs
+++ b/crates/ctl/src/show/mod.rs
@@ -20,6 +20,8 @@
     pub targets: Vec<administration::TargetReport>,
     /// Suspected and quarantined requests.
     pub quarantine: Vec<administration::QuarantineReport>,
+    /// View of the fleet, when the gateway is a member of one.
+    pub fleet: Option<administration::FleetReport>,
 }
 
 /// Writes a status.
@@ -27,7 +29,8 @@
     let sections = show_sections(&status.sections);
     let targets = show_targets(&status.targets);
     let quarantine = show_quarantine(&status.quarantine);
-    format!("{sections}\n{targets}\n{quarantine}")
+    let fleet = show_fleet(status.fleet.as_ref());
+    format!("{sections}\n{targets}\n{quarantine}\n{fleet}")
 }
 
 /// Writes an explanation.
@@ -143,6 +146,45 @@
     table.render()
 }
 
+fn show_fleet(fleet: Option<&administration::FleetReport>) -> String {
+    let Some(fleet) = fleet else {
+        return "no member of a fleet\n".into();
+    };
+    let mut table = table::TextTable::new(&["FLEET", ""]);
+    let gateways = format!("{} serve, {} listed", fleet.zone_live, fleet.zone_listed);
+    let calls = format!(
+        "{} calls, {} failed, {} stale",
+        fleet.service_calls, fleet.failed_readings, fleet.stale_readings
+    );
+    let lost: Vec<String> = fleet.lost.iter().map(|vm| vm.to_string()).collect();
+    let rows = [
+        (
+            "document confirmed by peers",
+            yes_or_no(fleet.is_confirmed).into(),
+        ),
+        ("reads for its zone", yes_or_no(fleet.is_reader).into()),
+        ("other gateways of the zone", gateways),
+        (
+            "gateways lost",
+            or_nothing(Some(lost.join(",")).filter(|text| !text.is_empty())),
+        ),
+        ("VMs leaving", fleet.departures.to_string()),
+        ("links", fleet.active_links.to_string()),
+        ("configuration service", calls),
+    ];
+    for (name, value) in rows {
+        table.push(vec![name.into(), value]);
+    }
+    table.render()
+}
+
+fn yes_or_no(value: bool) -> &'static str {
+    match value {
+        true => "yes",
+        false => "no",
+    }
+}
+
 fn condition(obstacle: Option<administration::ObstacleReport>) -> &'static str {
     match obstacle {
         None => "ready",
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -124,6 +124,18 @@
             quarantined: true,
             seconds_left: 540,
         }],
+        fleet: Some(administration::FleetReport {
+            is_confirmed: true,
+            is_reader: false,
+            zone_live: 2,
+            zone_listed: 3,
+            lost: vec!["vm-3".parse().unwrap()],
+            departures: 1,
+            active_links: 8,
+            service_calls: 120,
+            failed_readings: 4,
+            stale_readings: 1,
+        }),
     }
 }
 
--- a/crates/gateway/src/administration/mod.rs
+++ b/crates/gateway/src/administration/mod.rs
@@ -14,6 +14,7 @@
 pub use query::answer_query;
 pub use report::DryRunReport;
 pub use report::ExplainReport;
+pub use report::FleetReport;
 pub use report::LinkReport;
 pub use report::LoadReport;
 pub use report::ObstacleReport;
--- a/crates/gateway/src/administration/report.rs
+++ b/crates/gateway/src/administration/report.rs
@@ -9,6 +9,7 @@
 use kingcupfall_core::time;
 use kingcupfall_document::acceptance;
 use kingcupfall_document::sections;
+use kingcupfall_fleet::reducer as fleet;
 use kingcupfall_policy::quarantine;
 use serde::Deserialize;
 use serde::Serialize;
@@ -237,6 +238,48 @@
     }
 }
 
+/// A gateway's view of its fleet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetReport {
+    /// Whether the gateway has asked its peers which document is in force.
+    pub is_confirmed: bool,
+    /// Whether it reads the configuration service for its zone.
+    pub is_reader: bool,
+    /// Gateways of its zone that serve, but itself.
+    pub zone_live: usize,
+    /// Gateways of its zone that the VM list names.
+    pub zone_listed: usize,
+    /// Gateways that are suspect or dead.
+    pub lost: Vec<ids::VmName>,
+    /// VMs known to leave.
+    pub departures: usize,
+    /// Links on which heartbeats travel.
+    pub active_links: usize,
+    /// Calls at the configuration service.
+    pub service_calls: u64,
+    /// Calls of them that failed.
+    pub failed_readings: u64,
+    /// Answers of them that were older than one before.
+    pub stale_readings: u64,
+}
+
+impl From<fleet::FleetStatus> for FleetReport {
+    fn from(status: fleet::FleetStatus) -> Self {
+        Self {
+            is_confirmed: status.is_confirmed,
+            is_reader: status.is_reader,
+            zone_live: status.zone_live,
+            zone_listed: status.zone_listed,
+            lost: status.lost,
+            departures: status.departures,
+            active_links: status.active_links,
+            service_calls: status.counters.service_calls,
+            failed_readings: status.counters.failed_readings,
+            stale_readings: status.counters.stale_readings,
+        }
+    }
+}
+
 /// Answer to `POST /v1/dry-run`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DryRunReport {
--- a/crates/gateway/src/administration/server.rs
+++ b/crates/gateway/src/administration/server.rs
@@ -39,6 +39,7 @@
         .service(web::resource("/v1/targets").route(web::get().to(get_targets)))
         .service(web::resource("/v1/explain").route(web::get().to(get_explain)))
         .service(web::resource("/v1/quarantine").route(web::get().to(get_quarantine)))
+        .service(web::resource("/v1/fleet").route(web::get().to(get_fleet)))
         .service(web::resource("/v1/dry-run").route(web::post().to(post_dry_run)))
         .service(web::resource("/metrics").route(web::get().to(get_metrics)));
 }
@@ -81,6 +82,14 @@
     respond::response(list_quarantine(&request, &context, &key).await)
 }
 
+async fn get_fleet(
+    request: web::HttpRequest,
+    context: ContextState,
+    key: KeyState,
+) -> web::HttpResponse {
+    respond::response(show_fleet(&request, &context, &key).await)
+}
+
 async fn post_dry_run(
     request: web::HttpRequest,
     body: util::Bytes,
@@ -97,12 +106,15 @@
         Some(StateAnswer::Targets(_) | StateAnswer::Explain(_) | StateAnswer::Quarantine(_))
         | None => return respond::response(Err::<(), _>(ending())),
     };
-    let text = context.metrics().encode(
-        context.now(),
-        &gauges,
-        context.open_calls(),
-        &context.document(),
-    );
+    let fleet = context.fleet_status().await;
+    let observed = shell::ObservedState {
+        now: context.now(),
+        gauges: &gauges,
+        open_calls: context.open_calls(),
+        document: &context.document(),
+        fleet: fleet.as_ref(),
+    };
+    let text = context.metrics().encode(&observed);
     web::HttpResponse::Ok()
         .content_type(registry::CONTENT_TYPE)
         .body(text)
@@ -169,6 +181,16 @@
     }
 }
 
+async fn show_fleet(
+    request: &web::HttpRequest,
+    context: &shell::ServerContext,
+    key: &respond::AdministrationKey,
+) -> Result<Option<report::FleetReport>> {
+    key.check(request)?;
+    let status = context.fleet_status().await;
+    Ok(status.map(report::FleetReport::from))
+}
+
 fn try_section(
     request: &web::HttpRequest,
     body: &[u8],
--- a/crates/gateway/src/intake/problem.rs
+++ b/crates/gateway/src/intake/problem.rs
@@ -39,6 +39,8 @@
     KeyMismatch,
     /// The gateway has as many calls in progress as it takes.
     GatewayBusy,
+    /// The gateway has no document yet.
+    GatewayStarting,
     /// The gateway ends.
     GatewayStopping,
 }
@@ -58,10 +60,32 @@
             Self::InvalidKey => "invalid_key",
             Self::KeyMismatch => "key_mismatch",
             Self::GatewayBusy => "gateway_busy",
+            Self::GatewayStarting => "gateway_starting",
             Self::GatewayStopping => "gateway_stopping",
         }
     }
 
+    /// Says whether the request was refused before its body was read.
+    ///
+    /// What follows on its connection can't be told from the rest of the body.
+    pub const fn leaves_body_unread(self) -> bool {
+        match self {
+            Self::Unauthorized
+            | Self::BodyTooLarge
+            | Self::BodyTimeout
+            | Self::UnknownPath
+            | Self::MethodNotAllowed
+            | Self::GatewayBusy
+            | Self::GatewayStarting
+            | Self::GatewayStopping => true,
+            Self::InvalidRequest
+            | Self::UnknownModel
+            | Self::UnknownService
+            | Self::InvalidKey
+            | Self::KeyMismatch => false,
+        }
+    }
+
     /// Returns the HTTP status.
     pub const fn status(self) -> u16 {
         match self {
@@ -72,7 +96,7 @@
             Self::BodyTimeout => 408,
             Self::BodyTooLarge => 413,
             Self::KeyMismatch => 422,
-            Self::GatewayBusy | Self::GatewayStopping => 503,
+            Self::GatewayBusy | Self::GatewayStarting | Self::GatewayStopping => 503,
         }
     }
 }
@@ -98,6 +122,9 @@
     pub retry_after: Option<Duration>,
     /// Key under which the call ran or may have run.
     pub idempotency_key: Option<Box<str>>,
+    /// Whether the connection must close, since the body was not read.
+    #[serde(skip)]
+    pub closes_connection: bool,
     /// Everything that is wrong with the body.
     #[serde(skip_serializing_if = "findings::FindingList::is_empty")]
     pub findings: findings::FindingList,
@@ -114,6 +141,7 @@
             detail: detail.into(),
             retry_after: None,
             idempotency_key: None,
+            closes_connection: code.leaves_body_unread(),
             findings: findings::FindingList::default(),
         }
     }
@@ -144,6 +172,7 @@
                 .key
                 .as_ref()
                 .map(|key| signing_key.write(key, organisation)),
+            closes_connection: false,
             findings: findings::FindingList::default(),
         }
     }
--- a/crates/gateway/src/shell/callers/generations.rs
+++ b/crates/gateway/src/shell/callers/generations.rs
@@ -7,6 +7,7 @@
 use ntex::web;
 use serde::Serialize;
 
+use super::admission;
 use super::body;
 use super::context;
 use super::respond;
@@ -57,22 +58,19 @@
     context: &context::ServerContext,
 ) -> intake::Result<web::HttpResponse> {
     let head = respond::request_head(request);
-    let document = context.document();
-    let caller = intake::authenticate(document.document(), &head)?;
-    let Some(slot) = context.take_slot() else {
-        return Ok(respond::busy_response(context, head.refusal_outcome()));
-    };
+    let admitted = admission::admit(context, &head)?;
     let outcome = head.refusal_outcome();
     let body = body::read_body(context, request, payload, outcome).await?;
 
     let call = context.next_call();
-    let intake_context = context.intake(document.document());
-    let call_request = intake::read_generation(&intake_context, &caller, &head, call, &body)?;
+    let intake_context = context.intake(admitted.document.document());
+    let call_request =
+        intake::read_generation(&intake_context, &admitted.caller, &head, call, &body)?;
     let is_stream = call_request.stream;
     let event = reducer::GatewayEvent::Call(Box::new(call_request));
-    let session = context.open_call(slot, call, event);
+    let session = context.open_call(admitted.slot, call, event);
 
-    let organisation = caller.organisation;
+    let organisation = admitted.caller.organisation;
     Ok(match is_stream {
         true => stream::stream_response(context, request, organisation, session).await,
         false => whole_response(context, &organisation, session).await,
@@ -94,19 +92,15 @@
     context: &context::ServerContext,
 ) -> intake::Result<web::HttpResponse> {
     let head = respond::request_head(request);
-    let document = context.document();
-    let caller = intake::authenticate(document.document(), &head)?;
-    let Some(slot) = context.take_slot() else {
-        return Ok(respond::busy_response(context, head.refusal_outcome()));
-    };
+    let admitted = admission::admit(context, &head)?;
 
     let call = context.next_call();
-    let intake_context = context.intake(document.document());
-    let resume = intake::read_resume(&intake_context, &caller, &head, call)?;
+    let intake_context = context.intake(admitted.document.document());
+    let resume = intake::read_resume(&intake_context, &admitted.caller, &head, call)?;
     let event = reducer::GatewayEvent::Resume(Box::new(resume));
-    let session = context.open_call(slot, call, event);
+    let session = context.open_call(admitted.slot, call, event);
 
-    Ok(stream::stream_response(context, request, caller.organisation, session).await)
+    Ok(stream::stream_response(context, request, admitted.caller.organisation, session).await)
 }
 
 async fn whole_response(
--- a/crates/gateway/src/shell/callers/health.rs
+++ b/crates/gateway/src/shell/callers/health.rs
@@ -13,11 +13,12 @@
     status: &'static str,
 }
 
-/// Answers 200 while new calls are welcome, and 503 from the moment the gateway stops.
+/// Answers 200 while new calls are welcome: there is a document, and the gateway does not stop.
 pub async fn get_health(context: web::types::State<context::ServerContext>) -> web::HttpResponse {
-    let (status, text) = match context.is_stopping() {
-        false => (http::StatusCode::OK, "serving"),
-        true => (http::StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+    let (status, text) = match (context.is_stopping(), context.document().is_ready()) {
+        (true, _) => (http::StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+        (false, false) => (http::StatusCode::SERVICE_UNAVAILABLE, "starting"),
+        (false, true) => (http::StatusCode::OK, "serving"),
     };
     let mut builder = web::HttpResponse::build(status);
     if context.is_stopping() {
--- a/crates/gateway/src/shell/callers/keys.rs
+++ b/crates/gateway/src/shell/callers/keys.rs
@@ -6,6 +6,7 @@
 use ntex::web;
 use serde::Serialize;
 
+use super::admission;
 use super::body;
 use super::context;
 use super::respond;
@@ -40,24 +41,22 @@
     context: &context::ServerContext,
 ) -> intake::Result<web::HttpResponse> {
     let head = respond::request_head(request);
-    let document = context.document();
-    let caller = intake::authenticate(document.document(), &head)?;
-    let Some(slot) = context.take_slot() else {
-        return Ok(respond::busy_response(context, head.refusal_outcome()));
-    };
+    let admitted = admission::admit(context, &head)?;
     let outcome = head.refusal_outcome();
     let body = body::read_body(context, request, payload, outcome).await?;
 
     let call = context.next_call();
-    let intake_context = context.intake(document.document());
-    let wish = intake::read_key_request(&intake_context, &caller, &head, call, &body)?;
+    let intake_context = context.intake(admitted.document.document());
+    let wish = intake::read_key_request(&intake_context, &admitted.caller, &head, call, &body)?;
     let service = wish.service.clone();
     let event = reducer::GatewayEvent::IssueKey(Box::new(wish));
-    let mut session = context.open_call(slot, call, event);
+    let mut session = context.open_call(admitted.slot, call, event);
 
     Ok(match session.next().await {
         Some(reducer::CallReply::Key(key)) => {
-            let text = context.signing_key().write(&key, &caller.organisation);
+            let text = context
+                .signing_key()
+                .write(&key, &admitted.caller.organisation);
             let answer = KeyAnswer {
                 idempotency_key: &text,
                 service: &service,
@@ -66,7 +65,7 @@
             respond::json_response(context, http::StatusCode::CREATED, &answer)
         }
         Some(reducer::CallReply::Problem(problem)) => {
-            respond::call_problem_response(context, &caller.organisation, &problem)
+            respond::call_problem_response(context, &admitted.caller.organisation, &problem)
         }
         Some(
             reducer::CallReply::Tokens(_)
--- a/crates/gateway/src/shell/callers/mod.rs
+++ b/crates/gateway/src/shell/callers/mod.rs
@@ -1,5 +1,6 @@
 //! The callers' HTTP API.
 
+mod admission;
 mod body;
 mod generations;
 mod health;
@@ -11,6 +12,7 @@
 use ntex::web;
 
 use super::context;
+use super::document;
 use super::session;
 use crate::intake;
 
--- a/crates/gateway/src/shell/callers/respond.rs
+++ b/crates/gateway/src/shell/callers/respond.rs
@@ -24,9 +24,6 @@
 const PROBLEM_TYPE: &str = "application/problem+json";
 const JSON_TYPE: &str = "application/json";
 
-/// Wait that callers are told when the gateway can take no more calls.
-const BUSY_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Returns the headers of a request that matter.
 pub fn request_head(request: &web::HttpRequest) -> intake::RequestHead<'_> {
     intake::RequestHead {
@@ -54,7 +51,8 @@
     }
     if status == http::StatusCode::UNAUTHORIZED {
         builder.set_header("www-authenticate", "Bearer");
-        // The body has not been read; a stranger's is not waited for.
+    }
+    if problem.closes_connection {
         builder.force_close();
     }
 
@@ -81,18 +79,6 @@
     problem_response(context, &problem)
 }
 
-/// Makes the response to a call beyond those that the gateway takes.
-pub fn busy_response(
-    context: &context::ServerContext,
-    outcome: work::CallOutcome,
-) -> web::HttpResponse {
-    let code = intake::IntakeCode::GatewayBusy;
-    let detail = "the gateway has as many calls in progress as it takes";
-    let problem =
-        intake::ProblemDetails::new(code, outcome, detail).with_retry_after(BUSY_RETRY_AFTER);
-    problem_response(context, &problem)
-}
-
 /// Makes a JSON response.
 pub fn json_response(
     context: &context::ServerContext,
--- a/crates/gateway/src/shell/callers/services.rs
+++ b/crates/gateway/src/shell/callers/services.rs
@@ -5,6 +5,7 @@
 use ntex::http;
 use ntex::web;
 
+use super::admission;
 use super::body;
 use super::context;
 use super::respond;
@@ -33,22 +34,25 @@
     context: &context::ServerContext,
 ) -> intake::Result<web::HttpResponse> {
     let head = respond::request_head(request);
-    let document = context.document();
-    let caller = intake::authenticate(document.document(), &head)?;
-    let Some(slot) = context.take_slot() else {
-        return Ok(respond::busy_response(context, head.refusal_outcome()));
-    };
+    let admitted = admission::admit(context, &head)?;
     let outcome = head.refusal_outcome();
     let body = body::read_body(context, request, payload, outcome).await?;
 
     let call = context.next_call();
-    let intake_context = context.intake(document.document());
+    let intake_context = context.intake(admitted.document.document());
     let target = service_path(request.uri());
-    let call_request = intake::read_service(&intake_context, &caller, &head, call, target, &body)?;
+    let call_request = intake::read_service(
+        &intake_context,
+        &admitted.caller,
+        &head,
+        call,
+        target,
+        &body,
+    )?;
     let event = reducer::GatewayEvent::Call(Box::new(call_request));
-    let mut session = context.open_call(slot, call, event);
+    let mut session = context.open_call(admitted.slot, call, event);
 
-    let organisation = caller.organisation;
+    let organisation = admitted.caller.organisation;
     Ok(match session.next().await {
         Some(reducer::CallReply::Service(reply)) => service_response(context, &organisation, reply),
         Some(reducer::CallReply::Problem(problem)) => {
--- a/crates/gateway/src/shell/context.rs
+++ b/crates/gateway/src/shell/context.rs
@@ -1,6 +1,7 @@
 //! What the servers' threads share.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -9,6 +10,8 @@
 use kingcupfall_core::keys;
 use kingcupfall_core::time;
 use kingcupfall_document::sections;
+use kingcupfall_fleet::reducer as fleet_reducer;
+use kingcupfall_fleet::shell as fleet_shell;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::sync::oneshot;
@@ -39,6 +42,7 @@
     signing_key: keys::SigningKey,
     limits: setup::ShellLimits,
     metrics: Arc<metrics::GatewayMetrics>,
+    fleet: Arc<OnceLock<fleet_shell::FleetHandle>>,
 }
 
 impl ServerContext {
@@ -60,6 +64,7 @@
             signing_key,
             limits,
             metrics: Arc::default(),
+            fleet: Arc::default(),
         }
     }
 
@@ -128,6 +133,18 @@
         answer.await.ok()
     }
 
+    /// Returns the gateway's view of its fleet; `None` when it has joined none, or ends.
+    pub async fn fleet_status(&self) -> Option<fleet_reducer::FleetStatus> {
+        self.fleet.get()?.status().await
+    }
+
+    /// Makes the gateway a member of a fleet; a second fleet is not joined.
+    pub(super) fn join_fleet(&self, handle: fleet_shell::FleetHandle) {
+        if self.fleet.set(handle.clone()).is_ok() {
+            self.command(command::DriverCommand::JoinFleet(handle));
+        }
+    }
+
     /// Says whether the gateway was asked to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
--- a/crates/gateway/src/shell/document.rs
+++ b/crates/gateway/src/shell/document.rs
@@ -60,6 +60,12 @@
         self.acceptance.document()
     }
 
+    /// Says whether callers can be known: there is a section of organisations.
+    pub fn is_ready(&self) -> bool {
+        let section = sections::SectionName::Organisations;
+        self.entries.contains_key(&section)
+    }
+
     /// Returns the state of acceptance.
     pub fn acceptance(&self) -> &acceptance::DocumentAcceptance {
         &self.acceptance
--- a/crates/gateway/src/shell/handle.rs
+++ b/crates/gateway/src/shell/handle.rs
@@ -105,8 +105,7 @@
 
     /// Makes the gateway a member of a fleet, which was started with [`Self::fleet_host`].
     pub fn join_fleet(&self, handle: fleet_shell::FleetHandle) {
-        self.context
-            .command(command::DriverCommand::JoinFleet(handle));
+        self.context.join_fleet(handle);
     }
 
     /// Takes suspects that other gateways know of.
--- a/crates/gateway/src/shell/metrics.rs
+++ b/crates/gateway/src/shell/metrics.rs
@@ -5,6 +5,7 @@
 
 use kingcupfall_core::time;
 use kingcupfall_document::sections;
+use kingcupfall_fleet::reducer as fleet_reducer;
 use kingcupfall_telemetry::calls;
 use kingcupfall_telemetry::registry;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -30,12 +31,28 @@
 
 type SecondsGauge = gauge::Gauge<f64, AtomicU64>;
 
+/// What is observed when the metrics are read.
+#[derive(Debug, Clone, Copy)]
+pub struct ObservedState<'a> {
+    /// Time on the gateway's clock.
+    pub now: time::Timestamp,
+    /// What the reducer counts.
+    pub gauges: &'a administration::GaugeReport,
+    /// Calls whose connections have not finished.
+    pub open_calls: usize,
+    /// The document in force.
+    pub document: &'a document::DocumentInForce,
+    /// View of the fleet, when the gateway is a member of one.
+    pub fleet: Option<&'a fleet_reducer::FleetStatus>,
+}
+
 /// All metrics of a gateway; shared by its threads.
 #[derive(Debug)]
 pub struct GatewayMetrics {
     registry: registry::MetricRegistry,
     calls: calls::CallMetrics,
     counters: CounterMetrics,
+    fleet: FleetMetrics,
     calls_in_progress: gauge::Gauge,
     open_connections: gauge::Gauge,
     targets: family::Family<StateLabels, gauge::Gauge>,
@@ -48,10 +65,12 @@
         let mut registry = registry::MetricRegistry::default();
         let calls = calls::CallMetrics::register(&mut registry);
         let counters = CounterMetrics::register(&mut registry);
+        let fleet = FleetMetrics::register(&mut registry);
         let mut metrics = Self {
             registry,
             calls,
             counters,
+            fleet,
             calls_in_progress: gauge::Gauge::default(),
             open_connections: gauge::Gauge::default(),
             targets: family::Family::default(),
@@ -69,19 +88,17 @@
         &self.calls
     }
 
-    /// Writes all metrics, with the gauges as they are now.
-    pub fn encode(
-        &self,
-        now: time::Timestamp,
-        gauges: &administration::GaugeReport,
-        open_calls: usize,
-        document: &document::DocumentInForce,
-    ) -> String {
+    /// Writes all metrics, with the gauges as `observed`.
+    pub fn encode(&self, observed: &ObservedState<'_>) -> String {
+        let gauges = observed.gauges;
         self.counters.set(&gauges.counters);
         self.calls_in_progress.set(signed(gauges.calls));
-        self.open_connections.set(signed(open_calls));
+        self.open_connections.set(signed(observed.open_calls));
         self.set_targets(gauges);
-        self.set_sections(now, document);
+        self.set_sections(observed.now, observed.document);
+        if let Some(status) = observed.fleet {
+            self.fleet.set(status);
+        }
         self.registry.encode()
     }
 
@@ -195,6 +212,88 @@
     }
 }
 
+/// The gateway as a member of its fleet.
+#[derive(Debug)]
+struct FleetMetrics {
+    lost: gauge::Gauge,
+    links: gauge::Gauge,
+    reader: gauge::Gauge,
+    service_calls: counter::Counter,
+    failed_readings: counter::Counter,
+    stale_readings: counter::Counter,
+}
+
+impl FleetMetrics {
+    fn register(registry: &mut registry::MetricRegistry) -> Self {
+        let metrics = Self {
+            lost: gauge::Gauge::default(),
+            links: gauge::Gauge::default(),
+            reader: gauge::Gauge::default(),
+            service_calls: counter::Counter::default(),
+            failed_readings: counter::Counter::default(),
+            stale_readings: counter::Counter::default(),
+        };
+
+        let gauges = [
+            (
+                "fleet_lost_gateways",
+                "Gateways that are suspect or dead",
+                &metrics.lost,
+            ),
+            (
+                "fleet_links",
+                "Links on which the fleet's heartbeats travel",
+                &metrics.links,
+            ),
+            (
+                "fleet_reader",
+                "1 while this gateway reads for its zone",
+                &metrics.reader,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+        let counters = [
+            (
+                "service_calls",
+                "Calls at the configuration service",
+                &metrics.service_calls,
+            ),
+            (
+                "service_failures",
+                "Calls at it that failed",
+                &metrics.failed_readings,
+            ),
+            (
+                "service_stale",
+                "Answers of it that were older than one before",
+                &metrics.stale_readings,
+            ),
+        ];
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
+        }
+        metrics
+    }
+
+    fn set(&self, status: &fleet_reducer::FleetStatus) {
+        self.lost.set(signed(status.lost.len()));
+        self.links.set(signed(status.active_links));
+        self.reader.set(i64::from(status.is_reader));
+
+        let counters = &status.counters;
+        let pairs = [
+            (&self.service_calls, counters.service_calls),
+            (&self.failed_readings, counters.failed_readings),
+            (&self.stale_readings, counters.stale_readings),
+        ];
+        for (counter, value) in pairs {
+            counter.inner().store(value, Ordering::Relaxed);
+        }
+    }
+}
+
 fn signed(count: usize) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
 }
--- a/crates/gateway/src/shell/mod.rs
+++ b/crates/gateway/src/shell/mod.rs
@@ -34,6 +34,7 @@
 pub use links::LinkConnector;
 pub use links::LinkOutlet;
 pub use metrics::GatewayMetrics;
+pub use metrics::ObservedState;
 pub use policies::standard_policies;
 pub use setup::GatewaySetup;
 pub use setup::ShellLimits;
--- a/crates/gateway/tests/http/client.rs
+++ b/crates/gateway/tests/http/client.rs
@@ -77,6 +77,11 @@
         let _ = self.stream.write_all(bytes).await;
     }
 
+    /// Forgets what was received, before the next request on the connection.
+    pub fn clear(&mut self) {
+        self.received.clear();
+    }
+
     /// Reads until the answer holds `text`, or the connection ends.
     pub async fn read_until(&mut self, text: &str) -> AnswerText {
         self.read_while(|received| !String::from_utf8_lossy(received).contains(text))
--- a/crates/gateway/tests/http/faults.rs
+++ b/crates/gateway/tests/http/faults.rs
@@ -178,6 +178,115 @@
     assert_eq!(answer.json()["code"], "target_lost");
 }
 
+#[ntex::test]
+async fn body_that_never_ends_refused() {
+    let mut options = system::SystemOptions::default();
+    options.limits.body_timeout = Duration::from_millis(100);
+    let system = system::TestSystem::start(options).await;
+    let head = "POST /v1/generations HTTP/1.1\r\nhost: test\r\nauthorization: Bearer \
+                key-of-exaustao\r\ncontent-length: 100\r\n\r\n{";
+
+    let mut connection = system.connect().await;
+    connection.send(head.as_bytes()).await;
+    let refused = connection.read_answer().await;
+
+    assert_eq!(refused.status(), "408");
+    assert_eq!(refused.json()["code"], "body_timeout");
+    assert_eq!(refused.json()["outcome"], "not_run");
+}
+
+#[yare::parameterized(
+    delete_generation = { "DELETE", "/v1/generations", "405" },
+    get_key = { "GET", "/v1/idempotency-keys", "405" },
+    get_service = { "GET", "/v1/services/bookings/lookups", "405" },
+    unknown = { "GET", "/v1/generation", "404" },
+    root = { "GET", "/", "404" },
+    service_without_path = { "POST", "/v1/services/bookings", "404" },
+    service_with_parent = { "POST", "/v1/services/bookings/lookups/../visits", "400" },
+    service_with_escape = { "POST", "/v1/services/bookings/lookups/%2e%2e/visits", "400" },
+    service_with_query = { "POST", "/v1/services/bookings/lookups?then=visits", "400" },
+    resume_without_id = { "GET", "/v1/generations", "400" },
+)]
+#[test_macro(ntex::test)]
+async fn wrong_endpoint_refused(method: &'static str, path: &str, status: &str) {
+    let system = system::TestSystem::start(system::SystemOptions::default()).await;
+
+    let request = client::RequestText::new(method, path, system::EXAUSTAO_KEY);
+    let refused = system.exchange(&request).await;
+
+    assert_eq!(refused.status(), status, "{refused:?}");
+    assert_eq!(
+        refused.header("content-type"),
+        Some("application/problem+json")
+    );
+    assert!(system.bookings.borrow().started.is_empty());
+}
+
+#[ntex::test]
+async fn silent_stream_kept_alive_by_comments() {
+    let mut options = options(agent::TargetScript::Hang(vec!["weld "]));
+    options.limits.stream_comment_interval = Duration::from_millis(20);
+    let system = system::TestSystem::start(options).await;
+
+    let mut connection = system.connect().await;
+    let request = system::generation(system::EXAUSTAO_KEY, STREAM_BODY);
+    connection.send(&request.bytes()).await;
+    connection.read_until(": waiting").await;
+    system.engine.borrow_mut().finish(1, &["seam"]);
+    let answer = connection.read_answer().await;
+
+    let stream = events::StreamText::parse(&answer.body);
+    assert_eq!(stream.tokens, ["weld ", "seam"]);
+}
+
+#[ntex::test]
+async fn idle_connection_of_stopping_gateway_told_to_close() {
+    let script = agent::TargetScript::Hang(vec!["weld "]);
+    let system = system::TestSystem::start(options(script)).await;
+    let booking = client::RequestText::new(
+        "POST",
+        "/v1/services/bookings/lookups",
+        system::EXAUSTAO_KEY,
+    )
+    .body("7");
+
+    let mut streaming = system.connect().await;
+    let request = system::generation(system::EXAUSTAO_KEY, STREAM_BODY);
+    streaming.send(&request.bytes()).await;
+    streaming.read_until("weld ").await;
+    let mut idle = system.connect().await;
+    idle.send(&booking.bytes()).await;
+    let first = idle.read_answer().await;
+    idle.clear();
+    system.gateway.stop();
+    idle.send(&booking.bytes()).await;
+    let second = idle.read_answer().await;
+
+    assert_eq!(first.header("connection"), None);
+    assert_eq!(second.header("connection"), Some("close"));
+    assert_eq!(second.json()["code"], "gateway_stopping");
+    system.engine.borrow_mut().finish(1, &["seam"]);
+    system.gateway.wait().await;
+}
+
+#[ntex::test]
+async fn callers_that_come_together_get_their_own_answers() {
+    let script = agent::TargetScript::Echo;
+    let system = system::TestSystem::start(options(script)).await;
+    let booking = |number: usize| {
+        let path = "/v1/services/bookings/lookups";
+        client::RequestText::new("POST", path, system::EXAUSTAO_KEY).body(&number.to_string())
+    };
+
+    let requests: Vec<client::RequestText> = (0..200).map(booking).collect();
+    let answers = requests.iter().map(|request| system.exchange(request));
+    let answers = futures_util::future::join_all(answers).await;
+
+    for (number, answer) in answers.iter().enumerate() {
+        assert_eq!(answer.body, number.to_string());
+    }
+}
+
 fn options(script: agent::TargetScript) -> system::SystemOptions {
     system::SystemOptions {
         script,
--- a/crates/gateway/tests/http/sessions.rs
+++ b/crates/gateway/tests/http/sessions.rs
@@ -191,6 +191,20 @@
     insta::assert_snapshot!(format!("{session}\n\n----\n\n{}", stream.render()));
 }
 
+#[ntex::test]
+async fn starting_gateway_sends_callers_elsewhere() {
+    let options = system::SystemOptions::default();
+    let system = system::TestSystem::start_without_document(options);
+    let health = client::RequestText::new("GET", "/healthz", "");
+
+    let starting = system.exchange(&health).await;
+    let request = system::generation(system::EXAUSTAO_KEY, WHOLE_BODY);
+    let refused = system.exchange(&request).await;
+
+    let answers = [starting, refused].map(|answer| show(&answer));
+    insta::assert_snapshot!(answers.join("\n\n----\n\n"));
+}
+
 /// Quarantine that refuses every request for half a minute.
 struct FixedQuarantine;
 
--- a/crates/gateway/tests/http/system.rs
+++ b/crates/gateway/tests/http/system.rs
@@ -71,6 +71,14 @@
 impl TestSystem {
     /// Starts a system whose gateway has links to both agents.
     pub async fn start(options: SystemOptions) -> Self {
+        let system = Self::start_without_document(options);
+        system.gateway.set_document(document());
+        system.wait_for_targets().await;
+        system
+    }
+
+    /// Starts a system whose gateway has no document yet.
+    pub fn start_without_document(options: SystemOptions) -> Self {
         let fleet = agent::AgentFleet::default();
         let engine = fleet.add("engine-1", address(ENGINE_ADDRESS), options.script);
         let script = agent::TargetScript::Echo;
@@ -96,15 +104,12 @@
             connector: Box::new(fleet),
         })
         .unwrap();
-        gateway.set_document(document());
 
-        let system = Self {
+        Self {
             gateway,
             engine,
             bookings,
-        };
-        system.wait_for_targets().await;
-        system
+        }
     }
 
     /// Sends one request on a connection of its own.
