Measure what a process costs as the fleet grows

Cause: the target size is reached by slopes, not by guesses.

Change: `kingcupfall-bench slopes` runs fleets of 10 to 3,000 processes on simulated time and writes bytes, messages, processor time, memory, time in force and service calls as a table, JSON and an SVG plot; and the size and time of the usual frames.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod report;
 pub mod scenario;
 pub mod simulation;
+pub mod slopes;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -14,6 +14,7 @@
 use kingcupfall_bench::report;
 use kingcupfall_bench::scenario;
 use kingcupfall_bench::simulation;
+use kingcupfall_bench::slopes;
 
 /// Result of a command.
 type Result<T> = result::Result<T, Box<dyn error::Error>>;
@@ -29,9 +30,19 @@
     json: Option<PathBuf>,
 }
 
+/// A command with its arguments.
+#[derive(Debug, Clone)]
+enum BenchCommand {
+    Run(RunArguments),
+    Slopes(slopes::SlopeArguments),
+}
+
 fn main() -> ExitCode {
-    let arguments = arguments().run();
-    match run(&arguments) {
+    let done = match arguments().run() {
+        BenchCommand::Run(arguments) => run(&arguments),
+        BenchCommand::Slopes(arguments) => slopes::run(&arguments),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
@@ -40,7 +51,7 @@
     }
 }
 
-fn arguments() -> bpaf::OptionParser<RunArguments> {
+fn arguments() -> bpaf::OptionParser<BenchCommand> {
     let scenario = bpaf::long("scenario")
         .help("Scenario to run")
         .argument::<PathBuf>("FILE");
@@ -59,9 +70,18 @@
         json,
     });
 
-    run.to_options()
+    let run = run
+        .to_options()
         .descr("Runs a scenario under one or all policies")
         .command("run")
+        .map(BenchCommand::Run);
+    let slopes = slopes::arguments()
+        .to_options()
+        .descr("Measures what a process, a change and a frame cost as the fleet grows")
+        .command("slopes")
+        .map(BenchCommand::Slopes);
+
+    bpaf::construct!([run, slopes])
         .to_options()
         .descr("Measures the decisions of kingcupfall in simulated time")
         .version(env!("CARGO_PKG_VERSION"))
--- /dev/null
+++ b/crates/bench/src/slopes/mod.rs
@@ -0,0 +1,97 @@
+//! What one process costs as the fleet grows, and what each token, heartbeat and call costs.
+
+mod fleet;
+mod frames;
+mod plot;
+mod table;
+
+use std::error;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+use std::result;
+
+use bpaf::Parser;
+use serde::Serialize;
+
+pub use fleet::FleetSlope;
+pub use frames::FrameCost;
+
+/// Result of measuring.
+pub type Result<T> = result::Result<T, Box<dyn error::Error>>;
+
+/// Sizes of fleets measured, in processes.
+const FLEET_SIZES: [usize; 5] = [10, 100, 300, 1_000, 3_000];
+
+/// Arguments of `slopes`.
+#[derive(Debug, Clone)]
+pub struct SlopeArguments {
+    json: Option<PathBuf>,
+    plot: Option<PathBuf>,
+    largest: usize,
+}
+
+/// All figures.
+#[derive(Debug, Clone, Serialize)]
+pub struct SlopeReport {
+    /// Costs of a process by size of the fleet.
+    pub fleet: Vec<FleetSlope>,
+    /// Costs of frames on a link.
+    pub frames: Vec<FrameCost>,
+}
+
+/// Parses the arguments of `slopes`.
+pub fn arguments() -> impl Parser<SlopeArguments> {
+    let json = bpaf::long("json")
+        .help("Where the figures are written as JSON")
+        .argument::<PathBuf>("OUT")
+        .optional();
+    let plot = bpaf::long("plot")
+        .help("Where the plot is written as SVG")
+        .argument::<PathBuf>("OUT")
+        .optional();
+    let largest = bpaf::long("largest")
+        .help("Most processes of a measured fleet")
+        .argument::<usize>("COUNT")
+        .fallback(FLEET_SIZES[FLEET_SIZES.len() - 1])
+        .display_fallback();
+    bpaf::construct!(SlopeArguments {
+        json,
+        plot,
+        largest,
+    })
+}
+
+/// Measures, and prints a table to standard output and progress to standard error.
+///
+/// # Errors
+///
+/// When a file can't be written or a plot can't be drawn.
+pub fn run(arguments: &SlopeArguments) -> Result<()> {
+    eprintln!("frames");
+    let frames = frames::measure();
+    let mut fleet = Vec::new();
+    for size in FLEET_SIZES {
+        if size > arguments.largest {
+            break;
+        }
+        eprintln!("fleet of {size} processes");
+        fleet.push(fleet::measure(size));
+    }
+
+    let report = SlopeReport { fleet, frames };
+    print!("{}", table::write(&report));
+    if let Some(path) = &arguments.json {
+        write_json(path, &report)?;
+    }
+    if let Some(path) = &arguments.plot {
+        plot::draw(path, &report.fleet)?;
+    }
+    Ok(())
+}
+
+fn write_json(path: &Path, report: &SlopeReport) -> Result<()> {
+    let text = serde_json::to_string_pretty(report)?;
+    fs::write(path, text)?;
+    Ok(())
+}
--- a/crates/fleet/src/simulation/mod.rs
+++ b/crates/fleet/src/simulation/mod.rs
@@ -244,6 +244,11 @@
         self.select(|node| node.reducer.as_ref().is_some_and(is_reader))
     }
 
+    /// Says whether a process is a gateway.
+    pub fn is_gateway(&self, index: NodeIndex) -> bool {
+        self.nodes[index.0].is_gateway()
+    }
+
     /// Returns the reducer of a live process.
     pub fn reducer(&self, index: NodeIndex) -> &reducer::FleetReducer {
         let reducer = self.nodes[index.0].reducer.as_ref();
