--- a/crates/gateway/src/shell/callers/generations.rs
+++ b/crates/gateway/src/shell/callers/generations.rs
@@ -28,14 +28,16 @@
 /// Takes a generation, or resumes a stream when there is a `Last-Event-ID`.
 pub async fn post_generation(
     request: web::HttpRequest,
-    payload: web::types::Payload,
+    mut payload: web::types::Payload,
     context: web::types::State<context::ServerContext>,
 ) -> web::HttpResponse {
     let head = respond::request_head(&request);
     if head.last_event_id.is_some() {
         return resume_stream(&request, &context).await;
     }
-    match take_generation(&request, payload, &context).await {
+    let taken = take_generation(&request, &mut payload, &context).await;
+    body::discard_body(&context, &mut payload).await;
+    match taken {
         Ok(response) => response,
         Err(problem) => respond::problem_response(&context, &problem),
     }
@@ -51,12 +53,12 @@
 
 async fn take_generation(
     request: &web::HttpRequest,
-    payload: web::types::Payload,
+    payload: &mut web::types::Payload,
     context: &context::ServerContext,
 ) -> intake::Result<web::HttpResponse> {
     let head = respond::request_head(request);
     let document = context.document();
-    let caller = intake::authenticate(&document.document, &head)?;
+    let caller = intake::authenticate(document.document(), &head)?;
     let Some(slot) = context.take_slot() else {
         return Ok(respond::busy_response(context, head.refusal_outcome()));
     };
@@ -64,7 +66,7 @@
     let body = body::read_body(context, request, payload, outcome).await?;
 
     let call = context.next_call();
-    let intake_context = context.intake(&document.document);
+    let intake_context = context.intake(document.document());
     let call_request = intake::read_generation(&intake_context, &caller, &head, call, &body)?;
     let is_stream = call_request.stream;
     let event = reducer::GatewayEvent::Call(Box::new(call_request));
@@ -93,13 +95,13 @@
 ) -> intake::Result<web::HttpResponse> {
     let head = respond::request_head(request);
     let document = context.document();
-    let caller = intake::authenticate(&document.document, &head)?;
+    let caller = intake::authenticate(document.document(), &head)?;
     let Some(slot) = context.take_slot() else {
         return Ok(respond::busy_response(context, head.refusal_outcome()));
     };
 
     let call = context.next_call();
-    let intake_context = context.intake(&document.document);
+    let intake_context = context.intake(document.document());
     let resume = intake::read_resume(&intake_context, &caller, &head, call)?;
     let event = reducer::GatewayEvent::Resume(Box::new(resume));
     let session = context.open_call(slot, call, event);
--- a/crates/gateway/src/shell/callers/keys.rs
+++ b/crates/gateway/src/shell/callers/keys.rs
@@ -23,10 +23,12 @@
 /// Issues a key.
 pub async fn post_key(
     request: web::HttpRequest,
-    payload: web::types::Payload,
+    mut payload: web::types::Payload,
     context: web::types::State<context::ServerContext>,
 ) -> web::HttpResponse {
-    match issue_key(&request, payload, &context).await {
+    let taken = issue_key(&request, &mut payload, &context).await;
+    body::discard_body(&context, &mut payload).await;
+    match taken {
         Ok(response) => response,
         Err(problem) => respond::problem_response(&context, &problem),
     }
@@ -34,12 +36,12 @@
 
 async fn issue_key(
     request: &web::HttpRequest,
-    payload: web::types::Payload,
+    payload: &mut web::types::Payload,
     context: &context::ServerContext,
 ) -> intake::Result<web::HttpResponse> {
     let head = respond::request_head(request);
     let document = context.document();
-    let caller = intake::authenticate(&document.document, &head)?;
+    let caller = intake::authenticate(document.document(), &head)?;
     let Some(slot) = context.take_slot() else {
         return Ok(respond::busy_response(context, head.refusal_outcome()));
     };
@@ -47,7 +49,7 @@
     let body = body::read_body(context, request, payload, outcome).await?;
 
     let call = context.next_call();
-    let intake_context = context.intake(&document.document);
+    let intake_context = context.intake(document.document());
     let wish = intake::read_key_request(&intake_context, &caller, &head, call, &body)?;
     let service = wish.service.clone();
     let event = reducer::GatewayEvent::IssueKey(Box::new(wish));
--- a/crates/gateway/src/shell/callers/services.rs
+++ b/crates/gateway/src/shell/callers/services.rs
@@ -16,10 +16,12 @@
 /// Calls a plain service.
 pub async fn post_service(
     request: web::HttpRequest,
-    payload: web::types::Payload,
+    mut payload: web::types::Payload,
     context: web::types::State<context::ServerContext>,
 ) -> web::HttpResponse {
-    match call_service(&request, payload, &context).await {
+    let taken = call_service(&request, &mut payload, &context).await;
+    body::discard_body(&context, &mut payload).await;
+    match taken {
         Ok(response) => response,
         Err(problem) => respond::problem_response(&context, &problem),
     }
@@ -27,12 +29,12 @@
 
 async fn call_service(
     request: &web::HttpRequest,
-    payload: web::types::Payload,
+    payload: &mut web::types::Payload,
     context: &context::ServerContext,
 ) -> intake::Result<web::HttpResponse> {
     let head = respond::request_head(request);
     let document = context.document();
-    let caller = intake::authenticate(&document.document, &head)?;
+    let caller = intake::authenticate(document.document(), &head)?;
     let Some(slot) = context.take_slot() else {
         return Ok(respond::busy_response(context, head.refusal_outcome()));
     };
@@ -40,7 +42,7 @@
     let body = body::read_body(context, request, payload, outcome).await?;
 
     let call = context.next_call();
-    let intake_context = context.intake(&document.document);
+    let intake_context = context.intake(document.document());
     let target = service_path(request.uri());
     let call_request = intake::read_service(&intake_context, &caller, &head, call, target, &body)?;
     let event = reducer::GatewayEvent::Call(Box::new(call_request));
--- a/crates/gateway/src/shell/driver.rs
+++ b/crates/gateway/src/shell/driver.rs
@@ -5,13 +5,18 @@
 
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
+use kingcupfall_document::acceptance;
+use kingcupfall_link::frames;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
-use super::clock;
 use super::command;
+use super::context;
+use super::departures;
 use super::document;
+use super::fleet;
 use super::links;
+use super::meters;
 use super::replies;
 use crate::administration;
 use crate::reducer;
@@ -32,15 +37,21 @@
     pub documents: watch::Sender<Arc<document::DocumentInForce>>,
 }
 
+/// Time between two looks for suspects to spread, departures to forget and callers that are stuck.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Owner of the reducer.
 pub struct ReducerDriver {
     reducer: reducer::GatewayReducer,
-    clock: clock::ShellClock,
+    context: context::ServerContext,
     channels: DriverChannels,
     links: links::LinkTable,
     replies: replies::ReplyTable,
+    meters: meters::MeterTable,
+    fleet: fleet::FleetPort,
+    departures: departures::DepartureTable,
+    next_upkeep: time::Timestamp,
     effects: Vec<reducer::GatewayEffect>,
-    write_timeout: Duration,
     exited: bool,
 }
 
@@ -48,19 +59,21 @@
     /// Makes a driver that has not started.
     pub fn new(
         reducer: reducer::GatewayReducer,
-        clock: clock::ShellClock,
         channels: DriverChannels,
         links: links::LinkTable,
-        write_timeout: Duration,
+        context: context::ServerContext,
     ) -> Self {
         Self {
             reducer,
-            clock,
             channels,
             links,
             replies: replies::ReplyTable::default(),
+            meters: meters::MeterTable::new(context.metrics().calls().clone()),
+            fleet: fleet::FleetPort::default(),
+            departures: departures::DepartureTable::default(),
+            next_upkeep: time::Timestamp::ZERO,
             effects: Vec::new(),
-            write_timeout,
+            context,
             exited: false,
         }
     }
@@ -98,7 +111,7 @@
     }
 
     fn take_command(&mut self, command: command::DriverCommand) {
-        let now = self.clock.now();
+        let now = self.context.now();
         match command {
             command::DriverCommand::Open {
                 call,
@@ -106,19 +119,28 @@
                 outlet,
             } => {
                 self.replies.insert(now, call, outlet);
+                self.meters.open(now, &event);
                 self.apply(now, event);
             }
             command::DriverCommand::Event(event) => self.take_caller_event(now, event),
-            command::DriverCommand::Document(document) => self.take_document(now, *document),
+            command::DriverCommand::Document(document) => self.take_document(now, document),
             command::DriverCommand::Suspects(records) => {
                 self.apply(now, reducer::GatewayEvent::Suspects(records));
             }
+            command::DriverCommand::Departures(vms) => self.take_departures(now, vms),
+            command::DriverCommand::JoinFleet(handle) => self.fleet.join(handle),
+            command::DriverCommand::FleetFrame { link, bytes } => {
+                self.links.push(link, frames::GatewayFrame::Fleet(bytes));
+            }
             command::DriverCommand::Query { query, answer } => {
                 let state = administration::answer_query(&self.reducer, now, &query);
                 // An error means that the asker has gone.
                 let _ = answer.send(state);
             }
-            command::DriverCommand::Stop => self.apply(now, reducer::GatewayEvent::Stop),
+            command::DriverCommand::Stop => {
+                self.fleet.leave();
+                self.apply(now, reducer::GatewayEvent::Stop);
+            }
         }
     }
 
@@ -128,44 +150,99 @@
         }
         if let reducer::GatewayEvent::CallerGone { call } = event {
             self.replies.remove(call);
+            self.meters.abandon(call);
         }
         self.apply(now, event);
     }
 
-    fn take_document(&mut self, now: time::Timestamp, document: document::DocumentInForce) {
-        for event in document::document_events(&document.document) {
-            self.apply(now, event);
-        }
+    fn take_document(
+        &mut self,
+        now: time::Timestamp,
+        accepted: Arc<acceptance::DocumentAcceptance>,
+    ) {
+        let document = accepted.document();
+        self.apply(now, document::target_event(document, self.departures.vms()));
+        self.apply(now, document::limit_event(document));
+
+        let document = self.context.document().succeed(now, accepted);
         self.channels.documents.send_replace(Arc::new(document));
     }
 
+    fn take_departures(&mut self, now: time::Timestamp, vms: Vec<ids::VmName>) {
+        self.departures.add(now, vms);
+        self.apply_targets(now);
+    }
+
+    fn apply_targets(&mut self, now: time::Timestamp) {
+        let document = self.context.document();
+        let event = document::target_event(document.document(), self.departures.vms());
+        self.apply(now, event);
+    }
+
     fn take_notice(&mut self, notice: command::LinkNotice) {
-        let now = self.clock.now();
+        let now = self.context.now();
         match notice {
             command::LinkNotice::Opened { link } => {
                 self.apply(now, reducer::GatewayEvent::LinkOpened { link });
+                self.fleet.open_link(link);
             }
             command::LinkNotice::Frames { link, frames } => {
                 for frame in frames {
-                    self.apply(now, reducer::GatewayEvent::Frame { link, frame });
+                    self.take_frame(now, link, frame);
                 }
             }
             command::LinkNotice::Closed { link } => {
-                self.links.close(link);
+                self.close_link(link);
                 self.apply(now, reducer::GatewayEvent::LinkClosed { link });
             }
         }
     }
 
+    fn take_frame(&mut self, now: time::Timestamp, link: ids::LinkId, frame: frames::AgentFrame) {
+        let frame = match frame {
+            frames::AgentFrame::Fleet(bytes) => {
+                self.fleet.take_frame(link, bytes);
+                // To the reducer it is but a sign of life.
+                frames::AgentFrame::Fleet(Vec::new())
+            }
+            other => other,
+        };
+        self.apply(now, reducer::GatewayEvent::Frame { link, frame });
+    }
+
+    fn close_link(&mut self, link: ids::LinkId) {
+        self.links.close(link);
+        self.fleet.close_link(link);
+    }
+
     fn tick(&mut self) {
-        let now = self.clock.now();
+        let now = self.context.now();
         self.apply(now, reducer::GatewayEvent::Tick);
+        if now >= self.next_upkeep {
+            self.next_upkeep = now + UPKEEP_INTERVAL;
+            self.keep_up(now);
+        }
+    }
+
+    /// Does what need not be done at every tick.
+    fn keep_up(&mut self, now: time::Timestamp) {
+        self.fleet.spread_suspects(self.reducer.suspects(now));
+        if self.departures.expire(now) {
+            self.apply_targets(now);
+        }
 
-        for call in self.replies.remove_stuck(now, self.write_timeout) {
-            self.apply(now, reducer::GatewayEvent::CallerGone { call });
+        let write_timeout = self.context.limits().write_timeout;
+        for call in self.replies.remove_stuck(now, write_timeout) {
+            self.abandon(now, call);
         }
     }
 
+    /// Drops a call whose caller can't be reached.
+    fn abandon(&mut self, now: time::Timestamp, call: ids::CallId) {
+        self.meters.abandon(call);
+        self.apply(now, reducer::GatewayEvent::CallerGone { call });
+    }
+
     /// Gives an event to the reducer and carries out its effects, but for sending frames.
     fn apply(&mut self, now: time::Timestamp, event: reducer::GatewayEvent) {
         let mut effects = std::mem::take(&mut self.effects);
@@ -177,7 +254,7 @@
         }
         self.effects = effects;
         for call in gone {
-            self.apply(now, reducer::GatewayEvent::CallerGone { call });
+            self.abandon(now, call);
         }
     }
 
@@ -191,9 +268,10 @@
             reducer::GatewayEffect::Connect { link, address, .. } => {
                 self.links.open(link, address);
             }
-            reducer::GatewayEffect::CloseLink { link } => self.links.close(link),
+            reducer::GatewayEffect::CloseLink { link } => self.close_link(link),
             reducer::GatewayEffect::Send { link, frame } => self.links.push(link, frame),
             reducer::GatewayEffect::Reply { call, reply } => {
+                self.meters.record(now, call, &reply);
                 match self.replies.give(now, call, reply) {
                     replies::ReplyStanding::Given => {}
                     replies::ReplyStanding::Undeliverable => gone.push(call),
@@ -205,13 +283,15 @@
 
     /// Sends the frames of the turn.
     fn finish_turn(&mut self) {
-        let now = self.clock.now();
+        let now = self.context.now();
         for link in self.links.flush() {
+            self.fleet.close_link(link);
             self.apply(now, reducer::GatewayEvent::LinkClosed { link });
         }
         if self.exited {
             // Frames that the last event asked for.
             self.links.flush();
+            self.fleet.stop();
         }
     }
 }
