--- a/crates/gateway/src/administration/query.rs
+++ b/crates/gateway/src/administration/query.rs
@@ -117,6 +117,7 @@
                 tag,
                 prompt_tokens: *prompt_tokens,
                 prefix: None,
+                suspect: false,
             };
             let standings = reducer.explain(now, serves, &question);
             StateAnswer::Explain(standings.iter().map(report::StandingReport::new).collect())
