--- a/crates/gateway/src/administration/report.rs
+++ b/crates/gateway/src/administration/report.rs
@@ -1,9 +1,15 @@
 //! What the administration API reports, as it stands in its JSON.
 
+use std::time::Duration;
+
+use kingcupfall_core::findings;
 use kingcupfall_core::ids;
 use kingcupfall_core::load;
 use kingcupfall_core::measures;
 use kingcupfall_core::time;
+use kingcupfall_document::acceptance;
+use kingcupfall_document::sections;
+use kingcupfall_fleet::reducer as fleet;
 use kingcupfall_policy::quarantine;
 use serde::Deserialize;
 use serde::Serialize;
@@ -189,6 +195,113 @@
     }
 }
 
+/// One section of the document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SectionReport {
+    /// Section.
+    pub section: sections::SectionName,
+    /// Version in force.
+    pub version: Option<measures::SectionVersion>,
+    /// Hash of the text in force.
+    pub hash: Option<acceptance::ContentHash>,
+    /// Time since it entered into force here, in seconds.
+    pub age_s: Option<u64>,
+    /// Accepted version that waits because a higher one was accepted elsewhere.
+    pub held: Option<measures::SectionVersion>,
+    /// Higher version that has findings and replaces nothing.
+    pub rejected: Option<measures::SectionVersion>,
+    /// Highest version that was heard of, when its text is not here.
+    pub awaited: Option<measures::SectionVersion>,
+    /// Whether texts that differ were published under the highest version.
+    pub conflict: bool,
+    /// What is wrong with the rejected text.
+    pub findings: findings::FindingList,
+    /// References to missing entries of other sections, which have no effect.
+    pub dangling: findings::FindingList,
+}
+
+impl SectionReport {
+    /// Reports on a section that has been in force for `age`.
+    pub fn new(status: acceptance::SectionStatus, age: Option<Duration>) -> Self {
+        Self {
+            section: status.section,
+            version: status.in_force.map(|mark| mark.version),
+            hash: status.in_force.map(|mark| mark.hash),
+            age_s: age.map(|age| age.as_secs()),
+            held: status.held.map(|mark| mark.version),
+            rejected: status.rejected.map(|mark| mark.version),
+            awaited: status.awaited,
+            conflict: status.conflict.is_some(),
+            findings: status.findings,
+            dangling: status.dangling,
+        }
+    }
+}
+
+/// A gateway's view of its fleet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetReport {
+    /// Whether the gateway has asked its peers which document is in force.
+    pub is_confirmed: bool,
+    /// Whether it reads the configuration service for its zone.
+    pub is_reader: bool,
+    /// Gateways of its zone that serve, but itself.
+    pub zone_live: usize,
+    /// Gateways of its zone that the VM list names.
+    pub zone_listed: usize,
+    /// Gateways that are suspect or dead.
+    pub lost: Vec<ids::VmName>,
+    /// VMs known to leave.
+    pub departures: usize,
+    /// Links on which heartbeats travel.
+    pub active_links: usize,
+    /// Calls at the configuration service.
+    pub service_calls: u64,
+    /// Calls of them that failed.
+    pub failed_readings: u64,
+    /// Answers of them that were older than one before.
+    pub stale_readings: u64,
+}
+
+impl From<fleet::FleetStatus> for FleetReport {
+    fn from(status: fleet::FleetStatus) -> Self {
+        Self {
+            is_confirmed: status.is_confirmed,
+            is_reader: status.is_reader,
+            zone_live: status.zone_live,
+            zone_listed: status.zone_listed,
+            lost: status.lost,
+            departures: status.departures,
+            active_links: status.active_links,
+            service_calls: status.counters.service_calls,
+            failed_readings: status.counters.failed_readings,
+            stale_readings: status.counters.stale_readings,
+        }
+    }
+}
+
+/// Answer to `POST /v1/dry-run`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DryRunReport {
+    /// Section that the text was tried as.
+    pub section: sections::SectionName,
+    /// Whether the text would be accepted and leave nothing dangling.
+    pub accepted: bool,
+    /// Everything that is wrong with it.
+    pub findings: findings::FindingList,
+}
+
+/// A question that can't be answered.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RefusalReport {
+    /// HTTP status.
+    pub status: u16,
+    /// Stable code.
+    pub code: Box<str>,
+    /// What happened, for people.
+    pub detail: Box<str>,
+}
+
 fn served_names(serves: &state::ServedWork) -> Vec<Box<str>> {
     match serves {
         state::ServedWork::Models(models) => models.iter().map(|name| display(name)).collect(),
@@ -208,6 +321,6 @@
     }
 }
 
-fn millis(duration: std::time::Duration) -> u64 {
+fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/gateway/src/shell/callers/generations.rs
+++ b/crates/gateway/src/shell/callers/generations.rs
@@ -7,6 +7,7 @@
 use ntex::web;
 use serde::Serialize;
 
+use super::admission;
 use super::body;
 use super::context;
 use super::respond;
@@ -28,14 +29,16 @@
 /// Takes a generation, or resumes a stream when there is a `Last-Event-ID`.
 pub async fn post_generation(
     request: web::HttpRequest,
-    payload: web::types::Payload,
+    mut payload: web::types::Payload,
     context: web::types::State<context::ServerContext>,
 ) -> web::HttpResponse {
     let head = respond::request_head(&request);
     if head.last_event_id.is_some() {
         return resume_stream(&request, &context).await;
     }
-    match take_generation(&request, payload, &context).await {
+    let taken = take_generation(&request, &mut payload, &context).await;
+    body::discard_body(&context, &mut payload).await;
+    match taken {
         Ok(response) => response,
         Err(problem) => respond::problem_response(&context, &problem),
     }
@@ -51,26 +54,23 @@
 
 async fn take_generation(
     request: &web::HttpRequest,
-    payload: web::types::Payload,
+    payload: &mut web::types::Payload,
     context: &context::ServerContext,
 ) -> intake::Result<web::HttpResponse> {
     let head = respond::request_head(request);
-    let document = context.document();
-    let caller = intake::authenticate(&document.document, &head)?;
-    let Some(slot) = context.take_slot() else {
-        return Ok(respond::busy_response(context, head.refusal_outcome()));
-    };
+    let admitted = admission::admit(context, &head)?;
     let outcome = head.refusal_outcome();
     let body = body::read_body(context, request, payload, outcome).await?;
 
     let call = context.next_call();
-    let intake_context = context.intake(&document.document);
-    let call_request = intake::read_generation(&intake_context, &caller, &head, call, &body)?;
+    let intake_context = context.intake(admitted.document.document());
+    let call_request =
+        intake::read_generation(&intake_context, &admitted.caller, &head, call, &body)?;
     let is_stream = call_request.stream;
     let event = reducer::GatewayEvent::Call(Box::new(call_request));
-    let session = context.open_call(slot, call, event);
+    let session = context.open_call(admitted.slot, call, event);
 
-    let organisation = caller.organisation;
+    let organisation = admitted.caller.organisation;
     Ok(match is_stream {
         true => stream::stream_response(context, request, organisation, session).await,
         false => whole_response(context, &organisation, session).await,
@@ -92,19 +92,15 @@
     context: &context::ServerContext,
 ) -> intake::Result<web::HttpResponse> {
     let head = respond::request_head(request);
-    let document = context.document();
-    let caller = intake::authenticate(&document.document, &head)?;
-    let Some(slot) = context.take_slot() else {
-        return Ok(respond::busy_response(context, head.refusal_outcome()));
-    };
+    let admitted = admission::admit(context, &head)?;
 
     let call = context.next_call();
-    let intake_context = context.intake(&document.document);
-    let resume = intake::read_resume(&intake_context, &caller, &head, call)?;
+    let intake_context = context.intake(admitted.document.document());
+    let resume = intake::read_resume(&intake_context, &admitted.caller, &head, call)?;
     let event = reducer::GatewayEvent::Resume(Box::new(resume));
-    let session = context.open_call(slot, call, event);
+    let session = context.open_call(admitted.slot, call, event);
 
-    Ok(stream::stream_response(context, request, caller.organisation, session).await)
+    Ok(stream::stream_response(context, request, admitted.caller.organisation, session).await)
 }
 
 async fn whole_response(
--- a/crates/gateway/src/shell/handle.rs
+++ b/crates/gateway/src/shell/handle.rs
@@ -3,6 +3,9 @@
 use std::net;
 use std::sync::Arc;
 
+use kingcupfall_document::acceptance;
+use kingcupfall_fleet::shell as fleet_shell;
+use kingcupfall_policy::quarantine;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
@@ -10,13 +13,12 @@
 use super::clock;
 use super::command;
 use super::context;
-use super::document;
 use super::driver;
+use super::fleet;
 use super::links;
 use super::server;
 use super::setup;
 use crate::reducer;
-use kingcupfall_policy::quarantine;
 
 /// A gateway that runs in this process.
 pub struct GatewayHandle {
@@ -42,25 +44,23 @@
     let (command_sender, commands) = mpsc::unbounded_channel();
     let (notice_sender, notices) = mpsc::channel(driver::NOTICE_LIMIT);
     let (document_sender, documents) = watch::channel(Arc::default());
-    let limits = setup.limits;
     let context = context::ServerContext::new(
         command_sender,
         documents,
         clock,
         setup.signing_key,
-        limits.clone(),
+        setup.limits,
     );
 
     let driver = driver::ReducerDriver::new(
         reducer::GatewayReducer::new(setup.identity, setup.policies),
-        clock,
         driver::DriverChannels {
             commands,
             notices,
             documents: document_sender,
         },
         links::LinkTable::new(setup.connector, notice_sender),
-        limits.write_timeout,
+        context.clone(),
     );
     let servers = server::GatewayServers {
         callers: server::run_callers(callers, &context),
@@ -92,9 +92,20 @@
     }
 
     /// Puts a document in force.
-    pub fn set_document(&self, document: document::DocumentInForce) {
+    pub fn set_document(&self, document: acceptance::DocumentAcceptance) {
+        let document = Arc::new(document);
         self.context
-            .command(command::DriverCommand::Document(Box::new(document)));
+            .command(command::DriverCommand::Document(document));
+    }
+
+    /// Returns what takes in the fleet's news for this gateway.
+    pub fn fleet_host(&self) -> Box<dyn fleet_shell::FleetHost> {
+        Box::new(fleet::GatewayHost::new(self.context.clone()))
+    }
+
+    /// Makes the gateway a member of a fleet, which was started with [`Self::fleet_host`].
+    pub fn join_fleet(&self, handle: fleet_shell::FleetHandle) {
+        self.context.join_fleet(handle);
     }
 
     /// Takes suspects that other gateways know of.
--- a/crates/standin/src/system/start.rs
+++ b/crates/standin/src/system/start.rs
@@ -7,7 +7,6 @@
 use kingcupfall_core::engine::FencingMode;
 use kingcupfall_core::ids;
 use kingcupfall_core::keys;
-use kingcupfall_core::time;
 use kingcupfall_document::acceptance;
 use kingcupfall_document::sections;
 use kingcupfall_gateway::reducer as gateway_reducer;
@@ -20,11 +19,14 @@
 use kingcupfall_policy::schedule;
 use rand::Rng;
 
+use super::GatewayAddresses;
+use super::GatewayThread;
 use super::LocalSystem;
 use super::Result;
 use super::RunningAgent;
 use super::SystemConfig;
 use super::document;
+use super::process;
 use crate::configuration;
 use crate::engine;
 use crate::service;
@@ -67,36 +69,93 @@
             agents.push(start_service_agent(index, service, &secrets).await?);
         }
 
-        let mut acceptance = acceptance::DocumentAcceptance::default();
+        let mut system = Self {
+            configuration,
+            engines,
+            services,
+            agents,
+            gateways: Vec::new(),
+            secrets,
+            acceptance: acceptance::DocumentAcceptance::default(),
+        };
+        system.publish_document();
+        for _ in 0..config.gateways {
+            system.add_gateway()?;
+        }
+        Ok(system)
+    }
+
+    /// Publishes all sections again, with the agents' addresses as they are advertised now.
+    pub fn publish_document(&mut self) {
         for section in sections::SectionName::ALL {
-            let text = document::section_text(section, &agents);
-            let version = configuration.set_section(section, &text);
-            acceptance.offer(acceptance::SectionText {
+            let text = document::section_text(section, &self.agents);
+            let version = self.configuration.set_section(section, &text);
+            self.acceptance.offer(acceptance::SectionText {
                 section,
                 version,
                 text,
             });
         }
-
-        let mut gateways = Vec::new();
-        for index in 0..config.gateways {
-            let gateway = gateway::start(gateway_setup(index, &secrets))?;
-            gateway.set_document(document_in_force(&acceptance));
-            gateways.push(gateway);
+        for gateway in &self.gateways {
+            gateway.set_document(self.acceptance.clone());
         }
+    }
 
-        Ok(Self {
-            configuration,
-            engines,
-            services,
-            agents,
-            gateways,
+    /// Kills an agent and starts another one of the same target, at another address.
+    ///
+    /// # Errors
+    ///
+    /// [`super::SystemError::Agent`].
+    pub async fn restart_agent(&mut self, index: usize) -> Result<()> {
+        let old = self.agents.remove(index);
+        old.ended.cancel();
+
+        let fresh =
+            launch_agent(old.target, old.zone, old.kind, old.address, &self.secrets).await?;
+        self.agents.insert(index, fresh);
+        self.publish_document();
+        Ok(())
+    }
+
+    /// Starts one more gateway in the current ntex system.
+    ///
+    /// # Errors
+    ///
+    /// [`super::SystemError::Gateway`].
+    pub fn add_gateway(&mut self) -> Result<()> {
+        let setup = gateway_setup(self.gateways.len(), &self.secrets);
+        let gateway = gateway::start(setup)?;
+        gateway.set_document(self.acceptance.clone());
+        self.gateways.push(gateway);
+        Ok(())
+    }
+
+    /// Starts a gateway in a thread and ntex system of its own, so that it can be killed.
+    ///
+    /// # Errors
+    ///
+    /// [`super::SystemError::Gateway`].
+    pub async fn spawn_gateway(&self) -> Result<GatewayThread> {
+        let secrets = self.secrets.clone();
+        let document = self.acceptance.clone();
+
+        let (thread, addresses) = process::SystemThread::spawn(move || async move {
+            let gateway = gateway::start(gateway_setup(0, &secrets))?;
+            gateway.set_document(document);
+            let addresses = GatewayAddresses {
+                callers: gateway.caller_address(),
+                administration: gateway.administration_address(),
+            };
+            Ok::<_, gateway::ShellError>((addresses, gateway))
         })
+        .await?;
+        Ok(GatewayThread { addresses, thread })
     }
 }
 
 /// Secrets that the processes of one system share.
-struct SystemSecrets {
+#[derive(Clone)]
+pub(super) struct SystemSecrets {
     link: transport::LinkKey,
     signing: keys::SigningKey,
 }
@@ -156,16 +215,27 @@
     address: agent::TargetAddress,
     secrets: &SystemSecrets,
 ) -> Result<RunningAgent> {
-    let target: ids::TargetName = format!("{prefix}-{}", index + 1)
+    let target = format!("{prefix}-{}", index + 1)
         .parse()
         .expect("a valid name");
+    launch_agent(target, zone(index), kind, address, secrets).await
+}
+
+async fn launch_agent(
+    target: ids::TargetName,
+    zone: ids::ZoneName,
+    kind: sections::TargetKind,
+    address: agent::TargetAddress,
+    secrets: &SystemSecrets,
+) -> Result<RunningAgent> {
     let config = agent::AgentConfig {
         target: target.clone(),
-        zone: zone(index),
+        zone: zone.clone(),
         listen: LOOPBACK,
+        administration: LOOPBACK,
         exclusion: None,
         link_key: secrets.link.clone(),
-        address,
+        address: address.clone(),
     };
     let incarnation = ids::Incarnation::random(&mut rand::rng());
     let scheduler = Box::new(schedule::NaiveScheduler::new());
@@ -174,7 +244,9 @@
     Ok(RunningAgent {
         target,
         kind,
-        zone: zone(index),
+        zone,
+        address,
+        advertised: handle.address(),
         handle,
         ended: ntex::rt::spawn(shell.run()),
     })
@@ -202,23 +274,6 @@
     }
 }
 
-fn document_in_force(acceptance: &acceptance::DocumentAcceptance) -> gateway::DocumentInForce {
-    let standing = |section: sections::SectionName| gateway::SectionStanding {
-        name: section.as_str().into(),
-        version: acceptance.in_force(section).map(|mark| mark.version),
-        accepted_at: time::Timestamp::ZERO,
-        findings: kingcupfall_core::findings::FindingList::default(),
-    };
-
-    gateway::DocumentInForce {
-        document: acceptance.document().clone(),
-        sections: sections::SectionName::ALL
-            .into_iter()
-            .map(standing)
-            .collect(),
-    }
-}
-
 fn zone(index: usize) -> ids::ZoneName {
     ZONES[index % ZONES.len()].parse().expect("a valid name")
 }
