Use our decisions in gateway, agent and demo; add ablations, plots and pages

Cause: the decisions ran in the bench alone, and their worth was not told apart. The order by expected cost is removed, since it did not pay.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -68,7 +68,8 @@
 async fn run(settings: agent::AgentSettings) -> shell::Result<()> {
     let deadline = settings.drain.deadline;
     let incarnation = ids::Incarnation::random(&mut rand::rng());
-    let scheduler = Box::new(schedule::NaiveScheduler::new());
+    let schedule_settings = schedule::ScheduleSettings::default();
+    let scheduler = Box::new(schedule::ForecastScheduler::new(schedule_settings));
     let target = settings.target.name.clone();
     let config = agent_config(settings);
     let (agent, handle) = shell::AgentShell::open(config, incarnation, scheduler).await?;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -45,7 +45,9 @@
 struct RunArguments {
     scenario: PathBuf,
     policy: String,
+    without: Option<String>,
     json: Option<PathBuf>,
+    report: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
@@ -89,10 +91,20 @@
         .help("Where the figures are written; standard output without it")
         .argument::<PathBuf>("OUT")
         .optional();
+    let without = bpaf::long("without")
+        .help("Decision of kingcupfall to turn off, such as forecast or pauses")
+        .argument::<String>("DECISION")
+        .optional();
+    let report = bpaf::long("report")
+        .help("Folder in which a page with plots is written")
+        .argument::<PathBuf>("DIR")
+        .optional();
     let run = bpaf::construct!(RunArguments {
         scenario,
         policy,
+        without,
         json,
+        report,
     });
 
     run.to_options()
@@ -144,29 +156,43 @@
         name => vec![name.parse::<policies::PolicySet>().map_err(String::from)?],
     };
 
-    let mut figures = BTreeMap::new();
-    for set in sets {
-        let (result, _) = run_set(&scenario, set);
-        figures.insert(set.name().into(), result);
+    let ablation = match arguments.without.as_deref() {
+        None => None,
+        Some(name) => Some(name.parse::<policies::Ablation>().map_err(String::from)?),
+    };
+
+    let runs: Vec<report::PolicyRun> = sets
+        .into_iter()
+        .map(|set| run_set(&scenario, simulation::RunPolicies { set, ablation }))
+        .collect();
+    let figures: BTreeMap<_, _> = runs
+        .iter()
+        .map(|run| (run.name.clone(), run.result.clone()))
+        .collect();
+    let name = scenario_name(&arguments.scenario);
+    if let Some(folder) = &arguments.report {
+        report::write_page(folder, &name, &runs)?;
     }
     let result = observer::RunResult {
-        scenario: scenario_name(&arguments.scenario),
+        scenario: name,
         policies: figures,
     };
     write_result(arguments, &result)
 }
 
-fn run_set(
-    scenario: &scenario::Scenario,
-    set: policies::PolicySet,
-) -> (observer::PolicyResult, observer::RunTraces) {
+fn run_set(scenario: &scenario::Scenario, policies: simulation::RunPolicies) -> report::PolicyRun {
+    let set = policies.set;
     let requests = scenario::draw_requests(scenario);
     eprintln!("{set}: {} requests", requests.len());
 
     let start = Instant::now();
-    let outcome = simulation::Simulation::new(scenario, set, requests).run();
+    let (result, traces) = simulation::Simulation::new(scenario, policies, requests).run();
     eprintln!("{set}: done in {:.1} s", start.elapsed().as_secs_f64());
-    outcome
+    report::PolicyRun {
+        name: set.name().into(),
+        result,
+        traces,
+    }
 }
 
 fn write_result(arguments: &RunArguments, result: &observer::RunResult) -> Result<()> {
--- a/crates/bench/src/policies.rs
+++ b/crates/bench/src/policies.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::str::FromStr;
+use std::time::Duration;
 
 use kingcupfall_gateway::reducer as gateway;
 use kingcupfall_policy::limit;
@@ -61,11 +62,13 @@
     }
 
     /// Makes the scheduler of one agent.
-    pub fn scheduler(self) -> Box<dyn schedule::WorkScheduler> {
+    ///
+    /// `ablation` turns one decision of ours off; the other sets have none of them.
+    pub fn scheduler(self, ablation: Option<Ablation>) -> Box<dyn schedule::WorkScheduler> {
         match self {
             Self::Naive | Self::LeastOutstanding => Box::new(schedule::NaiveScheduler::new()),
             Self::Kingcupfall => {
-                let settings = schedule::ScheduleSettings::default();
+                let settings = schedule_settings(ablation);
                 Box::new(schedule::ForecastScheduler::new(settings))
             }
         }
@@ -89,6 +92,77 @@
     }
 }
 
+/// A decision of ours that can be turned off, to see what it is worth.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ablation {
+    /// Learning of lengths.
+    Lengths,
+    /// Forecast of memory.
+    Forecast,
+    /// Prompts in chunks.
+    Chunks,
+    /// Pauses, and with them yielding.
+    Pauses,
+    /// Yielding of large streams.
+    Yields,
+    /// Fair shares.
+    Shares,
+    /// Short work first.
+    Short,
+}
+
+impl Ablation {
+    /// All ablations.
+    pub const ALL: [Self; 7] = [
+        Self::Lengths,
+        Self::Forecast,
+        Self::Chunks,
+        Self::Pauses,
+        Self::Yields,
+        Self::Shares,
+        Self::Short,
+    ];
+
+    /// Returns the name on the command line.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Lengths => "lengths",
+            Self::Forecast => "forecast",
+            Self::Chunks => "chunks",
+            Self::Pauses => "pauses",
+            Self::Yields => "yields",
+            Self::Shares => "shares",
+            Self::Short => "short",
+        }
+    }
+}
+
+impl FromStr for Ablation {
+    type Err = Box<str>;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Self::ALL
+            .into_iter()
+            .find(|ablation| ablation.name() == text)
+            .ok_or_else(|| format!("{text:?} is not a decision that can be turned off").into())
+    }
+}
+
+fn schedule_settings(ablation: Option<Ablation>) -> schedule::ScheduleSettings {
+    let mut settings = schedule::ScheduleSettings::default();
+    match ablation {
+        None => {}
+        Some(Ablation::Lengths) => settings.learns_lengths = false,
+        Some(Ablation::Forecast) => settings.forecasts = false,
+        Some(Ablation::Chunks) => settings.chunks_prefill = false,
+        Some(Ablation::Pauses) => settings.pauses = false,
+        Some(Ablation::Yields) => settings.yield_time = Duration::ZERO,
+        Some(Ablation::Shares) => settings.shares_fairly = false,
+        Some(Ablation::Short) => settings.backfills = false,
+    }
+    settings
+}
+
 fn gateway_policies(
     placement: Box<dyn place::PlacementPolicy>,
     most_attempts: u32,
--- a/crates/bench/src/simulation/gateways.rs
+++ b/crates/bench/src/simulation/gateways.rs
@@ -11,11 +11,11 @@
 use kingcupfall_gateway::state;
 
 use super::LinkInput;
+use super::RunPolicies;
 use super::Simulation;
 use super::SimulationEvent;
 use super::node::TargetNode;
 use crate::observer;
-use crate::policies;
 use crate::scenario;
 
 /// Model that all engines serve.
@@ -42,7 +42,7 @@
 
 pub(super) fn make_gateway(
     scenario: &scenario::Scenario,
-    set: policies::PolicySet,
+    set: RunPolicies,
     index: usize,
 ) -> gateway::GatewayReducer {
     let seed = scenario.seed.wrapping_mul(31).wrapping_add(index as u64);
@@ -51,7 +51,7 @@
         zone: super::node::zone_name(index),
         seed,
     };
-    gateway::GatewayReducer::new(identity, set.gateway(seed))
+    gateway::GatewayReducer::new(identity, set.set.gateway(seed))
 }
 
 pub(super) fn listings(nodes: &[TargetNode]) -> Vec<state::TargetListing> {
--- a/crates/bench/src/simulation/mod.rs
+++ b/crates/bench/src/simulation/mod.rs
@@ -98,10 +98,28 @@
     Frame(Box<kingcupfall_link::frames::GatewayFrame>),
 }
 
+/// Decisions that a run uses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunPolicies {
+    /// Set of decisions.
+    pub set: policies::PolicySet,
+    /// Decision of ours that is turned off.
+    pub ablation: Option<policies::Ablation>,
+}
+
+impl From<policies::PolicySet> for RunPolicies {
+    fn from(set: policies::PolicySet) -> Self {
+        Self {
+            set,
+            ablation: None,
+        }
+    }
+}
+
 /// One run of a scenario under one policy set.
 pub struct Simulation<'a> {
     scenario: &'a scenario::Scenario,
-    set: policies::PolicySet,
+    set: RunPolicies,
     now: time::Timestamp,
     events: EventQueue<SimulationEvent>,
     gateways: Vec<gateway::GatewayReducer>,
@@ -115,7 +133,7 @@
     /// Prepares a run of `requests`.
     pub fn new(
         scenario: &'a scenario::Scenario,
-        set: policies::PolicySet,
+        set: RunPolicies,
         requests: Vec<scenario::OfferedRequest>,
     ) -> Self {
         let shifted = shift(requests);
--- a/crates/bench/src/simulation/node.rs
+++ b/crates/bench/src/simulation/node.rs
@@ -9,7 +9,7 @@
 use kingcupfall_core::time;
 use kingcupfall_model as model;
 
-use crate::policies;
+use super::RunPolicies;
 use crate::scenario;
 
 /// Zones that VMs are spread over.
@@ -53,7 +53,7 @@
 
 impl TargetNode {
     /// Makes a VM that runs.
-    pub fn new(scenario: &scenario::Scenario, set: policies::PolicySet, index: usize) -> Self {
+    pub fn new(scenario: &scenario::Scenario, set: RunPolicies, index: usize) -> Self {
         let name: ids::TargetName = format!("engine-{}", index + 1)
             .parse()
             .expect("a valid name");
@@ -170,7 +170,7 @@
     }
 
     /// Starts the VM again with a new life.
-    pub fn revive(&mut self, set: policies::PolicySet) {
+    pub fn revive(&mut self, set: RunPolicies) {
         self.life += 1;
         self.alive = true;
         self.engine_up = true;
@@ -207,7 +207,7 @@
 fn make_agent(
     name: &ids::TargetName,
     zone: &ids::ZoneName,
-    set: policies::PolicySet,
+    set: RunPolicies,
     index: usize,
     life: u64,
 ) -> agent::AgentReducer {
@@ -217,5 +217,5 @@
         incarnation: ids::Incarnation::from_u128(incarnation),
         zone: zone.clone(),
     };
-    agent::AgentReducer::new(identity, set.scheduler())
+    agent::AgentReducer::new(identity, set.set.scheduler(set.ablation))
 }
--- a/crates/bench/tests/scenarios.rs
+++ b/crates/bench/tests/scenarios.rs
@@ -80,7 +80,7 @@
 fn run(text: &str, set: policies::PolicySet) -> observer::PolicyResult {
     let scenario = scenario::Scenario::parse(text).unwrap();
     let requests = scenario::draw_requests(&scenario);
-    let (result, _) = simulation::Simulation::new(&scenario, set, requests).run();
+    let (result, _) = simulation::Simulation::new(&scenario, set.into(), requests).run();
     result
 }
 
--- a/crates/policy/src/schedule/forecasting/mod.rs
+++ b/crates/policy/src/schedule/forecasting/mod.rs
@@ -33,12 +33,6 @@
 /// Time between tokens that a batch is held under, in seconds.
 const GAP_TARGET_S: f64 = 0.038;
 
-/// Later deadline of work of the usual cost, in proportion to its cost.
-const COST_HANDICAP: Duration = Duration::from_secs(3);
-
-/// Cost, as a multiple of the usual one, beyond which the handicap grows no more.
-const COST_RATIO_LIMIT: f64 = 4.0;
-
 /// Time for which a large stream makes room for several late ones, once in its life.
 const YIELD_TIME: Duration = Duration::from_secs(30);
 
@@ -68,8 +62,6 @@
     pub shares_fairly: bool,
     /// Whether short work may pass work that does not fit yet.
     pub backfills: bool,
-    /// Later deadline of work of the usual cost, in proportion to its cost.
-    pub cost_handicap: Duration,
     /// Time for which a large stream makes room for several late ones; zero for never.
     pub yield_time: Duration,
     /// Time between tokens that a batch is held under, in seconds.
@@ -86,7 +78,6 @@
             pauses: true,
             shares_fairly: true,
             backfills: true,
-            cost_handicap: COST_HANDICAP,
             yield_time: YIELD_TIME,
             gap_target_s: GAP_TARGET_S,
         }
@@ -133,13 +124,11 @@
         let tokens = slot.map_or(0.0, |slot| f64::from(self.book.mean_tokens(slot)));
         let memory = ticket.prompt_tokens.get() as f64 + tokens / 2.0;
         let cost = memory * tokens * self.pace.step_s();
-        let ratio = (cost / self.attempt_work.max(1.0)).min(COST_RATIO_LIMIT);
         WaitingWork {
             ticket,
             slot,
             since: now,
             is_short: slot.is_none_or(|slot| self.is_short(slot)),
-            handicap: self.settings.cost_handicap.mul_f64(ratio),
             cost,
             memory: memory as u64,
         }
--- a/crates/policy/src/schedule/queue.rs
+++ b/crates/policy/src/schedule/queue.rs
@@ -26,8 +26,6 @@
     pub cost: f64,
     /// Whether its answer is expected to be short, or it is a service call.
     pub is_short: bool,
-    /// Later deadline that it is given because it costs more than other work.
-    pub handicap: Duration,
     /// Memory that it is expected to hold halfway through its life, in tokens.
     pub memory: u64,
 }
@@ -164,8 +162,7 @@
 pub fn order_key(work: &WaitingWork) -> QueueKey {
     let credit = PRIORITY_CREDIT * u32::from(work.ticket.tag.priority.get());
     let credit = u64::try_from(credit.as_micros()).unwrap_or(u64::MAX);
-    let handicap = u64::try_from(work.handicap.as_micros()).unwrap_or(u64::MAX);
     let deadline = work.ticket.start_by.as_micros();
-    let place = deadline.saturating_add(handicap).saturating_sub(credit);
+    let place = deadline.saturating_sub(credit);
     (place, work.ticket.attempt)
 }
--- a/crates/standin/src/system/start.rs
+++ b/crates/standin/src/system/start.rs
@@ -238,7 +238,8 @@
         address: address.clone(),
     };
     let incarnation = ids::Incarnation::random(&mut rand::rng());
-    let scheduler = Box::new(schedule::NaiveScheduler::new());
+    let schedule_settings = schedule::ScheduleSettings::default();
+    let scheduler = Box::new(schedule::ForecastScheduler::new(schedule_settings));
 
     let (shell, handle) = agent::AgentShell::open(config, incarnation, scheduler).await?;
     Ok(RunningAgent {
@@ -260,7 +261,7 @@
             seed: rand::rng().random(),
         },
         policies: gateway_reducer::GatewayPolicies {
-            placement: Box::new(place::RoundRobinPlacement::default()),
+            placement: Box::new(place::ExpectedCostPlacement::default()),
             retry: Box::new(retry::BlindRetry::new(ATTEMPT_LIMIT)),
             limit: Box::new(limit::NoLimit),
             quarantine: Box::new(quarantine::TrustingQuarantine),
