--- a/crates/agent/src/reducer/mod.rs
+++ b/crates/agent/src/reducer/mod.rs
@@ -55,6 +55,8 @@
 /// A link to a gateway.
 #[derive(Debug, Clone, Default)]
 struct LinkState {
+    /// Cached prefixes in the last pulse.
+    cached: Option<Vec<load::CachedPrefix>>,
     last_heard: time::Timestamp,
     gateway: Option<ids::ProcessId>,
 }
@@ -176,6 +178,7 @@
         effects: &mut Vec<AgentEffect>,
     ) {
         let state = LinkState {
+            cached: None,
             last_heard: now,
             gateway: None,
         };
--- a/crates/agent/src/reducer/upkeep.rs
+++ b/crates/agent/src/reducer/upkeep.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use kingcupfall_core::ids;
+use kingcupfall_core::load;
 use kingcupfall_core::time;
 use kingcupfall_link::frames;
 
@@ -48,20 +49,37 @@
     }
 
     pub(super) fn send_pulse(
-        &self,
+        &mut self,
         now: time::Timestamp,
         link: ids::LinkId,
         effects: &mut Vec<AgentEffect>,
     ) {
+        let mut load = self.scheduler.summarize(now);
+        let cached = std::mem::take(&mut load.cached);
         let pulse = frames::AgentPulse {
             now,
             leaving: self.departure != super::DeparturePhase::Serving,
             target_up: self.target_up,
-            load: self.scheduler.summarize(now),
+            load,
+            cached: self.changed_prefixes(link, cached),
         };
         send(effects, link, frames::AgentFrame::Pulse(Box::new(pulse)));
     }
 
+    /// Returns the cached prefixes when they are not those of the last pulse on `link`.
+    fn changed_prefixes(
+        &mut self,
+        link: ids::LinkId,
+        cached: Vec<load::CachedPrefix>,
+    ) -> Option<Vec<load::CachedPrefix>> {
+        let state = self.links.get_mut(&link)?;
+        if state.cached.as_ref() == Some(&cached) {
+            return None;
+        }
+        state.cached = Some(cached.clone());
+        Some(cached)
+    }
+
     fn drop_silent_links(&mut self, now: time::Timestamp, effects: &mut Vec<AgentEffect>) {
         let silent: Vec<ids::LinkId> = self
             .links
--- a/crates/bench/src/slopes/frames.rs
+++ b/crates/bench/src/slopes/frames.rs
@@ -40,7 +40,8 @@
     vec![
         measure_frame("tokens, one", &tokens(1)),
         measure_frame("tokens, batch of 4", &tokens(BATCH_TOKENS)),
-        measure_frame("pulse with 16 prefixes", &pulse()),
+        measure_frame("pulse", &pulse(0)),
+        measure_frame("pulse with 16 new prefixes", &pulse(CACHED_PREFIXES)),
         measure_frame("heartbeat", &frames::GatewayFrame::Heartbeat),
         measure_frame("start, prompt of 3,200 bytes", &start()),
     ]
@@ -80,7 +81,7 @@
     })
 }
 
-fn pulse() -> frames::AgentFrame {
+fn pulse(prefixes: u64) -> frames::AgentFrame {
     let cached = |number| load::CachedPrefix {
         prefix: work::PrefixHash::new(u64::MAX - number),
         tokens: measures::TokenCount::new(400),
@@ -90,7 +91,6 @@
         queued: 20,
         memory_total: measures::TokenCount::new(600_000),
         memory_used: measures::TokenCount::new(500_000),
-        cached: (0..CACHED_PREFIXES).map(cached).collect(),
         ..load::LoadSummary::default()
     };
     frames::AgentFrame::Pulse(Box::new(frames::AgentPulse {
@@ -98,6 +98,7 @@
         leaving: false,
         target_up: true,
         load,
+        cached: (prefixes > 0).then(|| (0..prefixes).map(cached).collect()),
     }))
 }
 
--- a/crates/core/src/ids/random.rs
+++ b/crates/core/src/ids/random.rs
@@ -1,15 +1,20 @@
-//! Random 128-bit ids, written as 32 hexadecimal digits.
+//! Random 128-bit ids, written as 32 hexadecimal digits, and as 16 bytes in binary formats.
 
 use std::fmt;
 use std::str::FromStr;
 
 use quick_error::quick_error;
 use rand::Rng;
-use serde_with::DeserializeFromStr;
-use serde_with::SerializeDisplay;
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::Serialize;
+use serde::Serializer;
+use serde::de;
 
 const HEX_DIGITS: usize = 32;
 
+const ID_BYTES: usize = 16;
+
 quick_error! {
     /// Reason why a text is not a random id.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,9 +29,7 @@
 macro_rules! random_id {
     ($(#[$meta:meta])* $name:ident) => {
         $(#[$meta])*
-        #[derive(
-            Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, SerializeDisplay, DeserializeFromStr,
-        )]
+        #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
         pub struct $name(u128);
 
         impl $name {
@@ -46,6 +49,25 @@
             }
         }
 
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                match serializer.is_human_readable() {
+                    true => serializer.collect_str(self),
+                    false => serializer.serialize_bytes(&self.0.to_be_bytes()),
+                }
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                let value = match deserializer.is_human_readable() {
+                    true => deserializer.deserialize_str(IdVisitor),
+                    false => deserializer.deserialize_bytes(IdVisitor),
+                };
+                value.map(Self)
+            }
+        }
+
         impl FromStr for $name {
             type Err = IdError;
 
@@ -85,6 +107,30 @@
     Nonce
 }
 
+/// Reads the value of an id from its text or its bytes.
+struct IdVisitor;
+
+impl de::Visitor<'_> for IdVisitor {
+    type Value = u128;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{HEX_DIGITS} hexadecimal digits or {ID_BYTES} bytes"
+        )
+    }
+
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<u128, E> {
+        parse_hex(text).map_err(E::custom)
+    }
+
+    fn visit_bytes<E: de::Error>(self, bytes: &[u8]) -> Result<u128, E> {
+        let bytes =
+            <[u8; ID_BYTES]>::try_from(bytes).map_err(|_| E::invalid_length(bytes.len(), &self))?;
+        Ok(u128::from_be_bytes(bytes))
+    }
+}
+
 fn parse_hex(text: &str) -> Result<u128, IdError> {
     let is_hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
     if text.len() != HEX_DIGITS || !is_hex {
--- a/crates/gateway/src/reducer/answers.rs
+++ b/crates/gateway/src/reducer/answers.rs
@@ -352,7 +352,9 @@
         };
         target.clock = Some(state::AgentClock::new(pulse.now, now));
         target.target_up = pulse.target_up;
+        let known = std::mem::take(&mut target.load.cached);
         target.load = pulse.load;
+        target.load.cached = pulse.cached.unwrap_or(known);
         target.placed_since = 0;
         target.placed_tokens = measures::TokenCount::ZERO;
         if pulse.leaving {
--- a/crates/gateway/src/reducer/upkeep.rs
+++ b/crates/gateway/src/reducer/upkeep.rs
@@ -15,7 +15,7 @@
 pub const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time between two heartbeats on a link.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(3);
 
 /// Time without a link after which an unreleased repeatable call is tried elsewhere.
 const RESTART_PATIENCE: Duration = Duration::from_secs(2);
--- a/crates/link/src/frames/agent.rs
+++ b/crates/link/src/frames/agent.rs
@@ -35,18 +35,25 @@
     pub leaving: bool,
     /// Whether the target answers.
     pub target_up: bool,
-    /// Load of the target.
+    /// Load of the target, without its cached prefixes.
     pub load: load::LoadSummary,
+    /// Cached prefixes; `None` when they are those of the last pulse on this link.
+    pub cached: Option<Vec<load::CachedPrefix>>,
 }
 
 /// Consecutive tokens of one generation.
+///
+/// Most frames are of this kind, so its fields have one letter on the link.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TokenBatch {
     /// Attempt, and so generation, of the tokens.
+    #[serde(rename = "a")]
     pub attempt: ids::AttemptId,
     /// Place of the first token.
+    #[serde(rename = "f")]
     pub first: measures::Sequence,
     /// Texts of the tokens.
+    #[serde(rename = "t")]
     pub tokens: Vec<Box<str>>,
 }
 
