Give a stream back to the caller who stayed when a late resumption displaced it

Cause: the random cases, with heartbeats every 3 s, broke a caller off two gateways in a row and let the second gateway's resumption arrive after that of the third connection. The late one took the tokens, and the caller who had come back was told that its stream was superseded. Ruled out: the first try gave each subscription an id, so that a late word of a takeover was ignored; the late resumption itself still took the tokens. Change: a displaced subscriber is kept until it goes too; it gets the tokens back when the later one goes first, and is told at the end of the generation otherwise. Conclusion: kept as a named case.

--- a/crates/agent/src/reducer/delivery.rs
+++ b/crates/agent/src/reducer/delivery.rs
@@ -71,47 +71,6 @@
         }
     }
 
-    /// Moves the tokens of an attempt to another link.
-    pub(super) fn take_resume(
-        &mut self,
-        now: time::Timestamp,
-        link: ids::LinkId,
-        order: &frames::ResumeOrder,
-        effects: &mut Vec<AgentEffect>,
-    ) {
-        let Some(state) = self.attempts.get_mut(order.attempt) else {
-            match order.start_by {
-                Some(start_by) => {
-                    self.refuse_unknown(now, link, order.attempt, start_by, effects);
-                }
-                None => {
-                    let cause = frames::FailureCause::Expired;
-                    send_failure(effects, link, order.attempt, cause);
-                }
-            }
-            return;
-        };
-        let is_owner = state.order.tag.organisation == order.organisation;
-        if !is_owner || order.next > state.buffer.next() {
-            let cause = frames::FailureCause::Expired;
-            send_failure(effects, link, order.attempt, cause);
-            return;
-        }
-
-        let former = state.subscriber.replace(link);
-        state.sent = order.next;
-        state.acknowledged = order.next;
-        state.end_sent = false;
-        state.end_settled = false;
-        if let Some(former) = former
-            && self.is_held_elsewhere(link, Some(former))
-        {
-            let cause = frames::FailureCause::Superseded;
-            send_failure(effects, former, order.attempt, cause);
-        }
-        self.deliver(order.attempt, effects);
-    }
-
     pub(super) fn take_acknowledgement(
         &mut self,
         link: ids::LinkId,
@@ -140,41 +99,6 @@
         }
     }
 
-    /// Notes that an attempt's caller has gone.
-    pub(super) fn take_detach(
-        &mut self,
-        now: time::Timestamp,
-        link: ids::LinkId,
-        attempt: ids::AttemptId,
-    ) {
-        let Some(state) = self.attempts.get(attempt) else {
-            return;
-        };
-        if !self.is_held_elsewhere(link, state.subscriber) {
-            self.detach(now, attempt);
-        }
-    }
-
-    /// Says whether another gateway than that of `link` has taken an attempt over.
-    pub(super) fn is_held_elsewhere(
-        &self,
-        link: ids::LinkId,
-        subscriber: Option<ids::LinkId>,
-    ) -> bool {
-        let Some(subscriber) = subscriber else {
-            return false;
-        };
-        let gateway_of = |link| self.links.get(&link).and_then(|state| state.gateway);
-        subscriber != link && gateway_of(subscriber) != gateway_of(link)
-    }
-
-    pub(super) fn detach(&mut self, now: time::Timestamp, attempt: ids::AttemptId) {
-        if let Some(state) = self.attempts.get_mut(attempt) {
-            state.subscriber = None;
-            state.detached_at = now;
-        }
-    }
-
     /// Answers a repeat of the call that `first` runs or ran.
     pub(super) fn answer_repeat(
         &mut self,
@@ -349,5 +273,6 @@
         }
     };
     state.end_sent = true;
+    super::subscription::dismiss_formers(state, effects);
     send(effects, link, frame);
 }
--- a/crates/agent/src/reducer/departure.rs
+++ b/crates/agent/src/reducer/departure.rs
@@ -156,7 +156,8 @@
         frames::AgentFrame::Refused(_)
         | frames::AgentFrame::Finished(_)
         | frames::AgentFrame::Answered(_)
-        | frames::AgentFrame::Failed(_) => true,
+        | frames::AgentFrame::Failed(_)
+        | frames::AgentFrame::Superseded { .. } => true,
         frames::AgentFrame::Hello(_)
         | frames::AgentFrame::Pulse(_)
         | frames::AgentFrame::Accepted { .. }
--- a/crates/agent/src/reducer/intake.rs
+++ b/crates/agent/src/reducer/intake.rs
@@ -286,7 +286,7 @@
             .is_some_and(|key| self.executions.has_waiters(key.nonce));
         if has_waiters {
             // The call itself goes on for the repeats, so this caller can't be told "not run".
-            self.detach(now, attempt);
+            self.detach(now, attempt, effects);
             send_failure(effects, link, attempt, frames::FailureCause::Cancelled);
             return;
         }
@@ -311,7 +311,7 @@
         };
         if state.is_exclusive() {
             // A call that must run at most once goes on, so that a repeat finds its answer.
-            self.detach(now, attempt);
+            self.detach(now, attempt, effects);
             return;
         }
         self.abandon(now, attempt, effects);
--- a/crates/agent/src/reducer/mod.rs
+++ b/crates/agent/src/reducer/mod.rs
@@ -6,6 +6,7 @@
 mod event;
 mod intake;
 mod schedule;
+mod subscription;
 mod target;
 mod upkeep;
 
@@ -107,7 +108,7 @@
     ) {
         match event {
             AgentEvent::LinkOpened { link } => self.open_link(now, link, effects),
-            AgentEvent::LinkClosed { link } => self.close_link(now, link),
+            AgentEvent::LinkClosed { link } => self.close_link(now, link, effects),
             AgentEvent::Frame { link, frame } => self.take_frame(now, link, frame, effects),
             AgentEvent::Token {
                 attempt,
@@ -194,15 +195,14 @@
         self.send_pulse(now, link, effects);
     }
 
-    fn close_link(&mut self, now: time::Timestamp, link: ids::LinkId) {
+    fn close_link(
+        &mut self,
+        now: time::Timestamp,
+        link: ids::LinkId,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        self.detach_link(now, link, effects);
         self.links.remove(&link);
-
-        for attempt in self.attempts.select(|state| state.subscriber == Some(link)) {
-            if let Some(state) = self.attempts.get_mut(attempt) {
-                state.subscriber = None;
-                state.detached_at = now;
-            }
-        }
     }
 
     fn take_frame(
@@ -228,7 +228,9 @@
             frames::GatewayFrame::Hello(hello) => self.take_hello(now, link, &hello, effects),
             frames::GatewayFrame::Start(order) => self.take_start(now, link, *order, effects),
             frames::GatewayFrame::Cancel(order) => self.take_cancel(now, link, order, effects),
-            frames::GatewayFrame::Detach { attempt } => self.take_detach(now, link, attempt),
+            frames::GatewayFrame::Detach { attempt } => {
+                self.take_detach(now, link, attempt, effects);
+            }
             frames::GatewayFrame::Resume(order) => self.take_resume(now, link, &order, effects),
             frames::GatewayFrame::Acknowledge { attempt, next } => {
                 self.take_acknowledgement(link, attempt, next, effects);
@@ -262,7 +264,7 @@
         link: ids::LinkId,
         effects: &mut Vec<AgentEffect>,
     ) {
-        self.close_link(now, link);
+        self.close_link(now, link, effects);
         effects.push(AgentEffect::CloseLink { link });
     }
 }
--- a/crates/agent/src/shell/metrics.rs
+++ b/crates/agent/src/shell/metrics.rs
@@ -131,6 +131,7 @@
             | frames::AgentFrame::Pulse(_)
             | frames::AgentFrame::Tokens(_)
             | frames::AgentFrame::Finished(_)
+            | frames::AgentFrame::Superseded { .. }
             | frames::AgentFrame::Fleet(_) => {}
         }
     }
--- a/crates/agent/src/state/attempts.rs
+++ b/crates/agent/src/state/attempts.rs
@@ -46,6 +46,17 @@
     },
 }
 
+/// A link that gets, or got, the tokens of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TokenSubscriber {
+    /// Link that its tokens went to.
+    pub link: ids::LinkId,
+    /// Id of its subscription; `None` for that of the start order.
+    pub subscription: Option<ids::Nonce>,
+    /// First token that it has not acknowledged.
+    pub next: measures::Sequence,
+}
+
 /// One attempt.
 #[derive(Debug, Clone)]
 pub struct AttemptState {
@@ -57,6 +68,10 @@
     pub buffer: TokenBuffer,
     /// Link that its tokens go to.
     pub subscriber: Option<ids::LinkId>,
+    /// Id of the subscription; `None` for that of the start order.
+    pub subscription: Option<ids::Nonce>,
+    /// Subscribers before this one that have not gone, the latest last.
+    pub formers: Vec<TokenSubscriber>,
     /// Since when it has had no subscriber.
     pub detached_at: time::Timestamp,
     /// First token not sent to the subscriber.
@@ -77,6 +92,8 @@
             phase: AttemptPhase::Queued,
             buffer: TokenBuffer::default(),
             subscriber: Some(subscriber),
+            subscription: None,
+            formers: Vec::new(),
             detached_at: now,
             sent: measures::Sequence::ZERO,
             acknowledged: measures::Sequence::ZERO,
@@ -93,6 +110,25 @@
         }
     }
 
+    /// Gives the tokens to `subscriber` from its next one on.
+    pub fn subscribe(&mut self, subscriber: TokenSubscriber) {
+        self.subscriber = Some(subscriber.link);
+        self.subscription = subscriber.subscription;
+        self.sent = subscriber.next;
+        self.acknowledged = subscriber.next;
+        self.end_sent = false;
+        self.end_settled = false;
+    }
+
+    /// Returns who gets the tokens, and from where it would go on.
+    pub fn current_subscriber(&self) -> Option<TokenSubscriber> {
+        self.subscriber.map(|link| TokenSubscriber {
+            link,
+            subscription: self.subscription,
+            next: self.acknowledged,
+        })
+    }
+
     /// Says whether the target has the attempt.
     pub fn is_running(&self) -> bool {
         self.phase == AttemptPhase::Running
--- a/crates/agent/src/state/mod.rs
+++ b/crates/agent/src/state/mod.rs
@@ -9,6 +9,7 @@
 pub use attempts::AttemptPhase;
 pub use attempts::AttemptState;
 pub use attempts::AttemptTable;
+pub use attempts::TokenSubscriber;
 pub use buffer::TokenBuffer;
 pub use executions::ExecutionLookup;
 pub use executions::ExecutionRecord;
--- a/crates/gateway/src/reducer/answers.rs
+++ b/crates/gateway/src/reducer/answers.rs
@@ -37,6 +37,10 @@
         match frame {
             frames::AgentFrame::Hello(hello) => self.take_hello(now, link, &hello, effects),
             frames::AgentFrame::Pulse(pulse) => self.take_pulse(now, &name, *pulse, effects),
+            frames::AgentFrame::Superseded {
+                attempt,
+                subscription,
+            } => self.take_takeover(now, &name, attempt, subscription, effects),
             frames::AgentFrame::Accepted { .. } | frames::AgentFrame::Fleet(_) => {}
             frames::AgentFrame::Refused(report) => {
                 self.take_refusal(now, &name, &report, effects);
@@ -292,14 +296,12 @@
             frames::FailureCause::Cancelled => ProblemCode::TargetLost,
             frames::FailureCause::Expired => ProblemCode::ResumeExpired,
             frames::FailureCause::AnswerLost => ProblemCode::AnswerLost,
-            frames::FailureCause::Superseded => ProblemCode::Superseded,
         };
         let is_final = match report.cause {
             frames::FailureCause::TargetLost | frames::FailureCause::Expired => false,
             frames::FailureCause::TargetError
             | frames::FailureCause::Cancelled
-            | frames::FailureCause::AnswerLost
-            | frames::FailureCause::Superseded => true,
+            | frames::FailureCause::AnswerLost => true,
         };
         if is_final {
             let outcome = work::CallOutcome::Unknown;
@@ -309,6 +311,35 @@
         self.lose_call(now, call, code, effects);
     }
 
+    /// Ends a call whose caller has gone on through another gateway.
+    ///
+    /// The frame may be late: the caller may have come back here since, with a subscription of its
+    /// own, which goes on.
+    fn take_takeover(
+        &mut self,
+        now: time::Timestamp,
+        name: &ids::TargetName,
+        attempt: ids::AttemptId,
+        subscription: Option<ids::Nonce>,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(call) = self.expected_call(name, attempt) else {
+            return;
+        };
+        let is_current = self
+            .calls
+            .get(call)
+            .and_then(state::CallState::placed)
+            .is_some_and(|placed| placed.subscription == subscription);
+        if !is_current {
+            self.counters.stray_frames += 1;
+            return;
+        }
+        let outcome = work::CallOutcome::Unknown;
+        let code = ProblemCode::Superseded;
+        self.finish_problem(now, call, outcome, code, None, effects);
+    }
+
     /// Tells an agent that the end of an attempt has come in.
     fn settle(
         &self,
--- a/crates/gateway/src/reducer/calls.rs
+++ b/crates/gateway/src/reducer/calls.rs
@@ -64,7 +64,8 @@
 
         let call = request.call;
         let target = request.token.target.clone();
-        let state = resumed_call(now, request);
+        let subscription = ids::Nonce::random(&mut self.generator);
+        let state = resumed_call(now, request, subscription);
         let attempt = state.placed().map(|placed| placed.attempt);
         self.calls.insert(state);
         if let Some(attempt) = attempt {
@@ -315,7 +316,11 @@
     }
 }
 
-fn resumed_call(now: time::Timestamp, request: ResumeRequest) -> state::CallState {
+fn resumed_call(
+    now: time::Timestamp,
+    request: ResumeRequest,
+    subscription: ids::Nonce,
+) -> state::CallState {
     let token = request.token;
     let next = token.sequence + measures::Sequence::new(1);
     let placed = state::PlacedAttempt {
@@ -323,6 +328,7 @@
         target: token.target,
         incarnation: token.incarnation,
         start_by: None,
+        subscription: Some(subscription),
         placed_at: now,
         weighed_at: now,
     };
--- a/crates/gateway/src/reducer/links.rs
+++ b/crates/gateway/src/reducer/links.rs
@@ -138,6 +138,7 @@
             attempt: placed.attempt,
             organisation: state.request.tag.organisation.clone(),
             next: state.received,
+            subscription: placed.subscription,
             start_by: placed.start_by,
         });
         self.send_to(&placed.target, frame, effects);
--- a/crates/gateway/src/reducer/placing.rs
+++ b/crates/gateway/src/reducer/placing.rs
@@ -349,6 +349,7 @@
             target: name.clone(),
             incarnation,
             start_by: Some(start_by),
+            subscription: None,
             placed_at: now,
             weighed_at: now,
         });
--- a/crates/gateway/src/state/calls.rs
+++ b/crates/gateway/src/state/calls.rs
@@ -21,6 +21,8 @@
     pub incarnation: ids::Incarnation,
     /// Deadline of its start order on the agent's clock; `None` for a resumed stream.
     pub start_by: Option<time::Timestamp>,
+    /// Id of the subscription of a resumed stream; `None` for that of the start order.
+    pub subscription: Option<ids::Nonce>,
     /// When it was sent, on the gateway's clock.
     pub placed_at: time::Timestamp,
     /// When a move to another target was last weighed.
--- a/crates/gateway/tests/promises/regressions.rs
+++ b/crates/gateway/tests/promises/regressions.rs
@@ -44,6 +44,26 @@
     check_mild_case(11_287_902_179_992_809_657, &operations);
 }
 
+#[test]
+fn late_word_of_a_takeover_spares_the_caller_who_came_back() {
+    let operations = [
+        Operation::Call(0, CallKind::Booking, 0),
+        Operation::Advance(721),
+        Operation::Advance(51),
+        Operation::Advance(10),
+        Operation::Advance(3_001),
+        Operation::Call(0, CallKind::Stream, 17),
+        Operation::Advance(191),
+        Operation::Leave(0),
+        Operation::Resume(0, 7),
+        Operation::Leave(0),
+        Operation::Resume(0, 14),
+        Operation::Advance(10),
+    ];
+
+    check_mild_case(12_868_839_044_441_072_496, &operations);
+}
+
 fn check_mild_case(seed: u64, operations: &[Operation]) {
     let mut world = world::CaseWorld::new(seed).with_patience();
     world.run(operations);
--- a/crates/link/src/frames/agent.rs
+++ b/crates/link/src/frames/agent.rs
@@ -147,8 +147,6 @@
     Expired,
     /// A call with this key ran, and its answer is not known.
     AnswerLost,
-    /// The caller took the stream over through another gateway.
-    Superseded,
 }
 
 /// An attempt that failed after it started.
@@ -185,6 +183,13 @@
     Answered(AnswerReport),
     /// Ends an attempt without its answer.
     Failed(FailureReport),
+    /// Says that another gateway took the tokens of an attempt over.
+    Superseded {
+        /// Attempt that was taken over.
+        attempt: ids::AttemptId,
+        /// Subscription that ended; `None` for that of the start order.
+        subscription: Option<ids::Nonce>,
+    },
     /// Frame of the fleet crate, encoded by it.
     Fleet(#[serde_as(as = "Bytes")] Vec<u8>),
 }
--- a/crates/link/src/frames/gateway.rs
+++ b/crates/link/src/frames/gateway.rs
@@ -51,6 +51,8 @@
     pub organisation: ids::OrganisationName,
     /// First token wanted.
     pub next: measures::Sequence,
+    /// Id of this caller's subscription; `None` for that of the start order.
+    pub subscription: Option<ids::Nonce>,
     /// Deadline of the start order, when the gateway sent it itself. An attempt that is not known
     /// is then refused for good; without it the answer says nothing of whether the attempt ran.
     pub start_by: Option<time::Timestamp>,
--- a/crates/standin/tests/common/link.rs
+++ b/crates/standin/tests/common/link.rs
@@ -121,6 +121,7 @@
             | frames::AgentFrame::Pulse(_)
             | frames::AgentFrame::Accepted { .. }
             | frames::AgentFrame::Tokens(_)
+            | frames::AgentFrame::Superseded { .. }
             | frames::AgentFrame::Fleet(_) => return,
         };
         self.send(frames::GatewayFrame::Settled { attempt });
