--- a/crates/agent/src/shell/http.rs
+++ b/crates/agent/src/shell/http.rs
@@ -126,7 +126,7 @@
 }
 
 /// Makes the HTTP client that an agent uses for its target.
-pub(super) async fn make_client() -> Result<client::Client> {
+pub(crate) async fn make_client() -> Result<client::Client> {
     let connector = client::Connector::new().limit(CONNECTION_LIMIT);
     client::Client::builder()
         .connector::<()>(connector)
--- a/crates/agent/src/shell/mod.rs
+++ b/crates/agent/src/shell/mod.rs
@@ -24,6 +24,7 @@
 pub use config::TargetAddress;
 pub use driver::TargetDriver;
 pub use http::HttpDriver;
+pub(crate) use http::make_client;
 pub use metrics::MetricSource;
 pub use turn::AgentHandle;
 pub use turn::AgentShell;
--- a/crates/agent/src/upgrade/mod.rs
+++ b/crates/agent/src/upgrade/mod.rs
@@ -6,6 +6,7 @@
 //! still may give it.
 
 mod clock;
+pub mod driver;
 mod effect;
 mod event;
 mod judge;
