--- a/crates/gateway/tests/http/administration.rs
+++ b/crates/gateway/tests/http/administration.rs
@@ -101,7 +101,7 @@
 
     let wanted = [
         r#"kingcupfall_calls_total{organisation="exaustao",class="report",outcome="completed"} 1"#,
-        r#"kingcupfall_first_token_seconds_count{organisation="exaustao",class="report"} 1"#,
+        r#"kingcupfall_answer_seconds_count{organisation="exaustao",class="report"} 1"#,
         r#"kingcupfall_problems_total{code="unauthorized"} 1"#,
         r#"kingcupfall_targets{state="ready"} 2"#,
         r#"kingcupfall_section_version{section="models"} 1"#,
@@ -112,3 +112,15 @@
         assert!(text.contains(line), "no {line} in {text}");
     }
 }
+
+#[ntex::test]
+async fn health_served_beside_metrics() {
+    let system = system::TestSystem::start(system::SystemOptions::default()).await;
+
+    let healthy = system.ask("/healthz").await;
+    system.gateway.stop();
+    let stopping = system.ask("/healthz").await;
+
+    assert_eq!(healthy.status(), "200");
+    assert_eq!(stopping.status(), "503");
+}
