--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -54,8 +54,11 @@
     pub ended: ntex::rt::JoinHandle<()>,
 }
 
-/// Starts an agent of the target at `address`.
-pub async fn start_agent(target: &str, address: shell::TargetAddress) -> RunningAgent {
+/// Opens an agent of the target at `address`.
+pub async fn open_agent(
+    target: &str,
+    address: shell::TargetAddress,
+) -> shell::Result<(shell::AgentShell, shell::AgentHandle)> {
     let config = shell::AgentConfig {
         target: target.parse().unwrap(),
         zone: "a".parse().unwrap(),
@@ -67,9 +70,12 @@
     };
     let incarnation = ids::Incarnation::random(&mut rand::rng());
     let scheduler = Box::new(schedule::NaiveScheduler::new());
-    let (shell, handle) = shell::AgentShell::open(config, incarnation, scheduler)
-        .await
-        .unwrap();
+    shell::AgentShell::open(config, incarnation, scheduler).await
+}
+
+/// Starts an agent of the target at `address`.
+pub async fn start_agent(target: &str, address: shell::TargetAddress) -> RunningAgent {
+    let (shell, handle) = open_agent(target, address).await.unwrap();
     let ended = ntex::rt::spawn(shell.run());
 
     RunningAgent { handle, ended }
--- a/crates/standin/tests/upgrade.rs
+++ b/crates/standin/tests/upgrade.rs
@@ -13,7 +13,6 @@
 use kingcupfall_core::measures;
 use kingcupfall_document::sections;
 use kingcupfall_link::frames;
-use kingcupfall_policy::schedule;
 
 use common::link;
 
@@ -50,23 +49,6 @@
     document
 }
 
-async fn open_agent(
-    address: std::net::SocketAddr,
-) -> shell::Result<(shell::AgentShell, shell::AgentHandle)> {
-    let config = shell::AgentConfig {
-        target: TARGET.parse().unwrap(),
-        zone: "a".parse().unwrap(),
-        listen: "127.0.0.1:0".parse().unwrap(),
-        administration: "127.0.0.1:0".parse().unwrap(),
-        exclusion: None,
-        link_key: common::link_key(),
-        address: shell::TargetAddress::Engine(address),
-    };
-    let incarnation = ids::Incarnation::random(&mut rand::rng());
-    let scheduler = Box::new(schedule::NaiveScheduler::new());
-    shell::AgentShell::open(config, incarnation, scheduler).await
-}
-
 /// Starts the lives of an agent, and the task that decides its upgrades.
 async fn start_life(
     address: std::net::SocketAddr,
@@ -84,7 +66,8 @@
 
     let (running, upgrading) = (Rc::clone(&life), handle.clone());
     ntex::rt::spawn(async move {
-        let open = async || open_agent(address).await;
+        let target = shell::TargetAddress::Engine(address);
+        let open = async || common::open_agent(TARGET, target.clone()).await;
         running.run(open, Some(&upgrading)).await.unwrap();
     });
     common::wait_until("the agent serves", || life.handle().is_some()).await;
@@ -109,6 +92,9 @@
     };
     assert_eq!(report.total.get(), 600);
     assert!(engine.orders().is_empty());
+    let before = link.hello.as_ref().unwrap().incarnation;
+    let reading = async { while next_event(&mut link).await.is_some() {} };
+    common::within("the link ends", reading).await;
 
     common::wait_until("the engine has its order", || !engine.orders().is_empty()).await;
     common::wait_until("the agent serves again", || {
@@ -118,8 +104,7 @@
     .await;
     let again = link::GatewayLink::open(life.handle().unwrap().address()).await;
 
-    let incarnations = [&link.hello, &again.hello].map(|hello| hello.as_ref().unwrap().incarnation);
-    assert_ne!(incarnations[0], incarnations[1]);
+    assert_ne!(again.hello.as_ref().unwrap().incarnation, before);
     let orders = engine.orders();
     assert_eq!(orders.len(), 1);
     assert_eq!(orders[0].fencing, measures::FencingNumber::new(1));
