--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod report;
 pub mod scenario;
 pub mod simulation;
+pub mod slopes;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -15,6 +15,7 @@
 use kingcupfall_bench::report;
 use kingcupfall_bench::scenario;
 use kingcupfall_bench::simulation;
+use kingcupfall_bench::slopes;
 
 /// Result of a command.
 type Result<T> = result::Result<T, Box<dyn error::Error>>;
@@ -35,6 +36,8 @@
     Run(RunArguments),
     /// Delay of tokens over sockets.
     Latency(latency::LatencyArguments),
+    /// Costs as the fleet grows.
+    Slopes(slopes::SlopeArguments),
 }
 
 /// Arguments of `run`.
@@ -49,6 +52,7 @@
     let result = match arguments().run() {
         BenchCommand::Run(arguments) => run(&arguments),
         BenchCommand::Latency(arguments) => latency::run(&arguments).map_err(Into::into),
+        BenchCommand::Slopes(arguments) => slopes::run(&arguments),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -62,8 +66,9 @@
 fn arguments() -> bpaf::OptionParser<BenchCommand> {
     let run = run_arguments();
     let latency = latency_arguments();
+    let slopes = slopes_arguments();
 
-    bpaf::construct!([run, latency])
+    bpaf::construct!([run, latency, slopes])
         .to_options()
         .descr(
             "Measures the decisions of kingcupfall in simulated time, and its delay over sockets",
@@ -124,6 +129,14 @@
         .map(BenchCommand::Latency)
 }
 
+fn slopes_arguments() -> impl Parser<BenchCommand> {
+    slopes::arguments()
+        .to_options()
+        .descr("Measures what a process, a change and a frame cost as the fleet grows")
+        .command("slopes")
+        .map(BenchCommand::Slopes)
+}
+
 fn run(arguments: &RunArguments) -> Result<()> {
     let scenario = scenario::Scenario::load(&arguments.scenario)?;
     let sets = match arguments.policy.as_str() {
