--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -95,6 +95,7 @@
 
     shell::AgentConfig {
         target: settings.target.name,
+        vm: settings.node.vm,
         zone: settings.node.zone,
         listen: settings.listen.links,
         administration: settings.listen.administration,
--- a/crates/agent/src/shell/config.rs
+++ b/crates/agent/src/shell/config.rs
@@ -34,6 +34,8 @@
 pub struct AgentConfig {
     /// Name of the target.
     pub target: ids::TargetName,
+    /// VM that the agent runs on, as the VM list names it.
+    pub vm: ids::VmName,
     /// Availability zone of the VM.
     pub zone: ids::ZoneName,
     /// Where gateways open links; port 0 picks a free one.
--- a/crates/agent/src/shell/mod.rs
+++ b/crates/agent/src/shell/mod.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod config;
 mod driver;
+mod fleet;
 mod http;
 mod links;
 mod metrics;
--- a/crates/agent/src/shell/turn.rs
+++ b/crates/agent/src/shell/turn.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use kingcupfall_core::ids;
+use kingcupfall_fleet::reducer::LinkKind;
+use kingcupfall_fleet::shell::FleetHandle;
 use kingcupfall_link::frames;
 use kingcupfall_link::transport;
 use kingcupfall_policy::schedule;
@@ -22,6 +24,7 @@
 use super::TargetAddress;
 use super::TargetDriver;
 use super::administration;
+use super::fleet;
 use super::http;
 use super::links;
 use super::metrics;
@@ -52,6 +55,13 @@
         /// The frames, in order.
         frames: Vec<frames::GatewayFrame>,
     },
+    /// The fleet has a frame for a link.
+    FleetFrame {
+        /// The link.
+        link: ids::LinkId,
+        /// The frame's bytes.
+        bytes: Vec<u8>,
+    },
     /// A link ended.
     LinkEnded {
         /// The link.
@@ -109,6 +119,7 @@
     incoming: mpsc::Receiver<ShellEvent>,
     effects: Vec<reducer::AgentEffect>,
     metrics: metrics::AgentMetrics,
+    fleet: FleetHandle,
     ready: Arc<AtomicBool>,
     _administration: administration::AdministrationServer,
     _tasks: TaskGroup,
@@ -148,6 +159,7 @@
         let administration =
             administration::AdministrationServer::start(config.administration, state)?;
 
+        let fleet = fleet::start(&config, events.clone()).await?;
         let listening = links::LinkListener {
             listener,
             key: config.link_key,
@@ -186,6 +198,7 @@
             incoming,
             effects: Vec::new(),
             metrics,
+            fleet,
             ready,
             _administration: administration,
             _tasks: TaskGroup(vec![
@@ -236,20 +249,37 @@
             ShellEvent::Reducer(event) => self.apply(event),
             ShellEvent::LinkAccepted { link, sender } => {
                 self.links.insert(link, sender);
+                self.fleet.open_link(link, LinkKind::Feed);
                 self.apply(reducer::AgentEvent::LinkOpened { link });
             }
             ShellEvent::Frames { link, frames } => {
                 for frame in frames {
-                    self.apply(reducer::AgentEvent::Frame { link, frame });
+                    self.take_frame(link, frame);
                 }
             }
+            ShellEvent::FleetFrame { link, bytes } => {
+                self.links.push(link, frames::AgentFrame::Fleet(bytes));
+            }
             ShellEvent::LinkEnded { link } => {
-                self.links.remove(link);
+                self.drop_link(link);
                 self.apply(reducer::AgentEvent::LinkClosed { link });
             }
         }
     }
 
+    fn take_frame(&mut self, link: ids::LinkId, frame: frames::GatewayFrame) {
+        if let frames::GatewayFrame::Fleet(bytes) = &frame {
+            self.fleet.take_frame(link, bytes.clone());
+        }
+        // The reducer takes every frame as a sign of life.
+        self.apply(reducer::AgentEvent::Frame { link, frame });
+    }
+
+    fn drop_link(&mut self, link: ids::LinkId) {
+        self.links.remove(link);
+        self.fleet.close_link(link);
+    }
+
     fn apply(&mut self, event: reducer::AgentEvent) {
         let now = self.clock.now();
         let mut effects = std::mem::take(&mut self.effects);
@@ -266,7 +296,7 @@
     fn carry_out(&mut self, effect: reducer::AgentEffect) {
         match effect {
             reducer::AgentEffect::Send { link, frame } => self.links.push(link, frame),
-            reducer::AgentEffect::CloseLink { link } => self.links.remove(link),
+            reducer::AgentEffect::CloseLink { link } => self.drop_link(link),
             reducer::AgentEffect::Generate(command) => self.driver.generate(*command),
             reducer::AgentEffect::Pause { attempt } => self.driver.pause(attempt),
             reducer::AgentEffect::Resume { attempt } => self.driver.resume(attempt),
@@ -286,12 +316,14 @@
                 return;
             }
             for link in broken {
+                self.fleet.close_link(link);
                 self.apply(reducer::AgentEvent::LinkClosed { link });
             }
         }
     }
 
     async fn close(mut self) {
+        self.fleet.stop();
         let dropping = async {
             // The links are read until their peers have closed them too.
             while self.incoming.recv().await.is_some() {}
--- a/crates/standin/src/system/document.rs
+++ b/crates/standin/src/system/document.rs
@@ -74,7 +74,8 @@
     }
 }
 
-fn vm_name(target: &ids::TargetName) -> ids::VmName {
+/// Returns the name of the VM of `target`.
+pub(super) fn vm_name(target: &ids::TargetName) -> ids::VmName {
     format!("vm-{target}")
         .parse()
         .expect("a target's name is short enough")
--- a/crates/standin/src/system/start.rs
+++ b/crates/standin/src/system/start.rs
@@ -230,6 +230,7 @@
 ) -> Result<RunningAgent> {
     let config = agent::AgentConfig {
         target: target.clone(),
+        vm: document::vm_name(&target),
         zone: zone.clone(),
         listen: LOOPBACK,
         administration: LOOPBACK,
--- a/crates/standin/tests/agent.rs
+++ b/crates/standin/tests/agent.rs
@@ -150,6 +150,7 @@
     let holder = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let config = shell::AgentConfig {
         target: "engine-1".parse().unwrap(),
+        vm: "vm-1".parse().unwrap(),
         zone: "a".parse().unwrap(),
         listen: "127.0.0.1:0".parse().unwrap(),
         administration: "127.0.0.1:0".parse().unwrap(),
--- a/crates/standin/tests/common/link.rs
+++ b/crates/standin/tests/common/link.rs
@@ -29,6 +29,9 @@
     /// Time on the agent's clock at its last pulse.
     pub agent_now: time::Timestamp,
     pub hello: Option<frames::AgentHello>,
+    pub is_agent_leaving: bool,
+    /// Frames for the fleet that were passed over.
+    pub fleet_frames: Vec<Vec<u8>>,
 }
 
 impl GatewayLink {
@@ -49,6 +52,8 @@
             waiting: std::collections::VecDeque::new(),
             agent_now: time::Timestamp::ZERO,
             hello: None,
+            is_agent_leaving: false,
+            fleet_frames: Vec::new(),
         };
         link.send(frames::GatewayFrame::Hello(hello));
         link.wait_for_target().await;
@@ -59,12 +64,22 @@
         self.sender.send(vec![frame]).unwrap();
     }
 
-    /// Returns the next frame that is no hello or pulse; `None` when the link is closed.
+    /// Returns the next frame of any kind; `None` when the link is closed. Safe to cancel.
+    pub async fn next_raw(&mut self) -> Option<frames::AgentFrame> {
+        let frame = self.next_any().await?;
+        if let frames::AgentFrame::Pulse(pulse) = &frame {
+            self.take_pulse(pulse);
+        }
+        Some(frame)
+    }
+
+    /// Returns the next frame that is no hello or pulse and not for the fleet; `None` when the link is closed.
     pub async fn next(&mut self) -> Option<frames::AgentFrame> {
         loop {
             match self.next_any().await? {
                 frames::AgentFrame::Pulse(pulse) => self.take_pulse(&pulse),
                 frames::AgentFrame::Hello(hello) => self.hello = Some(hello),
+                frames::AgentFrame::Fleet(bytes) => self.fleet_frames.push(bytes),
                 frame => {
                     self.settle(&frame);
                     return Some(frame);
@@ -105,6 +120,7 @@
     /// Answers a pulse as a gateway does.
     fn take_pulse(&mut self, pulse: &frames::AgentPulse) {
         self.agent_now = pulse.now;
+        self.is_agent_leaving = pulse.leaving;
         if pulse.leaving {
             self.send(frames::GatewayFrame::LeavingSeen { pulse: pulse.now });
         }
@@ -130,6 +146,7 @@
         loop {
             match self.next_any().await.expect("the link is open") {
                 frames::AgentFrame::Hello(hello) => self.hello = Some(hello),
+                frames::AgentFrame::Fleet(bytes) => self.fleet_frames.push(bytes),
                 frames::AgentFrame::Pulse(pulse) => {
                     self.agent_now = pulse.now;
                     if pulse.target_up {
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -58,6 +58,7 @@
 pub async fn start_agent(target: &str, address: shell::TargetAddress) -> RunningAgent {
     let config = shell::AgentConfig {
         target: target.parse().unwrap(),
+        vm: "vm-1".parse().unwrap(),
         zone: "a".parse().unwrap(),
         listen: "127.0.0.1:0".parse().unwrap(),
         administration: "127.0.0.1:0".parse().unwrap(),
--- /dev/null
+++ b/crates/standin/tests/departure.rs
@@ -0,0 +1,156 @@
+//! An agent that learns from the fleet that its target leaves, over real sockets.
+
+mod common;
+
+use std::time::Duration;
+
+use kingcupfall_agent::shell as agent;
+use kingcupfall_core::ids;
+use kingcupfall_document::sections;
+use kingcupfall_fleet::reducer as fleet_reducer;
+use kingcupfall_fleet::shell as fleet;
+use kingcupfall_link::frames;
+use kingcupfall_policy::quarantine;
+use kingcupfall_standin::configuration;
+use kingcupfall_standin::vms;
+use tokio::sync::mpsc;
+
+use common::link;
+
+/// The one link between the test's gateway and the agent.
+const LINK: ids::LinkId = ids::LinkId::new(1);
+
+/// Sends the fleet's frames to the test.
+struct ChannelHost {
+    frames: mpsc::UnboundedSender<Vec<u8>>,
+}
+
+impl fleet::FleetHost for ChannelHost {
+    fn send(&self, _link: ids::LinkId, bytes: Vec<u8>) {
+        // The test ends before its fleet does.
+        let _ = self.frames.send(bytes);
+    }
+
+    fn take_document(&self, _notice: fleet::DocumentNotice) {}
+
+    fn take_suspects(&self, _records: Vec<quarantine::SuspectRecord>) {}
+
+    fn take_departures(&self, _vms: Vec<ids::VmName>) {}
+}
+
+/// Stand-ins of the platform, and the fleet's part of one gateway.
+struct TestPlatform {
+    configuration: configuration::ConfigurationStandin,
+    vms: vms::VmStandin,
+    fleet: fleet::FleetHandle,
+    frames: mpsc::UnboundedReceiver<Vec<u8>>,
+}
+
+impl TestPlatform {
+    async fn start() -> Self {
+        let loopback = "127.0.0.1:0".parse().unwrap();
+        let configuration = configuration::ConfigurationStandin::start(loopback).unwrap();
+        let vms = vms::VmStandin::start(loopback, Duration::ZERO).unwrap();
+        let (sender, frames) = mpsc::unbounded_channel();
+        let setup = fleet::FleetSetup {
+            identity: fleet_reducer::FleetIdentity {
+                vm: "vm-entry".parse().unwrap(),
+                zone: "a".parse().unwrap(),
+                address: loopback,
+                process: ids::ProcessId::from_u128(7),
+                role: fleet_reducer::FleetRole::Gateway,
+                seed: 7,
+            },
+            link_key: common::link_key(),
+            platform: Some(fleet::PlatformAddresses {
+                configuration_service: configuration.address(),
+                vm_list: vms.address(),
+            }),
+            host: Box::new(ChannelHost { frames: sender }),
+        };
+        let fleet = fleet::start(setup).await.unwrap();
+        vms.set_vm(vm("vm-entry", vms::VmRole::Gateway, fleet.address(), false));
+
+        Self {
+            configuration,
+            vms,
+            fleet,
+            frames,
+        }
+    }
+
+    /// Carries fleet frames both ways until the agent says that it leaves.
+    async fn carry_until_leaving(&mut self, link: &mut link::GatewayLink) {
+        self.fleet.open_link(LINK, fleet_reducer::LinkKind::Agent);
+        for bytes in std::mem::take(&mut link.fleet_frames) {
+            self.fleet.take_frame(LINK, bytes);
+        }
+        common::within("the agent leaves", async {
+            while !link.is_agent_leaving {
+                tokio::select! {
+                    Some(bytes) = self.frames.recv() => {
+                        link.send(frames::GatewayFrame::Fleet(bytes));
+                    }
+                    frame = link.next_raw() => {
+                        if let Some(frames::AgentFrame::Fleet(bytes)) = frame {
+                            self.fleet.take_frame(LINK, bytes);
+                        }
+                    }
+                }
+            }
+        })
+        .await;
+    }
+}
+
+#[ntex::test]
+async fn document_says_target_leaves() {
+    let engine = common::start_engine();
+    let address = agent::TargetAddress::Engine(engine.address());
+    let agent = common::start_agent("engine-1", address).await;
+    let mut link = link::GatewayLink::open(agent.handle.address()).await;
+    let mut platform = TestPlatform::start().await;
+    let models = "[models.report]\nversion = \"1\"\nmax_tokens = 10\n";
+    let targets = format!(
+        "[targets.engine-1]\nkind = \"engine\"\nmodels = [\"report\"]\nvm = \"vm-1\"\nzone = \"a\"\n\
+         agent = \"{}\"\nleaving = true\n",
+        agent.handle.address()
+    );
+
+    platform
+        .configuration
+        .set_section(sections::SectionName::Models, models);
+    platform
+        .configuration
+        .set_section(sections::SectionName::Targets, &targets);
+
+    platform.carry_until_leaving(&mut link).await;
+}
+
+#[ntex::test]
+async fn vm_list_says_vm_leaves() {
+    let engine = common::start_engine();
+    let address = agent::TargetAddress::Engine(engine.address());
+    let agent = common::start_agent("engine-1", address).await;
+    let mut link = link::GatewayLink::open(agent.handle.address()).await;
+    let mut platform = TestPlatform::start().await;
+
+    platform.vms.set_vm(vm(
+        "vm-1",
+        vms::VmRole::Target,
+        agent.handle.address(),
+        true,
+    ));
+
+    platform.carry_until_leaving(&mut link).await;
+}
+
+fn vm(name: &str, role: vms::VmRole, address: std::net::SocketAddr, leaving: bool) -> vms::VmEntry {
+    vms::VmEntry {
+        name: name.parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        role,
+        address,
+        leaving,
+    }
+}
