--- a/crates/gateway/src/shell/callers/mod.rs
+++ b/crates/gateway/src/shell/callers/mod.rs
@@ -1,5 +1,6 @@
 //! The callers' HTTP API.
 
+mod admission;
 mod body;
 mod generations;
 mod health;
@@ -11,6 +12,7 @@
 use ntex::web;
 
 use super::context;
+use super::document;
 use super::session;
 use crate::intake;
 
@@ -32,12 +34,17 @@
             web::resource("/v1/services/{service}/{path}*")
                 .route(web::post().to(services::post_service))
                 .default_service(web::to(refuse_method)),
-        )
-        .service(
-            web::resource("/healthz")
-                .route(web::get().to(health::get_health))
-                .default_service(web::to(refuse_method)),
         );
+    add_health(config);
+}
+
+/// Adds the health endpoint to an application.
+pub fn add_health(config: &mut web::ServiceConfig) {
+    config.service(
+        web::resource("/healthz")
+            .route(web::get().to(health::get_health))
+            .default_service(web::to(refuse_method)),
+    );
 }
 
 /// Answers a request for which there is no endpoint.
