Run agents and the local system with the standard decisions

Cause: the agent's binary and the system on loopback still used the naive policies. Change: shell::standard_scheduler gives engines the forecasting scheduler and plain services one that admits at once; gateways of the local system take standard_policies.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -9,7 +9,6 @@
 use kingcupfall_agent::shell;
 use kingcupfall_core::ids;
 use kingcupfall_link::transport;
-use kingcupfall_policy::schedule;
 use kingcupfall_settings::agent;
 use kingcupfall_telemetry::logs;
 use tokio::signal::unix;
@@ -68,9 +67,9 @@
 async fn run(settings: agent::AgentSettings) -> shell::Result<()> {
     let deadline = settings.drain.deadline;
     let incarnation = ids::Incarnation::random(&mut rand::rng());
-    let scheduler = Box::new(schedule::NaiveScheduler::new());
     let target = settings.target.name.clone();
     let config = agent_config(settings);
+    let scheduler = shell::standard_scheduler(&config.address);
     let (agent, handle) = shell::AgentShell::open(config, incarnation, scheduler).await?;
 
     log::info!(
--- a/crates/agent/src/shell/mod.rs
+++ b/crates/agent/src/shell/mod.rs
@@ -11,6 +11,7 @@
 mod links;
 mod metrics;
 mod probe;
+mod scheduler;
 mod stream;
 mod turn;
 
@@ -26,6 +27,7 @@
 pub use driver::TargetDriver;
 pub use http::HttpDriver;
 pub use metrics::MetricSource;
+pub use scheduler::standard_scheduler;
 pub use turn::AgentHandle;
 pub use turn::AgentShell;
 
--- /dev/null
+++ b/crates/agent/src/shell/scheduler.rs
@@ -0,0 +1,18 @@
+//! The scheduler of an agent unless it is told otherwise.
+
+use kingcupfall_policy::schedule;
+
+use super::TargetAddress;
+
+/// Makes the scheduler for a target.
+///
+/// A plain service has no memory to forecast and admits its calls at once.
+pub fn standard_scheduler(target: &TargetAddress) -> Box<dyn schedule::WorkScheduler> {
+    match target {
+        TargetAddress::Engine(_) => {
+            let settings = schedule::ScheduleSettings::default();
+            Box::new(schedule::ForecastScheduler::new(settings))
+        }
+        TargetAddress::Service { .. } => Box::new(schedule::NaiveScheduler::new()),
+    }
+}
--- a/crates/standin/src/system/start.rs
+++ b/crates/standin/src/system/start.rs
@@ -12,11 +12,6 @@
 use kingcupfall_gateway::reducer as gateway_reducer;
 use kingcupfall_gateway::shell as gateway;
 use kingcupfall_link::transport;
-use kingcupfall_policy::limit;
-use kingcupfall_policy::place;
-use kingcupfall_policy::quarantine;
-use kingcupfall_policy::retry;
-use kingcupfall_policy::schedule;
 use rand::Rng;
 
 use super::GatewayAddresses;
@@ -41,9 +36,6 @@
 /// Longest wait for an answer of the plain service.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Attempts of a call.
-const ATTEMPT_LIMIT: u32 = 3;
-
 /// Key of the administration API of a system on loopback.
 const ADMINISTRATION_KEY: &str = "operator-demo";
 
@@ -239,7 +231,7 @@
         address: address.clone(),
     };
     let incarnation = ids::Incarnation::random(&mut rand::rng());
-    let scheduler = Box::new(schedule::NaiveScheduler::new());
+    let scheduler = agent::standard_scheduler(&config.address);
 
     let (shell, handle) = agent::AgentShell::open(config, incarnation, scheduler).await?;
     Ok(RunningAgent {
@@ -260,12 +252,7 @@
             zone: zone(index),
             seed: rand::rng().random(),
         },
-        policies: gateway_reducer::GatewayPolicies {
-            placement: Box::new(place::RoundRobinPlacement::default()),
-            retry: Box::new(retry::BlindRetry::new(ATTEMPT_LIMIT)),
-            limit: Box::new(limit::NoLimit),
-            quarantine: Box::new(quarantine::TrustingQuarantine),
-        },
+        policies: gateway::standard_policies(rand::rng().random()),
         signing_key: secrets.signing.clone(),
         caller_address: LOOPBACK,
         administration_address: LOOPBACK,
--- a/crates/standin/tests/departure.rs
+++ b/crates/standin/tests/departure.rs
@@ -41,7 +41,6 @@
 /// Stand-ins of the platform, and the fleet's part of one gateway.
 struct TestPlatform {
     configuration: configuration::ConfigurationStandin,
-    vms: vms::VmStandin,
     fleet: fleet::FleetHandle,
     frames: mpsc::UnboundedReceiver<Vec<u8>>,
 }
@@ -69,11 +68,16 @@
             host: Box::new(ChannelHost { frames: sender }),
         };
         let fleet = fleet::start(setup).await.unwrap();
-        vms.set_vm(vm("vm-entry", vms::VmRole::Gateway, fleet.address(), false));
+        vms.set_vm(vms::VmEntry {
+            name: "vm-entry".parse().unwrap(),
+            zone: "a".parse().unwrap(),
+            role: vms::VmRole::Gateway,
+            address: fleet.address(),
+            leaving: false,
+        });
 
         Self {
             configuration,
-            vms,
             fleet,
             frames,
         }
@@ -126,13 +130,3 @@
 
     platform.carry_until_leaving(&mut link).await;
 }
-
-fn vm(name: &str, role: vms::VmRole, address: std::net::SocketAddr, leaving: bool) -> vms::VmEntry {
-    vms::VmEntry {
-        name: name.parse().unwrap(),
-        zone: "a".parse().unwrap(),
-        role,
-        address,
-        leaving,
-    }
-}
