--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -61,6 +61,7 @@
 ) -> shell::Result<(shell::AgentShell, shell::AgentHandle)> {
     let config = shell::AgentConfig {
         target: target.parse().unwrap(),
+        vm: "vm-1".parse().unwrap(),
         zone: "a".parse().unwrap(),
         listen: "127.0.0.1:0".parse().unwrap(),
         administration: "127.0.0.1:0".parse().unwrap(),
