Place by expected cost in the gateway's binary

Cause: the binary still placed work where the fewest attempts are. Change: the standard policies take the placement by expected cost.

--- a/crates/gateway/src/shell/policies.rs
+++ b/crates/gateway/src/shell/policies.rs
@@ -10,7 +10,7 @@
 /// Makes the decisions of a gateway; `seed` is that of their jitter.
 pub fn standard_policies(seed: u64) -> reducer::GatewayPolicies {
     reducer::GatewayPolicies {
-        placement: Box::new(place::LeastOutstandingPlacement::default()),
+        placement: Box::new(place::ExpectedCostPlacement::default()),
         retry: Box::new(retry::BudgetedRetry::new(seed)),
         limit: Box::new(limit::BucketLimit::default()),
         quarantine: Box::new(quarantine::SuspectQuarantine::default()),
