Bring the document to agents through the fleet

Cause: agents had no document in force.

Change: the agent's shell joins the fleet as a member that is fed by its gateways; its process takes part at start. Others can follow the document by a watch.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -12,6 +12,7 @@
 use kingcupfall_policy::schedule;
 use kingcupfall_settings::agent;
 use kingcupfall_telemetry::logs;
+use rand::Rng;
 use tokio::signal::unix;
 
 /// Exit status for settings with findings.
@@ -70,8 +71,16 @@
     let incarnation = ids::Incarnation::random(&mut rand::rng());
     let scheduler = Box::new(schedule::NaiveScheduler::new());
     let target = settings.target.name.clone();
+    let vm = settings.node.vm.clone();
     let config = agent_config(settings);
-    let (agent, handle) = shell::AgentShell::open(config, incarnation, scheduler).await?;
+    let (mut agent, handle) = shell::AgentShell::open(config, incarnation, scheduler).await?;
+    let membership = shell::FleetMembership {
+        vm,
+        address: handle.address(),
+        process: ids::ProcessId::random(&mut rand::rng()),
+        seed: rand::rng().random(),
+    };
+    let _documents = agent.join_fleet(membership).await?;
 
     log::info!(
         "agent of {target}: links at {}, administration at {}",
--- a/crates/agent/src/shell/mod.rs
+++ b/crates/agent/src/shell/mod.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod config;
 mod driver;
+mod fleet;
 mod http;
 mod links;
 mod metrics;
@@ -23,10 +24,12 @@
 pub use config::AgentConfig;
 pub use config::TargetAddress;
 pub use driver::TargetDriver;
+pub use fleet::DocumentWatch;
 pub use http::HttpDriver;
 pub use metrics::MetricSource;
 pub use turn::AgentHandle;
 pub use turn::AgentShell;
+pub use turn::FleetMembership;
 
 /// Result of starting or running an agent.
 pub type Result<T> = result::Result<T, ShellError>;
@@ -45,6 +48,12 @@
             source(error)
             display("another agent of this target holds {}: {}", address, error)
         }
+        /// The fleet's shell could not start.
+        Fleet(error: kingcupfall_fleet::shell::ShellError) {
+            from()
+            source(error)
+            display("{}", error)
+        }
         /// The HTTP client could not be made.
         Client {
             display("can't make an HTTP client")
--- a/crates/agent/src/shell/turn.rs
+++ b/crates/agent/src/shell/turn.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use kingcupfall_core::ids;
+use kingcupfall_fleet::reducer as fleet_reducer;
+use kingcupfall_fleet::shell as fleet_shell;
 use kingcupfall_link::frames;
 use kingcupfall_link::transport;
 use kingcupfall_policy::schedule;
@@ -22,6 +24,7 @@
 use super::TargetAddress;
 use super::TargetDriver;
 use super::administration;
+use super::fleet;
 use super::http;
 use super::links;
 use super::metrics;
@@ -52,6 +55,13 @@
         /// The frames, in order.
         frames: Vec<frames::GatewayFrame>,
     },
+    /// The fleet has a frame for a gateway.
+    FleetFrame {
+        /// Link to send on.
+        link: ids::LinkId,
+        /// The frame's bytes.
+        bytes: Vec<u8>,
+    },
     /// A link ended.
     LinkEnded {
         /// The link.
@@ -100,12 +110,30 @@
     }
 }
 
+/// Who the agent is in the fleet.
+#[derive(Debug, Clone)]
+pub struct FleetMembership {
+    /// VM that the agent runs on.
+    pub vm: ids::VmName,
+    /// Address at which it takes links.
+    pub address: net::SocketAddr,
+    /// This life of the process.
+    pub process: ids::ProcessId,
+    /// Seed of the generator that draws jitter and peers.
+    pub seed: u64,
+}
+
 /// One agent with its sockets.
 pub struct AgentShell {
     reducer: reducer::AgentReducer,
     clock: ShellClock,
     driver: Box<dyn TargetDriver>,
     links: links::LinkTable,
+    target: ids::TargetName,
+    zone: ids::ZoneName,
+    link_key: transport::LinkKey,
+    events: mpsc::WeakSender<ShellEvent>,
+    fleet: fleet::FleetPort,
     incoming: mpsc::Receiver<ShellEvent>,
     effects: Vec<reducer::AgentEffect>,
     metrics: metrics::AgentMetrics,
@@ -150,7 +178,7 @@
 
         let listening = links::LinkListener {
             listener,
-            key: config.link_key,
+            key: config.link_key.clone(),
             events: events.clone(),
             counters: Arc::clone(&counters),
         };
@@ -167,11 +195,12 @@
             events.clone(),
         );
         let identity = reducer::AgentIdentity {
-            target: config.target,
+            target: config.target.clone(),
             incarnation,
-            zone: config.zone,
+            zone: config.zone.clone(),
         };
 
+        let weak_events = events.downgrade();
         let handle = AgentHandle {
             events,
             address,
@@ -183,6 +212,11 @@
             clock,
             driver: Box::new(driver),
             links: links::LinkTable::default(),
+            target: config.target,
+            zone: config.zone,
+            link_key: config.link_key,
+            events: weak_events,
+            fleet: fleet::FleetPort::default(),
             incoming,
             effects: Vec::new(),
             metrics,
@@ -197,6 +231,36 @@
         Ok((shell, handle))
     }
 
+    /// Joins the fleet, by which the document reaches the agent. Must be called in an ntex system.
+    ///
+    /// # Errors
+    ///
+    /// [`ShellError::Fleet`] when the fleet's shell can't start.
+    pub async fn join_fleet(
+        &mut self,
+        membership: FleetMembership,
+    ) -> Result<fleet::DocumentWatch> {
+        // The links' tasks hold the queue open for as long as the agent lives.
+        let events = self.events.upgrade().ok_or(ShellError::Client)?;
+        let (host, documents) = fleet::AgentHost::new(self.target.clone(), events);
+        let setup = fleet_shell::FleetSetup {
+            identity: fleet_reducer::FleetIdentity {
+                vm: membership.vm,
+                zone: self.zone.clone(),
+                address: membership.address,
+                process: membership.process,
+                role: fleet_reducer::FleetRole::Agent,
+                seed: membership.seed,
+            },
+            link_key: self.link_key.clone(),
+            platform: None,
+            host: Box::new(host),
+        };
+
+        self.fleet.join(fleet_shell::start(setup).await?);
+        Ok(documents)
+    }
+
     /// Runs until a stop was asked for and all work has ended.
     pub async fn run(mut self) {
         let mut ticks = time::interval(reducer::TICK_INTERVAL);
@@ -236,20 +300,37 @@
             ShellEvent::Reducer(event) => self.apply(event),
             ShellEvent::LinkAccepted { link, sender } => {
                 self.links.insert(link, sender);
+                self.fleet.open_link(link);
                 self.apply(reducer::AgentEvent::LinkOpened { link });
             }
             ShellEvent::Frames { link, frames } => {
                 for frame in frames {
-                    self.apply(reducer::AgentEvent::Frame { link, frame });
+                    self.take_frame(link, frame);
                 }
             }
+            ShellEvent::FleetFrame { link, bytes } => {
+                self.links.push(link, frames::AgentFrame::Fleet(bytes));
+            }
             ShellEvent::LinkEnded { link } => {
-                self.links.remove(link);
+                self.remove_link(link);
                 self.apply(reducer::AgentEvent::LinkClosed { link });
             }
         }
     }
 
+    fn take_frame(&mut self, link: ids::LinkId, frame: frames::GatewayFrame) {
+        if let frames::GatewayFrame::Fleet(bytes) = frame {
+            self.fleet.take_frame(link, bytes);
+            return;
+        }
+        self.apply(reducer::AgentEvent::Frame { link, frame });
+    }
+
+    fn remove_link(&mut self, link: ids::LinkId) {
+        self.links.remove(link);
+        self.fleet.close_link(link);
+    }
+
     fn apply(&mut self, event: reducer::AgentEvent) {
         let now = self.clock.now();
         let mut effects = std::mem::take(&mut self.effects);
@@ -266,7 +347,7 @@
     fn carry_out(&mut self, effect: reducer::AgentEffect) {
         match effect {
             reducer::AgentEffect::Send { link, frame } => self.links.push(link, frame),
-            reducer::AgentEffect::CloseLink { link } => self.links.remove(link),
+            reducer::AgentEffect::CloseLink { link } => self.remove_link(link),
             reducer::AgentEffect::Generate(command) => self.driver.generate(*command),
             reducer::AgentEffect::Pause { attempt } => self.driver.pause(attempt),
             reducer::AgentEffect::Resume { attempt } => self.driver.resume(attempt),
@@ -286,12 +367,14 @@
                 return;
             }
             for link in broken {
+                self.fleet.close_link(link);
                 self.apply(reducer::AgentEvent::LinkClosed { link });
             }
         }
     }
 
     async fn close(mut self) {
+        self.fleet.stop();
         let dropping = async {
             // The links are read until their peers have closed them too.
             while self.incoming.recv().await.is_some() {}
