--- /dev/null
+++ b/crates/fleet/tests/messages.rs
@@ -0,0 +1,91 @@
+//! Messages from peers may be anything.
+
+use kingcupfall_core::ids;
+use kingcupfall_core::time;
+use kingcupfall_fleet::judge;
+use kingcupfall_fleet::messages;
+use kingcupfall_fleet::reducer;
+use proptest::collection;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::proptest;
+use proptest::test_runner::RngSeed;
+
+fn departures(count: usize) -> messages::FleetMessage {
+    let vms = (0..count).map(|index| format!("vm-{index}").parse().unwrap());
+    messages::FleetMessage::Departures(vms.collect())
+}
+
+fn gateway() -> reducer::FleetReducer {
+    let identity = reducer::FleetIdentity {
+        vm: "vm-1".parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        process: ids::ProcessId::from_u128(1),
+        role: reducer::FleetRole::Gateway,
+        seed: 1,
+    };
+    let judge = Box::new(judge::TrustingJudge);
+    reducer::FleetReducer::new(identity, judge, time::Timestamp::ZERO)
+}
+
+#[test]
+fn message_survives_its_encoding() {
+    let message = departures(messages::LIST_LIMIT);
+    let bytes = messages::encode(&message).unwrap();
+
+    assert_eq!(messages::decode(&bytes), Ok(message));
+}
+
+#[test]
+fn message_with_a_long_list_is_refused() {
+    let bytes = messages::encode(&departures(messages::LIST_LIMIT + 1)).unwrap();
+
+    let length = messages::LIST_LIMIT + 1;
+    let refused = Err(messages::MessageError::TooLong(length));
+    assert_eq!(messages::decode(&bytes), refused);
+}
+
+#[test]
+fn message_that_is_too_large_is_refused() {
+    let length = messages::MESSAGE_LIMIT_BYTES + 1;
+
+    let refused = Err(messages::MessageError::TooLarge(length));
+    assert_eq!(messages::decode(&vec![0; length]), refused);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(31),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn junk_never_panics(bytes in collection::vec(any::<u8>(), 0..300)) {
+        let _ = messages::decode(&bytes);
+    }
+
+    #[test]
+    fn damaged_message_never_harms_the_reducer(
+        at in any::<proptest::sample::Index>(),
+        byte in any::<u8>(),
+    ) {
+        let mut bytes = messages::encode(&departures(20)).unwrap();
+        let at = at.index(bytes.len());
+        bytes[at] = byte;
+        let link = ids::LinkId::new(1);
+        let event = match messages::decode(&bytes) {
+            Ok(message) => reducer::FleetEvent::Message { link, message },
+            Err(_) => reducer::FleetEvent::Junk { link },
+        };
+
+        let mut reducer = gateway();
+        let mut effects = Vec::new();
+        let kind = reducer::LinkKind::Incoming;
+        let opened = reducer::FleetEvent::LinkOpened { link, kind };
+        reducer.apply(time::Timestamp::ZERO, opened, &mut effects);
+        reducer.apply(time::Timestamp::ZERO, event, &mut effects);
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/sections.rs
@@ -0,0 +1,115 @@
+//! Parts, patches and the store of sections.
+
+use kingcupfall_core::measures;
+use kingcupfall_fleet::sections;
+use proptest::collection;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::proptest;
+use proptest::test_runner::RngSeed;
+
+fn value(version: u64, bytes: &[u8]) -> sections::SectionValue {
+    let section = "models".parse().unwrap();
+    sections::SectionValue::new(section, measures::SectionVersion::new(version), bytes)
+}
+
+fn head_of(value: &sections::SectionValue) -> sections::SectionHead {
+    sections::SectionHead {
+        slot: sections::SectionSlot {
+            section: value.section.clone(),
+            verdict: sections::SectionVerdict::Accepted,
+        },
+        head: value.head,
+    }
+}
+
+fn accept(store: &mut sections::SectionStore, value: &sections::SectionValue) -> bool {
+    store.replace(sections::SectionVerdict::Accepted, value.clone())
+}
+
+#[test]
+fn store_refuses_lower_and_equal_versions() {
+    let mut store = sections::SectionStore::default();
+    let second = value(2, b"second");
+    assert!(accept(&mut store, &second));
+
+    assert!(!accept(&mut store, &value(1, b"first")));
+    assert!(!accept(&mut store, &second));
+    let verdict = sections::SectionVerdict::Accepted;
+    assert_eq!(store.value(&second.section, verdict), Some(&second));
+}
+
+#[test]
+fn store_settles_two_contents_of_one_version_alike() {
+    let left = value(2, b"left");
+    let right = value(2, b"right");
+    let mut one = sections::SectionStore::default();
+    accept(&mut one, &left);
+    accept(&mut one, &right);
+    let mut other = sections::SectionStore::default();
+    accept(&mut other, &right);
+    accept(&mut other, &left);
+
+    assert_eq!(one.digest(), other.digest());
+    assert_eq!(one.heads(), other.heads());
+}
+
+#[test]
+fn store_refuses_too_large_values() {
+    let mut store = sections::SectionStore::default();
+    let large = value(1, &vec![b'a'; sections::VALUE_LIMIT_BYTES + 1]);
+
+    assert!(!accept(&mut store, &large));
+}
+
+#[test]
+fn store_drops_a_rejected_version_when_a_later_one_is_accepted() {
+    let mut store = sections::SectionStore::default();
+    accept(&mut store, &value(1, b"first"));
+    let digest = store.digest();
+    store.replace(sections::SectionVerdict::Rejected, value(2, b"second"));
+    assert_ne!(store.digest(), digest);
+
+    accept(&mut store, &value(3, b"third"));
+    assert_eq!(store.heads().len(), 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 100,
+        rng_seed: RngSeed::Fixed(21),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn patches_and_parts_carry_any_change(
+        old in collection::vec(any::<u8>(), 0..40_000),
+        edit in collection::vec(any::<u8>(), 0..200),
+        at in any::<proptest::sample::Index>(),
+    ) {
+        let at = at.index(old.len() + 1);
+        let new = [&old[..at], &edit, &old[at..]].concat();
+        let (first, second) = (value(1, &old), value(2, &new));
+        let mut store = sections::SectionStore::default();
+        accept(&mut store, &first);
+        accept(&mut store, &second);
+
+        let wanted = head_of(&second);
+        let answer = store.answer(&wanted, Some(first.head));
+        let sections::SectionAnswer::Patches(patches) = answer else {
+            panic!("no patch for a small edit");
+        };
+        assert_eq!(patches[0].apply(&old), Some(new.clone()));
+
+        let sections::SectionAnswer::Manifest(manifest) = store.answer(&wanted, None) else {
+            panic!("no manifest");
+        };
+        let count = u16::try_from(manifest.parts.len()).unwrap();
+        let indexes: Vec<u16> = (0..count).collect();
+        let parts = store.copy_parts(&wanted, &indexes);
+        assert!(parts.iter().all(|part| part.bytes.len() <= sections::PART_LIMIT_BYTES));
+        let whole: Vec<u8> = parts.into_iter().flat_map(|part| part.bytes).collect();
+        assert_eq!(whole, new);
+    }
+}
