--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod frames;
 mod plot;
+mod reducers;
 mod table;
 
 use std::error;
@@ -16,6 +17,7 @@
 
 pub use fleet::FleetSlope;
 pub use frames::FrameCost;
+pub use reducers::ReducerCost;
 
 /// Result of measuring.
 pub type Result<T> = result::Result<T, Box<dyn error::Error>>;
@@ -38,6 +40,8 @@
     pub fleet: Vec<FleetSlope>,
     /// Costs of frames on a link.
     pub frames: Vec<FrameCost>,
+    /// Costs of events in the reducers of gateway and agent.
+    pub reducers: Vec<ReducerCost>,
 }
 
 /// Parses the arguments of `slopes`.
@@ -70,6 +74,8 @@
 pub fn run(arguments: &SlopeArguments) -> Result<()> {
     eprintln!("frames");
     let frames = frames::measure();
+    eprintln!("reducers of gateway and agent");
+    let reducers = reducers::measure();
     let mut fleet = Vec::new();
     for size in FLEET_SIZES {
         if size > arguments.largest {
@@ -79,7 +85,11 @@
         fleet.push(fleet::measure(size));
     }
 
-    let report = SlopeReport { fleet, frames };
+    let report = SlopeReport {
+        fleet,
+        frames,
+        reducers,
+    };
     print!("{}", table::write(&report));
     if let Some(path) = &arguments.json {
         write_json(path, &report)?;
--- a/crates/bench/src/slopes/table.rs
+++ b/crates/bench/src/slopes/table.rs
@@ -10,6 +10,7 @@
     // Writing to a string can't fail.
     let _ = write_fleet(&mut text, report);
     let _ = write_frames(&mut text, report);
+    let _ = write_reducers(&mut text, report);
     text
 }
 
@@ -58,3 +59,16 @@
     }
     Ok(())
 }
+
+fn write_reducers(text: &mut String, report: &SlopeReport) -> std::fmt::Result {
+    writeln!(text, "\n| event | gateway us | agent us |")?;
+    writeln!(text, "| --- | ---: | ---: |")?;
+    for cost in &report.reducers {
+        writeln!(
+            text,
+            "| {} | {:.2} | {:.2} |",
+            cost.event, cost.gateway_us, cost.agent_us
+        )?;
+    }
+    Ok(())
+}
