--- a/crates/fleet/src/reducer/links.rs
+++ b/crates/fleet/src/reducer/links.rs
@@ -1,6 +1,5 @@
 //! Links to peers: which to open, when to close, and signs of life on them.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use kingcupfall_core::ids;
@@ -15,13 +14,6 @@
 use super::send;
 use crate::members;
 use crate::messages;
-use crate::subset;
-
-/// Gateways of the own zone that a gateway connects to.
-const ZONE_LINKS: usize = 4;
-
-/// Gateways of other zones that a gateway connects to.
-const REMOTE_LINKS: usize = 2;
 
 /// Most links that a gateway takes from other gateways.
 const INCOMING_LIMIT: usize = 64;
@@ -29,24 +21,12 @@
 /// Gateways that feed an agent.
 const FEED_LINKS: usize = 3;
 
-/// Connections begun at one upkeep, so that a lost zone makes no burst.
-const CONNECTS_PER_UPKEEP: usize = 2;
-
-/// Wait after the first failed connection; it doubles with each failure.
-const FIRST_BACKOFF: Duration = Duration::from_millis(500);
-
-/// Longest wait after failed connections.
-const LONGEST_BACKOFF: Duration = Duration::from_secs(10);
-
 /// Time between two heartbeats on a link.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Silence after which a link is taken for dead.
 pub(super) const LINK_SILENCE: Duration = Duration::from_secs(3);
 
-/// Time for which a link is kept that is no longer among the wanted ones.
-const UNWANTED_TIME: Duration = Duration::from_secs(30);
-
 /// One link.
 #[derive(Debug)]
 pub(super) struct PeerLink {
@@ -61,7 +41,7 @@
     /// Digest of the last heartbeat, while it differs from the own one.
     pub(super) differing: Option<messages::HeartbeatMessage>,
     heartbeat_at: time::Timestamp,
-    unwanted_since: Option<time::Timestamp>,
+    pub(super) unwanted_since: Option<time::Timestamp>,
 }
 
 impl PeerLink {
@@ -74,22 +54,6 @@
     }
 }
 
-/// Connections that are being opened, and failures of earlier ones.
-#[derive(Debug, Default)]
-pub(super) struct ConnectionState {
-    pending: BTreeMap<ids::VmName, time::Timestamp>,
-    failures: BTreeMap<ids::VmName, ConnectFailure>,
-}
-
-#[derive(Debug)]
-struct ConnectFailure {
-    count: u32,
-    retry_at: time::Timestamp,
-}
-
-/// Time after which a connection that neither opened nor failed is forgotten.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(10);
-
 impl FleetReducer {
     pub(super) fn open_link(
         &mut self,
@@ -103,8 +67,7 @@
             LinkKind::Incoming | LinkKind::Agent | LinkKind::Feed => None,
         };
         if let Some(vm) = &vm {
-            self.connections.pending.remove(vm);
-            self.connections.failures.remove(vm);
+            self.connections.note_opened(vm);
         }
         if kind == LinkKind::Incoming && self.count_incoming() >= INCOMING_LIMIT {
             effects.push(FleetEffect::CloseLink { link });
@@ -153,28 +116,6 @@
         }
     }
 
-    pub(super) fn fail_connect(&mut self, now: time::Timestamp, vm: &ids::VmName) {
-        self.connections.pending.remove(vm);
-        let count = self
-            .connections
-            .failures
-            .get(vm)
-            .map_or(0, |failure| failure.count);
-        let backoff = FIRST_BACKOFF
-            .saturating_mul(1 << count.min(8))
-            .min(LONGEST_BACKOFF);
-        let jitter = self.generator.random_range(0.5..1.0);
-        let failure = ConnectFailure {
-            count: count + 1,
-            retry_at: now + backoff.mul_f64(jitter),
-        };
-
-        self.connections.failures.insert(vm.clone(), failure);
-        if !self.has_link_to(vm) {
-            self.suspect(now, vm);
-        }
-    }
-
     pub(super) fn take_junk(&mut self, link: ids::LinkId, effects: &mut Vec<FleetEffect>) {
         self.counters.junk_messages += 1;
         if self.links.get(&link).is_some_and(PeerLink::is_gossip) {
@@ -262,26 +203,6 @@
         }
     }
 
-    /// Opens the links that are wanted and closes those that no longer are.
-    pub(super) fn maintain_links(&mut self, now: time::Timestamp, effects: &mut Vec<FleetEffect>) {
-        self.connections
-            .pending
-            .retain(|_, since| now.since(*since) < CONNECT_TIMEOUT);
-        if self.role == FleetRole::Agent {
-            self.choose_feeds(effects);
-            return;
-        }
-
-        let mut wanted = self.choose_peers(now, true, ZONE_LINKS);
-        wanted.extend(self.choose_peers(now, false, REMOTE_LINKS));
-        let missing = wanted.iter().filter(|vm| !self.has_link_to(vm));
-        let missing: Vec<ids::VmName> = missing.take(CONNECTS_PER_UPKEEP).cloned().collect();
-        for vm in missing {
-            self.connect(now, &vm, effects);
-        }
-        self.close_unwanted(now, &wanted, effects);
-    }
-
     /// Chooses up to `count` random gossip links, but `except`.
     pub(super) fn random_peers(
         &mut self,
@@ -317,66 +238,8 @@
         self.send_notices(now, link, effects);
     }
 
-    fn connect(&mut self, now: time::Timestamp, vm: &ids::VmName, effects: &mut Vec<FleetEffect>) {
-        let Some(address) = self.members.address(vm) else {
-            return;
-        };
-        if self.connections.pending.contains_key(vm) {
-            return;
-        }
-        self.connections.pending.insert(vm.clone(), now);
-        effects.push(FleetEffect::Connect {
-            vm: vm.clone(),
-            address,
-        });
-    }
-
-    fn choose_peers(
-        &self,
-        now: time::Timestamp,
-        is_own_zone: bool,
-        count: usize,
-    ) -> Vec<ids::VmName> {
-        let is_due = |vm: &&ids::VmName| {
-            let failure = self.connections.failures.get(*vm);
-            failure.is_none_or(|failure| now >= failure.retry_at)
-        };
-        let candidates = self.members.link_candidates(is_own_zone).filter(is_due);
-        subset::heaviest_vms(&self.own.vm, candidates, count)
-    }
-
-    fn close_unwanted(
-        &mut self,
-        now: time::Timestamp,
-        wanted: &[ids::VmName],
-        effects: &mut Vec<FleetEffect>,
-    ) {
-        for (link, peer) in &mut self.links {
-            let LinkKind::Outgoing { vm } = &peer.kind else {
-                continue;
-            };
-            if wanted.contains(vm) {
-                peer.unwanted_since = None;
-                continue;
-            }
-            let since = *peer.unwanted_since.get_or_insert(now);
-            if now.since(since) >= UNWANTED_TIME {
-                effects.push(FleetEffect::CloseLink { link: *link });
-            }
-        }
-
-        let is_closed = |peer: &PeerLink| {
-            let age = peer.unwanted_since.map(|since| now.since(since));
-            age.is_some_and(|age| age >= UNWANTED_TIME)
-        };
-        for link in self.select_links(is_closed) {
-            self.links.remove(&link);
-            self.forget_source(now, link, effects);
-        }
-    }
-
     /// Subscribes an agent to more gateways while it has too few feeds.
-    fn choose_feeds(&mut self, effects: &mut Vec<FleetEffect>) {
+    pub(super) fn choose_feeds(&mut self, effects: &mut Vec<FleetEffect>) {
         if self.role != FleetRole::Agent {
             return;
         }
@@ -397,10 +260,6 @@
         }
     }
 
-    fn has_link_to(&self, vm: &ids::VmName) -> bool {
-        self.links.values().any(|peer| peer.vm.as_ref() == Some(vm))
-    }
-
     fn count_incoming(&self) -> usize {
         self.select_links(|peer| peer.kind == LinkKind::Incoming)
             .len()
--- a/crates/fleet/src/reducer/mod.rs
+++ b/crates/fleet/src/reducer/mod.rs
@@ -1,5 +1,6 @@
 //! The fleet reducer: one function over all events, with effects as data.
 
+mod connections;
 mod effect;
 mod event;
 mod joining;
@@ -9,6 +10,7 @@
 mod reading;
 mod spread;
 mod status;
+mod transfers;
 mod upkeep;
 
 use std::collections::BTreeMap;
@@ -70,7 +72,7 @@
     own: members::MemberRecord,
     generator: ChaCha8Rng,
     links: BTreeMap<ids::LinkId, links::PeerLink>,
-    connections: links::ConnectionState,
+    connections: connections::ConnectionState,
     members: members::MemberTable,
     news: membership::MemberNews,
     judge: Box<dyn judge::SectionJudge>,
@@ -106,7 +108,7 @@
             own,
             generator: ChaCha8Rng::seed_from_u64(identity.seed),
             links: BTreeMap::new(),
-            connections: links::ConnectionState::default(),
+            connections: connections::ConnectionState::default(),
             members: members::MemberTable::new(identity.vm, identity.zone),
             news: membership::MemberNews::default(),
             judge,
--- /dev/null
+++ b/crates/fleet/src/reducer/transfers.rs
@@ -0,0 +1,273 @@
+//! Fetching versions of sections from peers, and answering peers that fetch.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use kingcupfall_core::ids;
+use kingcupfall_core::time;
+
+use super::FleetEffect;
+use super::FleetReducer;
+use super::send;
+use crate::messages;
+use crate::sections;
+
+/// Silence of a peer after which a version is asked of another.
+const PULL_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl FleetReducer {
+    pub(super) fn answer_pull(
+        &mut self,
+        link: ids::LinkId,
+        wish: &messages::SectionWish,
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        self.counters.pulls_answered += 1;
+        match self.store.answer(&wish.wanted, wish.base) {
+            sections::SectionAnswer::Patches(patches) => {
+                for patch in patches {
+                    send(effects, link, messages::FleetMessage::Patch(patch));
+                }
+            }
+            sections::SectionAnswer::Manifest(manifest) => {
+                send(effects, link, messages::FleetMessage::Manifest(manifest));
+            }
+            sections::SectionAnswer::Unavailable => {
+                let head = wish.wanted.clone();
+                send(effects, link, messages::FleetMessage::Unavailable(head));
+            }
+        }
+    }
+
+    pub(super) fn answer_parts(
+        &self,
+        link: ids::LinkId,
+        wish: &messages::PartWish,
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        let parts = self.store.copy_parts(&wish.head, &wish.indexes);
+        if parts.is_empty() {
+            let head = wish.head.clone();
+            send(effects, link, messages::FleetMessage::Unavailable(head));
+        }
+        for part in parts {
+            send(effects, link, messages::FleetMessage::Part(part));
+        }
+    }
+
+    pub(super) fn take_patch(
+        &mut self,
+        now: time::Timestamp,
+        link: ids::LinkId,
+        patch: &sections::SectionPatch,
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        if !self.is_asked(link, &patch.slot) {
+            self.counters.stray_messages += 1;
+            return;
+        }
+        self.note_activity(now, &patch.slot);
+        let section = patch.slot.section.clone();
+        if !self.store.is_news(&section, patch.head) {
+            // It came twice, or another peer was faster.
+            return;
+        }
+
+        let base = self.store.find(&section, patch.base);
+        match base.and_then(|value| patch.apply(&value.bytes)) {
+            Some(bytes) => {
+                let value = sections::SectionValue::new(section, patch.head.version, &bytes);
+                self.offer(now, value, effects);
+            }
+            None => self.ask_other(now, &patch.slot, effects),
+        }
+    }
+
+    pub(super) fn take_manifest(
+        &mut self,
+        now: time::Timestamp,
+        link: ids::LinkId,
+        manifest: sections::SectionManifest,
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        let head = manifest.head.clone();
+        self.raise_floor(now, &head);
+        if !self.is_asked(link, &head.slot) {
+            self.counters.stray_messages += 1;
+            return;
+        }
+
+        self.note_activity(now, &head.slot);
+        let known = self.store.known_parts(&head.slot.section);
+        if let Some(transfer) = self.spread.transfers.get_mut(&head.slot) {
+            let step = transfer.take_manifest(manifest, &known);
+            self.follow_step(now, link, head, step, effects);
+        }
+    }
+
+    pub(super) fn take_part(
+        &mut self,
+        now: time::Timestamp,
+        link: ids::LinkId,
+        part: sections::SectionPart,
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        let head = part.head.clone();
+        if !self.is_asked(link, &head.slot) {
+            self.counters.stray_messages += 1;
+            return;
+        }
+
+        self.note_activity(now, &head.slot);
+        if let Some(transfer) = self.spread.transfers.get_mut(&head.slot) {
+            let step = transfer.take_part(part);
+            self.follow_step(now, link, head, step, effects);
+        }
+    }
+
+    pub(super) fn take_unavailable(
+        &mut self,
+        now: time::Timestamp,
+        link: ids::LinkId,
+        head: &sections::SectionHead,
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        if self.is_asked(link, &head.slot) {
+            self.ask_other(now, &head.slot, effects);
+        }
+    }
+
+    /// Asks other peers for versions whose peer has gone silent.
+    pub(super) fn check_transfers(&mut self, now: time::Timestamp, effects: &mut Vec<FleetEffect>) {
+        let late = self.spread.transfers.iter();
+        let late: Vec<sections::SectionSlot> = late
+            .filter(|(_, transfer)| now.since(transfer.active_at) >= PULL_TIMEOUT)
+            .map(|(slot, _)| slot.clone())
+            .collect();
+        for slot in late {
+            if let Some(transfer) = self.spread.transfers.get_mut(&slot) {
+                transfer.postpone_source();
+            }
+            self.ask_next(now, &slot, effects);
+        }
+    }
+
+    /// Forgets a lost link as a source of versions.
+    pub(super) fn forget_source(
+        &mut self,
+        now: time::Timestamp,
+        link: ids::LinkId,
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        for transfer in self.spread.transfers.values_mut() {
+            transfer.remove_source(link);
+        }
+        let idle = self.spread.transfers.iter();
+        let idle: Vec<sections::SectionSlot> = idle
+            .filter(|(_, transfer)| transfer.asked.is_none())
+            .map(|(slot, _)| slot.clone())
+            .collect();
+        for slot in idle {
+            self.ask_next(now, &slot, effects);
+        }
+    }
+
+    /// Ends the transfers that a version has satisfied, and returns the peers that have it.
+    pub(super) fn close_transfers(
+        &mut self,
+        head: &sections::SectionHead,
+    ) -> BTreeSet<ids::LinkId> {
+        let mut told = BTreeSet::new();
+        self.spread.transfers.retain(|slot, transfer| {
+            let is_older = transfer.wanted.head <= head.head;
+            let is_done = slot.section == head.slot.section && is_older;
+            if is_done {
+                told.extend(transfer.sources.iter().copied());
+                told.extend(transfer.asked);
+            }
+            !is_done
+        });
+        told
+    }
+
+    /// Asks the next holder of a wanted version, unless one is being asked.
+    pub(super) fn ask_next(
+        &mut self,
+        now: time::Timestamp,
+        slot: &sections::SectionSlot,
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        let Some(transfer) = self.spread.transfers.get_mut(slot) else {
+            return;
+        };
+        if transfer.asked.is_some() {
+            return;
+        }
+        let Some(link) = transfer.sources.pop() else {
+            // Digests will find another holder.
+            self.spread.transfers.remove(slot);
+            return;
+        };
+
+        transfer.asked = Some(link);
+        transfer.active_at = now;
+        let wish = messages::SectionWish {
+            wanted: transfer.wanted.clone(),
+            base: self.store.base(slot),
+        };
+        send(effects, link, messages::FleetMessage::Pull(wish));
+    }
+
+    fn is_asked(&self, link: ids::LinkId, slot: &sections::SectionSlot) -> bool {
+        let transfer = self.spread.transfers.get(slot);
+        transfer.is_some_and(|transfer| transfer.asked == Some(link))
+    }
+
+    fn note_activity(&mut self, now: time::Timestamp, slot: &sections::SectionSlot) {
+        if let Some(transfer) = self.spread.transfers.get_mut(slot) {
+            transfer.active_at = now;
+        }
+    }
+
+    fn follow_step(
+        &mut self,
+        now: time::Timestamp,
+        link: ids::LinkId,
+        head: sections::SectionHead,
+        step: sections::TransferStep,
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        match step {
+            sections::TransferStep::Ask(indexes) => {
+                let wish = messages::PartWish { head, indexes };
+                send(effects, link, messages::FleetMessage::PullParts(wish));
+            }
+            sections::TransferStep::Wait => {}
+            sections::TransferStep::Complete(value) => {
+                // Whatever the check finds, this version need not be fetched again.
+                self.spread.transfers.remove(&head.slot);
+                self.offer(now, value, effects);
+            }
+            sections::TransferStep::Damaged => {
+                self.counters.damaged_transfers += 1;
+                if let Some(transfer) = self.spread.transfers.get_mut(&head.slot) {
+                    transfer.abandon_source();
+                    transfer.add_source(link);
+                }
+                self.ask_next(now, &head.slot, effects);
+            }
+        }
+    }
+
+    fn ask_other(
+        &mut self,
+        now: time::Timestamp,
+        slot: &sections::SectionSlot,
+        effects: &mut Vec<FleetEffect>,
+    ) {
+        if let Some(transfer) = self.spread.transfers.get_mut(slot) {
+            transfer.abandon_source();
+        }
+        self.ask_next(now, slot, effects);
+    }
+}
