--- a/crates/agent/src/shell/fleet.rs
+++ b/crates/agent/src/shell/fleet.rs
@@ -8,6 +8,7 @@
 use kingcupfall_policy::quarantine;
 use rand::Rng;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 
 use super::AgentConfig;
 use super::Result;
@@ -19,6 +20,17 @@
 const NO_ADDRESS: net::SocketAddr =
     net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::UNSPECIFIED), 0);
 
+/// The document in force at an agent; `None` before the first.
+pub type DocumentWatch = watch::Receiver<Option<fleet::DocumentNotice>>;
+
+/// The fleet's shell of an agent, and what it brings.
+pub(super) struct AgentMembership {
+    /// Takes links and frames of the fleet.
+    pub(super) handle: fleet::FleetHandle,
+    /// Shows the document in force.
+    pub(super) documents: DocumentWatch,
+}
+
 /// Starts the fleet's shell for an agent.
 ///
 /// # Errors
@@ -27,7 +39,8 @@
 pub(super) async fn start(
     config: &AgentConfig,
     events: mpsc::Sender<turn::ShellEvent>,
-) -> Result<fleet::FleetHandle> {
+) -> Result<AgentMembership> {
+    let (sender, documents) = watch::channel(None);
     let mut generator = rand::rng();
     let setup = fleet::FleetSetup {
         identity: fleet_reducer::FleetIdentity {
@@ -44,11 +57,13 @@
             target: config.target.clone(),
             vm: config.vm.clone(),
             events,
+            documents: sender,
         }),
     };
 
     // An agent binds nothing for the fleet, so that only its client could fail.
-    fleet::start(setup).await.map_err(|_| ShellError::Client)
+    let handle = fleet::start(setup).await.map_err(|_| ShellError::Client)?;
+    Ok(AgentMembership { handle, documents })
 }
 
 /// Hands what the fleet has to the agent's loop.
@@ -56,6 +71,7 @@
     target: ids::TargetName,
     vm: ids::VmName,
     events: mpsc::Sender<turn::ShellEvent>,
+    documents: watch::Sender<Option<fleet::DocumentNotice>>,
 }
 
 impl AgentHost {
@@ -88,6 +104,7 @@
         if entry.is_some_and(|entry| entry.leaving) {
             self.leave();
         }
+        self.documents.send_replace(Some(notice));
     }
 
     /// Agents judge no suspects.
--- a/crates/agent/src/shell/mod.rs
+++ b/crates/agent/src/shell/mod.rs
@@ -25,6 +25,7 @@
 pub use config::AgentConfig;
 pub use config::TargetAddress;
 pub use driver::TargetDriver;
+pub use fleet::DocumentWatch;
 pub use http::HttpDriver;
 pub(crate) use http::make_client;
 pub use metrics::MetricSource;
--- a/crates/agent/src/shell/turn.rs
+++ b/crates/agent/src/shell/turn.rs
@@ -81,6 +81,7 @@
     address: net::SocketAddr,
     administration: net::SocketAddr,
     counters: Arc<links::LinkCounters>,
+    documents: fleet::DocumentWatch,
 }
 
 impl AgentHandle {
@@ -99,6 +100,11 @@
         &self.counters
     }
 
+    /// Returns a watch on the document in force.
+    pub fn documents(&self) -> fleet::DocumentWatch {
+        self.documents.clone()
+    }
+
     /// Tells the agent that its target leaves.
     pub async fn leave(&self) {
         report(&self.events, reducer::AgentEvent::Leave).await;
@@ -159,7 +165,7 @@
         let administration =
             administration::AdministrationServer::start(config.administration, state)?;
 
-        let fleet = fleet::start(&config, events.clone()).await?;
+        let membership = fleet::start(&config, events.clone()).await?;
         let listening = links::LinkListener {
             listener,
             key: config.link_key,
@@ -189,6 +195,7 @@
             address,
             administration: administration.address(),
             counters,
+            documents: membership.documents,
         };
         let shell = Self {
             reducer: reducer::AgentReducer::new(identity, scheduler),
@@ -198,7 +205,7 @@
             incoming,
             effects: Vec::new(),
             metrics,
-            fleet,
+            fleet: membership.handle,
             ready,
             _administration: administration,
             _tasks: TaskGroup(vec![
