Cut off callers who never read the end of their stream

Cause: a caller was forgotten with its final reply, so that one who did not read it held its call slot, and a stopping gateway, for good. Change: a caller is kept until its connection has the final reply, and is cut off like any other that reads nothing; a stopping gateway waits for the last answers no longer than that. Conclusion: the time without reading holds to the end of a stream.

--- a/crates/gateway/src/shell/replies.rs
+++ b/crates/gateway/src/shell/replies.rs
@@ -23,6 +23,8 @@
     taken: measures::Sequence,
     /// When the connection last took something, or had nothing to take.
     moved_at: time::Timestamp,
+    /// Whether the final reply was given.
+    ended: bool,
 }
 
 /// What became of a reply.
@@ -48,11 +50,12 @@
             given: measures::Sequence::ZERO,
             taken: measures::Sequence::ZERO,
             moved_at: now,
+            ended: false,
         };
         self.callers.insert(call, state);
     }
 
-    /// Gives a reply to its caller. A final reply removes the caller.
+    /// Gives a reply to its caller, who is kept after the final one until its connection has it.
     pub fn give(
         &mut self,
         now: time::Timestamp,
@@ -62,20 +65,17 @@
         let Some(state) = self.callers.get_mut(&call) else {
             return ReplyStanding::Given;
         };
-        let is_final = match &reply {
-            reducer::CallReply::Tokens(tokens) => {
-                state.note_given(now, tokens);
-                false
-            }
+        match &reply {
+            reducer::CallReply::Tokens(tokens) => state.note_given(now, tokens),
             reducer::CallReply::Finished { .. }
             | reducer::CallReply::Whole(_)
             | reducer::CallReply::Service(_)
             | reducer::CallReply::Key(_)
-            | reducer::CallReply::Problem(_) => true,
-        };
+            | reducer::CallReply::Problem(_) => state.note_end(now),
+        }
 
         let result = state.outlet.replies.try_send(reply);
-        if is_final || result.is_err() {
+        if result.is_err() {
             self.callers.remove(&call);
         }
         match result {
@@ -111,7 +111,7 @@
         let stuck: Vec<ids::CallId> = self
             .callers
             .iter()
-            .filter(|(_, state)| state.given > state.taken)
+            .filter(|(_, state)| state.is_owed())
             .filter(|(_, state)| now.since(state.moved_at) >= patience)
             .map(|(call, _)| *call)
             .collect();
@@ -127,8 +127,20 @@
 }
 
 impl CallerState {
+    /// Says whether the connection has something to take.
+    fn is_owed(&self) -> bool {
+        self.ended || self.given > self.taken
+    }
+
+    fn note_end(&mut self, now: time::Timestamp) {
+        if !self.is_owed() {
+            self.moved_at = now;
+        }
+        self.ended = true;
+    }
+
     fn note_given(&mut self, now: time::Timestamp, tokens: &reducer::TokenReply) {
-        if self.taken >= self.given {
+        if !self.is_owed() {
             self.moved_at = now;
             self.taken = tokens.first;
         }
--- a/crates/gateway/src/shell/server.rs
+++ b/crates/gateway/src/shell/server.rs
@@ -122,7 +122,8 @@
         let notice_end = tokio::time::Instant::now() + context.limits().stop_notice;
 
         // Answers that the reducer has given may still be on their way to slow connections.
-        while context.open_calls() > 0 {
+        let answer_end = tokio::time::Instant::now() + context.limits().write_timeout;
+        while context.open_calls() > 0 && tokio::time::Instant::now() < answer_end {
             tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
         }
         // The balancer sees the 503 of the health endpoint before connections are refused.
--- a/crates/gateway/src/shell/session.rs
+++ b/crates/gateway/src/shell/session.rs
@@ -9,8 +9,8 @@
 use super::context;
 use crate::reducer;
 
-/// A call in progress at a caller's connection. Dropping it tells the reducer that the caller has
-/// gone, unless the call has ended.
+/// A call in progress at a caller's connection. Dropping it tells that the connection has the
+/// answer, or that the caller has gone before.
 pub struct CallSession {
     call: ids::CallId,
     replies: mpsc::Receiver<reducer::CallReply>,
@@ -109,9 +109,8 @@
 
 impl Drop for CallSession {
     fn drop(&mut self) {
-        if !self.ended {
-            let call = self.call;
-            self.report(reducer::GatewayEvent::CallerGone { call });
-        }
+        // The reducer ignores it when the call has ended.
+        let call = self.call;
+        self.report(reducer::GatewayEvent::CallerGone { call });
     }
 }
--- a/crates/gateway/tests/http/faults.rs
+++ b/crates/gateway/tests/http/faults.rs
@@ -148,6 +148,25 @@
     assert_eq!(next.body, "7");
 }
 
+#[ntex::test]
+async fn caller_that_never_reads_the_end_is_cut_off() {
+    // All tokens and the end fit into one window, and not into the buffers of a socket.
+    let token: &str = "0123456789abcdef".repeat(1_024).leak();
+    let mut options = options(agent::TargetScript::Generate(vec![token; 1_000]));
+    options.limits.write_timeout = Duration::from_millis(500);
+    let system = system::TestSystem::start(options).await;
+
+    let mut stuck = system.connect().await;
+    let request = system::generation(system::EXAUSTAO_KEY, STREAM_BODY);
+    stuck.send(&request.bytes()).await;
+    wait_for(|| system.gateway.context().open_calls() == 1).await;
+    wait_for(|| system.gateway.context().open_calls() == 0).await;
+
+    let answer = stuck.read_answer().await;
+    let stream = events::StreamText::parse_whole_events(&answer.body);
+    assert!(stream.end.is_none());
+}
+
 #[ntex::test]
 async fn calls_beyond_the_limit_are_told_when_to_come_back() {
     let mut options = options(agent::TargetScript::Hang(Vec::new()));
