--- a/crates/bench/src/slopes/reducers.rs
+++ b/crates/bench/src/slopes/reducers.rs
@@ -100,7 +100,7 @@
         let mut pair = Self {
             now: time::Timestamp::ZERO,
             gateway: gateway::GatewayReducer::new(gateway_identity, set.gateway(1)),
-            agent: agent::AgentReducer::new(identity, set.scheduler()),
+            agent: agent::AgentReducer::new(identity, set.scheduler(None)),
             events: VecDeque::new(),
             started: Vec::new(),
             gateway_time: Duration::ZERO,
