--- a/crates/agent/src/shell/mod.rs
+++ b/crates/agent/src/shell/mod.rs
@@ -6,10 +6,12 @@
 mod clock;
 mod config;
 mod driver;
+mod fleet;
 mod http;
 mod links;
 mod metrics;
 mod probe;
+mod scheduler;
 mod stream;
 mod turn;
 
@@ -23,8 +25,11 @@
 pub use config::AgentConfig;
 pub use config::TargetAddress;
 pub use driver::TargetDriver;
+pub use fleet::DocumentWatch;
 pub use http::HttpDriver;
+pub(crate) use http::make_client;
 pub use metrics::MetricSource;
+pub use scheduler::standard_scheduler;
 pub use turn::AgentHandle;
 pub use turn::AgentShell;
 
--- a/crates/link/src/frames/agent.rs
+++ b/crates/link/src/frames/agent.rs
@@ -35,18 +35,25 @@
     pub leaving: bool,
     /// Whether the target answers.
     pub target_up: bool,
-    /// Load of the target.
+    /// Load of the target, without its cached prefixes.
     pub load: load::LoadSummary,
+    /// Cached prefixes; `None` when they are those of the last pulse on this link.
+    pub cached: Option<Vec<load::CachedPrefix>>,
 }
 
 /// Consecutive tokens of one generation.
+///
+/// Most frames are of this kind, so its fields have one letter on the link.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TokenBatch {
     /// Attempt, and so generation, of the tokens.
+    #[serde(rename = "a")]
     pub attempt: ids::AttemptId,
     /// Place of the first token.
+    #[serde(rename = "f")]
     pub first: measures::Sequence,
     /// Texts of the tokens.
+    #[serde(rename = "t")]
     pub tokens: Vec<Box<str>>,
 }
 
@@ -140,8 +147,6 @@
     Expired,
     /// A call with this key ran, and its answer is not known.
     AnswerLost,
-    /// The caller took the stream over through another gateway.
-    Superseded,
 }
 
 /// An attempt that failed after it started.
@@ -178,6 +183,13 @@
     Answered(AnswerReport),
     /// Ends an attempt without its answer.
     Failed(FailureReport),
+    /// Says that another gateway took the tokens of an attempt over.
+    Superseded {
+        /// Attempt that was taken over.
+        attempt: ids::AttemptId,
+        /// Subscription that ended; `None` for that of the start order.
+        subscription: Option<ids::Nonce>,
+    },
     /// Frame of the fleet crate, encoded by it.
     Fleet(#[serde_as(as = "Bytes")] Vec<u8>),
 }
