--- a/crates/agent/src/reducer/event.rs
+++ b/crates/agent/src/reducer/event.rs
@@ -76,6 +76,11 @@
     EngineReport(engine::EngineReport),
     /// The engine reported a change of its prefix cache.
     CacheChanged(engine::CacheEvent),
+    /// The document says how many calls the plain service runs at a time.
+    ServiceConcurrency {
+        /// Calls at a time.
+        calls: u32,
+    },
     /// The VM list, the document or the operator says that this target leaves.
     Leave,
     /// The process was asked to stop when all work has ended.
--- a/crates/agent/src/reducer/mod.rs
+++ b/crates/agent/src/reducer/mod.rs
@@ -127,6 +127,7 @@
             AgentEvent::TargetHealth { up } => self.set_target_health(now, up, effects),
             AgentEvent::EngineReport(report) => self.scheduler.observe_report(now, &report),
             AgentEvent::CacheChanged(event) => self.scheduler.observe_cache(now, &event),
+            AgentEvent::ServiceConcurrency { calls } => self.scheduler.set_concurrency(calls),
             AgentEvent::Leave => self.leave(now, effects),
             AgentEvent::Stop => self.stop(now, effects),
             AgentEvent::Tick => self.tick(now, effects),
--- a/crates/agent/src/shell/driver.rs
+++ b/crates/agent/src/shell/driver.rs
@@ -1,5 +1,7 @@
 //! The border between the shell and the target.
 
+use std::time::Duration;
+
 use kingcupfall_core::ids;
 use kingcupfall_core::work;
 
@@ -19,6 +21,9 @@
     /// Cancels a stream; no event of it follows.
     fn cancel(&self, attempt: ids::AttemptId);
 
+    /// Sets the longest wait for an answer of the plain service.
+    fn set_service_timeout(&mut self, timeout: Duration);
+
     /// Calls the plain service.
     fn call(&self, attempt: ids::AttemptId, request: work::ServiceRequest);
 }
--- a/crates/agent/src/shell/fleet.rs
+++ b/crates/agent/src/shell/fleet.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use kingcupfall_core::ids;
+use kingcupfall_document::sections;
 use kingcupfall_fleet::reducer as fleet_reducer;
 use kingcupfall_fleet::shell as fleet;
 use kingcupfall_policy::quarantine;
@@ -104,6 +105,9 @@
         if entry.is_some_and(|entry| entry.leaving) {
             self.leave();
         }
+        if let Some(service) = service_entry(&notice.document, &self.target) {
+            self.send_event(turn::ShellEvent::Service(service.clone()));
+        }
         self.documents.send_replace(Some(notice));
     }
 
@@ -116,3 +120,14 @@
         }
     }
 }
+
+/// Returns what the document says of the plain service that `target` is a replica of.
+fn service_entry<'a>(
+    document: &'a sections::OperatorDocument,
+    target: &ids::TargetName,
+) -> Option<&'a sections::ServiceEntry> {
+    match &document.targets.get(target)?.kind {
+        sections::TargetKind::Service { service } => document.services.get(service),
+        sections::TargetKind::Engine { .. } => None,
+    }
+}
--- a/crates/agent/src/shell/http.rs
+++ b/crates/agent/src/shell/http.rs
@@ -99,6 +99,10 @@
         self.command(attempt, stream::StreamCommand::Cancel);
     }
 
+    fn set_service_timeout(&mut self, timeout: Duration) {
+        self.service_timeout = timeout;
+    }
+
     fn call(&self, attempt: ids::AttemptId, request: work::ServiceRequest) {
         let url = format!("http://{}/{}", self.address, request.path);
         let call = self
--- a/crates/agent/src/shell/scheduler.rs
+++ b/crates/agent/src/shell/scheduler.rs
@@ -6,13 +6,13 @@
 
 /// Makes the scheduler for a target.
 ///
-/// A plain service has no memory to forecast and admits its calls at once.
+/// A plain service has no memory to forecast; the document limits its calls at a time.
 pub fn standard_scheduler(target: &TargetAddress) -> Box<dyn schedule::WorkScheduler> {
     match target {
         TargetAddress::Engine(_) => {
             let settings = schedule::ScheduleSettings::default();
             Box::new(schedule::ForecastScheduler::new(settings))
         }
-        TargetAddress::Service { .. } => Box::new(schedule::NaiveScheduler::new()),
+        TargetAddress::Service { .. } => Box::new(schedule::ConcurrentScheduler::new()),
     }
 }
--- a/crates/agent/src/shell/turn.rs
+++ b/crates/agent/src/shell/turn.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use kingcupfall_core::ids;
+use kingcupfall_document::sections;
 use kingcupfall_fleet::reducer::LinkKind;
 use kingcupfall_fleet::shell::FleetHandle;
 use kingcupfall_link::frames;
@@ -55,6 +56,8 @@
         /// The frames, in order.
         frames: Vec<frames::GatewayFrame>,
     },
+    /// The document says how the plain service is called.
+    Service(sections::ServiceEntry),
     /// The fleet has a frame for a link.
     FleetFrame {
         /// The link.
@@ -254,6 +257,11 @@
     fn take(&mut self, event: ShellEvent) {
         match event {
             ShellEvent::Reducer(event) => self.apply(event),
+            ShellEvent::Service(entry) => {
+                self.driver.set_service_timeout(entry.timeout);
+                let calls = entry.concurrent_calls;
+                self.apply(reducer::AgentEvent::ServiceConcurrency { calls });
+            }
             ShellEvent::LinkAccepted { link, sender } => {
                 self.links.insert(link, sender);
                 self.fleet.open_link(link, LinkKind::Feed);
--- a/crates/gateway/src/reducer/calls.rs
+++ b/crates/gateway/src/reducer/calls.rs
@@ -226,7 +226,9 @@
             let code = ProblemCode::GatewayStopping;
             return Some(resume_refusal(code, Some(STOPPING_RETRY_AFTER)));
         }
-        if self.is_foreign(request) {
+        // Waiting would not help: there is no address to ask.
+        let is_listed = self.targets.get(&request.token.target).is_some();
+        if !is_listed || self.is_foreign(request) {
             return Some(resume_refusal(ProblemCode::ResumeExpired, None));
         }
         match self.policies.limit.admit(now, &request.tag.organisation) {
--- /dev/null
+++ b/crates/gateway/src/reducer/candidates.rs
@@ -0,0 +1,95 @@
+//! What placement is asked, and about which targets.
+
+use std::time::Duration;
+
+use kingcupfall_core::ids;
+use kingcupfall_core::measures;
+use kingcupfall_core::time;
+use kingcupfall_core::work;
+use kingcupfall_policy::place;
+
+use super::CallRequest;
+use super::placing::SUSPICION_SILENCE;
+use crate::state;
+
+pub(super) fn question(request: &CallRequest, suspect: bool) -> place::PlacementQuestion<'_> {
+    let prefix = match &request.work {
+        work::WorkRequest::Generation(generation) => Some(generation.prefix),
+        work::WorkRequest::Service(_) => None,
+    };
+    place::PlacementQuestion {
+        tag: &request.tag,
+        prompt_tokens: prompt_tokens(&request.work),
+        prefix,
+        suspect,
+    }
+}
+
+pub(super) fn prompt_tokens(request: &work::WorkRequest) -> measures::TokenCount {
+    match request {
+        work::WorkRequest::Generation(generation) => generation.prompt_tokens,
+        work::WorkRequest::Service(_) => measures::TokenCount::ZERO,
+    }
+}
+
+/// Returns the targets that can take a call now.
+///
+/// The target that refused the last attempt is left out while there are others.
+pub(super) fn candidates(
+    now: time::Timestamp,
+    targets: &state::TargetTable,
+    state: &state::CallState,
+) -> Vec<ids::TargetName> {
+    let fitting: Vec<ids::TargetName> = targets
+        .iter()
+        .filter(|target| target.listing.serves.fits(&state.request.work))
+        .filter(|target| target.obstacle(now, SUSPICION_SILENCE).is_none())
+        .map(|target| target.listing.name.clone())
+        .collect();
+
+    let others: Vec<ids::TargetName> = fitting
+        .iter()
+        .filter(|name| Some(*name) != state.avoided.as_ref())
+        .cloned()
+        .collect();
+    match others.is_empty() {
+        true => fitting,
+        false => others,
+    }
+}
+
+/// Returns what the placement policy sees of `names`, in their order.
+pub(super) fn views<'a>(
+    now: time::Timestamp,
+    targets: &'a state::TargetTable,
+    names: &[ids::TargetName],
+    zone: &ids::ZoneName,
+) -> Vec<place::TargetView<'a>> {
+    names
+        .iter()
+        .filter_map(|name| targets.get(name))
+        .map(|target| target_view(now, target, zone))
+        .collect()
+}
+
+pub(super) fn target_view<'a>(
+    now: time::Timestamp,
+    target: &'a state::TargetState,
+    zone: &ids::ZoneName,
+) -> place::TargetView<'a> {
+    let distance = match target.listing.zone == *zone {
+        true => place::ZoneDistance::Same,
+        false => place::ZoneDistance::Other,
+    };
+    let load_age = target.clock.map_or(Duration::MAX, |clock| clock.age(now));
+
+    place::TargetView {
+        name: &target.listing.name,
+        distance,
+        load: &target.load,
+        load_age,
+        in_flight: u32::try_from(target.in_flight.len()).unwrap_or(u32::MAX),
+        placed_since: target.placed_since,
+        placed_tokens: target.placed_tokens,
+    }
+}
--- a/crates/gateway/src/reducer/explain.rs
+++ b/crates/gateway/src/reducer/explain.rs
@@ -5,8 +5,8 @@
 use kingcupfall_policy::place;
 
 use super::GatewayReducer;
+use super::candidates;
 use super::placing::SUSPICION_SILENCE;
-use super::placing::views;
 use crate::state;
 
 /// How one target stands for a piece of work.
@@ -39,7 +39,7 @@
             .map(|target| target.listing.name.clone())
             .collect();
 
-        let views = views(now, &self.targets, &names, &self.identity.zone);
+        let views = candidates::views(now, &self.targets, &names, &self.identity.zone);
         let scores = self.policies.placement.explain(now, question, &views);
         fitting
             .into_iter()
--- a/crates/gateway/src/reducer/mod.rs
+++ b/crates/gateway/src/reducer/mod.rs
@@ -2,11 +2,14 @@
 
 mod answers;
 mod calls;
+mod candidates;
 mod effect;
 mod event;
 mod explain;
 mod links;
+mod moves;
 mod placing;
+mod starting;
 mod targets;
 mod upkeep;
 
--- /dev/null
+++ b/crates/gateway/src/reducer/starting.rs
@@ -0,0 +1,171 @@
+//! Start orders, and the keys of calls that run at most once.
+
+use std::time::Duration;
+
+use kingcupfall_core::ids;
+use kingcupfall_core::keys;
+use kingcupfall_core::measures;
+use kingcupfall_core::time;
+use kingcupfall_link::frames;
+use kingcupfall_policy::place;
+use kingcupfall_policy::quarantine;
+use kingcupfall_policy::retry;
+
+use super::GatewayEffect;
+use super::GatewayReducer;
+use super::KeyRequest;
+use super::candidates;
+use super::placing::SUSPICION_SILENCE;
+use crate::state;
+
+/// Longest time from placing an attempt to its start.
+const START_WINDOW: Duration = Duration::from_secs(120);
+
+/// Life of a key that the system issues.
+const KEY_LIFE: Duration = Duration::from_secs(600);
+
+impl GatewayReducer {
+    /// Chooses the target that a new key names.
+    pub(super) fn choose_executor(
+        &mut self,
+        now: time::Timestamp,
+        request: &KeyRequest,
+    ) -> Option<keys::ExecutionKey> {
+        let serves = state::ServedWork::Service(request.service.clone());
+        let names: Vec<ids::TargetName> = self
+            .targets
+            .iter()
+            .filter(|target| target.listing.serves == serves)
+            .filter(|target| target.obstacle(now, SUSPICION_SILENCE).is_none())
+            .map(|target| target.listing.name.clone())
+            .collect();
+        let question = place::PlacementQuestion {
+            tag: &request.tag,
+            prompt_tokens: measures::TokenCount::ZERO,
+            prefix: None,
+            suspect: false,
+        };
+
+        let views = candidates::views(now, &self.targets, &names, &self.identity.zone);
+        let index = self.policies.placement.choose(now, &question, &views)?;
+        let name = names.get(index)?.clone();
+        self.issue_key(now, &name)
+    }
+
+    pub(super) fn send_start(
+        &mut self,
+        now: time::Timestamp,
+        call: ids::CallId,
+        name: &ids::TargetName,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let issued_key = self.key_for(now, call, name);
+        let suspect = self.is_suspect(now, call);
+        let attempt = ids::AttemptId::random(&mut self.generator);
+        let Some(order) = self.start_order(now, call, name, attempt, issued_key, suspect) else {
+            let cause = retry::RetryCause::NoTarget;
+            self.retry(now, call, cause, Duration::ZERO, effects);
+            return;
+        };
+
+        let tokens = candidates::prompt_tokens(&order.request);
+        if let Some(target) = self.targets.get_mut(name) {
+            target.in_flight.insert(attempt);
+            target.placed_since += 1;
+            target.placed_tokens += tokens;
+        }
+        self.calls.bind_attempt(attempt, call);
+        self.counters.attempts += 1;
+        self.send_to(name, frames::GatewayFrame::Start(Box::new(order)), effects);
+    }
+
+    /// Builds the start order and notes the attempt in its call.
+    fn start_order(
+        &mut self,
+        now: time::Timestamp,
+        call: ids::CallId,
+        name: &ids::TargetName,
+        attempt: ids::AttemptId,
+        issued_key: Option<keys::ExecutionKey>,
+        suspect: bool,
+    ) -> Option<frames::StartOrder> {
+        let target = self.targets.get(name)?;
+        let clock = target.clock?;
+        let incarnation = target.incarnation?;
+        let state = self.calls.get_mut(call)?;
+
+        let window = state.request.start_deadline.since(now).min(START_WINDOW);
+        let start_by = clock.estimate(now) + window;
+        state.attempts += 1;
+        state.collected.clear();
+        state.received = measures::Sequence::ZERO;
+        state.acknowledged = measures::Sequence::ZERO;
+        state.issued_key = issued_key;
+        if state.attempts > 1 {
+            self.counters.retries += 1;
+        }
+        state.phase = state::CallPhase::Placed(state::PlacedAttempt {
+            attempt,
+            target: name.clone(),
+            incarnation,
+            start_by: Some(start_by),
+            subscription: None,
+            placed_at: now,
+            weighed_at: now,
+        });
+
+        Some(frames::StartOrder {
+            attempt,
+            tag: state.request.tag.clone(),
+            fingerprint: state.request.fingerprint,
+            request: state.request.work.clone(),
+            start_by,
+            key: state.key().cloned(),
+            stream: state.request.stream,
+            suspect,
+        })
+    }
+
+    /// Issues a key for a call that must run at most once and came without one.
+    fn key_for(
+        &mut self,
+        now: time::Timestamp,
+        call: ids::CallId,
+        name: &ids::TargetName,
+    ) -> Option<keys::ExecutionKey> {
+        let state = self.calls.get(call)?;
+        if state.request.repeatable || state.request.key.is_some() {
+            return None;
+        }
+        self.issue_key(now, name)
+    }
+
+    fn issue_key(
+        &mut self,
+        now: time::Timestamp,
+        name: &ids::TargetName,
+    ) -> Option<keys::ExecutionKey> {
+        let target = self.targets.get(name)?;
+        let clock = target.clock?;
+
+        Some(keys::ExecutionKey {
+            target: name.clone(),
+            incarnation: target.incarnation?,
+            expires_at: clock.estimate(now) + KEY_LIFE,
+            nonce: ids::Nonce::random(&mut self.generator),
+        })
+    }
+
+    pub(super) fn is_suspect(&mut self, now: time::Timestamp, call: ids::CallId) -> bool {
+        let Some(state) = self.calls.get(call) else {
+            return false;
+        };
+        let fingerprint = state.request.fingerprint;
+        match self.policies.quarantine.judge(now, fingerprint) {
+            quarantine::SuspectVerdict::Suspect => true,
+            quarantine::SuspectVerdict::Clear | quarantine::SuspectVerdict::Quarantined { .. } => {
+                false
+            }
+        }
+    }
+}
--- a/crates/gateway/tests/session.rs
+++ b/crates/gateway/tests/session.rs
@@ -171,6 +171,30 @@
     )));
 }
 
+#[test]
+fn resume_from_an_unlisted_target_ends_at_once() {
+    let mut harness = SessionHarness::new();
+    let request = gateway::ResumeRequest {
+        call: ids::CallId::new(2),
+        tag: call_request(harness.now, true).tag,
+        token: state::ResumeToken {
+            target: "engine-9".parse().unwrap(),
+            incarnation: ids::Incarnation::from_u128(1),
+            attempt: ids::AttemptId::from_u128(1),
+            sequence: measures::Sequence::new(4),
+        },
+    };
+
+    harness.gateway_event(gateway::GatewayEvent::Resume(Box::new(request)));
+
+    assert!(matches!(
+        harness.replies.as_slice(),
+        [gateway::CallReply::Problem(problem)]
+            if problem.code == gateway::ProblemCode::ResumeExpired
+                && problem.outcome == work::CallOutcome::Unknown
+    ));
+}
+
 fn reply_tokens(reply: &gateway::CallReply) -> Vec<Box<str>> {
     match reply {
         gateway::CallReply::Tokens(reply) => reply.tokens.clone(),
--- a/crates/policy/src/schedule/mod.rs
+++ b/crates/policy/src/schedule/mod.rs
@@ -1,6 +1,7 @@
 //! Which waiting work an agent gives to its target, and which running streams it pauses.
 
 mod cached;
+mod concurrent;
 mod engine_view;
 pub mod forecast;
 mod forecasting;
@@ -20,6 +21,7 @@
 use kingcupfall_core::time;
 use kingcupfall_core::work;
 
+pub use concurrent::ConcurrentScheduler;
 pub use forecasting::ForecastScheduler;
 pub use forecasting::ScheduleSettings;
 pub use naive::NaiveScheduler;
@@ -104,6 +106,9 @@
     /// Takes an event of the engine's prefix cache.
     fn observe_cache(&mut self, now: time::Timestamp, event: &engine::CacheEvent);
 
+    /// Sets how many calls a plain service runs at a time; engines are not limited so.
+    fn set_concurrency(&mut self, _calls: u32) {}
+
     /// Appends the decisions due now; the caller carries out each of them.
     fn decide(&mut self, now: time::Timestamp, decisions: &mut Vec<ScheduleDecision>);
 
