Link a gateway to a subset of targets, and to others on demand

Cause: a gateway linked to every listed target: 10,000 links and their pulses at the target size, and a tick that copied every name 20 times a second. Change: 64 targets of each model and service by rendezvous hashing, three quarters in the own zone; a link beyond them opens for a call with a key, a resumption, and work or cancel orders that are left, and closes a minute later; a tick looks only at links that are due. A target that left the document keeps its link while its streams run.

--- a/crates/gateway/src/reducer/links.rs
+++ b/crates/gateway/src/reducer/links.rs
@@ -146,8 +146,23 @@
 
     /// Replaces silent links and opens missing ones.
     pub(super) fn mend_links(&mut self, now: time::Timestamp, effects: &mut Vec<GatewayEffect>) {
-        for name in self.targets.names() {
+        let is_due = |target: &&state::TargetState| match target.link {
+            state::LinkPhase::Closed { retry_at } => retry_at <= now && target.needs_link(now),
+            state::LinkPhase::Connecting { since, .. } => now.since(since) >= CONNECT_TIMEOUT,
+            state::LinkPhase::Open { .. } => {
+                now.since(target.last_heard) >= LINK_SILENCE || !target.needs_link(now)
+            }
+        };
+        let due: Vec<ids::TargetName> = self
+            .targets
+            .iter()
+            .filter(is_due)
+            .map(|target| target.listing.name.clone())
+            .collect();
+
+        for name in due {
             self.replace_silent(now, &name, effects);
+            self.close_unneeded(now, &name, effects);
             self.connect(now, &name, effects);
         }
     }
@@ -268,7 +283,24 @@
         self.drop_link(now, dead, effects);
     }
 
-    fn connect(
+    fn close_unneeded(
+        &mut self,
+        now: time::Timestamp,
+        name: &ids::TargetName,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(target) = self.targets.get(name) else {
+            return;
+        };
+        if let Some(link) = target.open_link()
+            && !target.needs_link(now)
+        {
+            self.drop_link(now, link, effects);
+        }
+    }
+
+    /// Opens a link when one is due.
+    pub(super) fn connect(
         &mut self,
         now: time::Timestamp,
         name: &ids::TargetName,
@@ -280,7 +312,7 @@
         let state::LinkPhase::Closed { retry_at } = target.link else {
             return;
         };
-        if now < retry_at || !target.listed {
+        if now < retry_at || !target.needs_link(now) {
             return;
         }
 
--- a/crates/gateway/src/reducer/placing.rs
+++ b/crates/gateway/src/reducer/placing.rs
@@ -164,6 +164,7 @@
             return;
         }
         if target.open_link().is_none() {
+            self.ask_for(now, &key.target, effects);
             let cause = retry::RetryCause::NoTarget;
             self.retry(now, call, cause, Duration::ZERO, effects);
             return;
@@ -172,6 +173,19 @@
         self.send_start(now, call, &key.target, effects);
     }
 
+    /// Opens a link to a target that need not be among the chosen ones.
+    fn ask_for(
+        &mut self,
+        now: time::Timestamp,
+        name: &ids::TargetName,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.asked_at = Some(now);
+        }
+        self.connect(now, name, effects);
+    }
+
     fn choose_target(&mut self, now: time::Timestamp, call: ids::CallId) -> TargetChoice {
         let suspect = self.is_suspect(now, call);
         let Some(state) = self.calls.get(call) else {
--- a/crates/gateway/src/reducer/targets.rs
+++ b/crates/gateway/src/reducer/targets.rs
@@ -1,14 +1,19 @@
 //! The targets in force, from the document and the VM list.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
+use kingcupfall_fleet::subset;
 
 use super::GatewayEffect;
 use super::GatewayReducer;
 use crate::state;
 
+/// Targets of one model or service that a gateway keeps links to.
+const SUBSET_TARGETS: usize = 64;
+
 impl GatewayReducer {
     /// Replaces the list of targets. One that is missing is left, but finishes what it has.
     pub(super) fn take_targets(
@@ -32,6 +37,7 @@
         for listing in listings {
             self.take_listing(now, listing, effects);
         }
+        self.choose_subset();
         self.mend_links(now, effects);
     }
 
@@ -56,6 +62,32 @@
         }
     }
 
+    /// Chooses the targets that this gateway keeps links to: a bounded number of each kind.
+    fn choose_subset(&mut self) {
+        let chooser: ids::VmName = self
+            .identity
+            .process
+            .to_string()
+            .parse()
+            .expect("hexadecimal digits make a name");
+        let mut chosen = BTreeSet::new();
+        for candidates in group_candidates(&self.targets) {
+            let zone = &self.identity.zone;
+            chosen.extend(subset::choose_targets(
+                &chooser,
+                zone,
+                &candidates,
+                SUBSET_TARGETS,
+            ));
+        }
+
+        for name in self.targets.names() {
+            if let Some(target) = self.targets.get_mut(&name) {
+                target.chosen = chosen.contains(&name);
+            }
+        }
+    }
+
     fn take_listing(
         &mut self,
         now: time::Timestamp,
@@ -80,3 +112,28 @@
         }
     }
 }
+
+/// Returns the listed targets of each model and of each service.
+fn group_candidates(targets: &state::TargetTable) -> Vec<Vec<subset::TargetCandidate>> {
+    let mut groups: BTreeMap<String, Vec<subset::TargetCandidate>> = BTreeMap::new();
+    for target in targets.iter().filter(|target| target.listed) {
+        let candidate = subset::TargetCandidate {
+            target: target.listing.name.clone(),
+            zone: target.listing.zone.clone(),
+        };
+        for group in group_names(&target.listing.serves) {
+            groups.entry(group).or_default().push(candidate.clone());
+        }
+    }
+    groups.into_values().collect()
+}
+
+fn group_names(serves: &state::ServedWork) -> Vec<String> {
+    match serves {
+        state::ServedWork::Models(models) => models
+            .iter()
+            .map(|model| format!("model {model}"))
+            .collect(),
+        state::ServedWork::Service(service) => vec![format!("service {service}")],
+    }
+}
--- a/crates/gateway/src/state/targets.rs
+++ b/crates/gateway/src/state/targets.rs
@@ -14,6 +14,9 @@
 
 use super::AgentClock;
 
+/// Time for which a link is kept after a call asked for the target by name.
+const ASKED_LINK_LIFE: Duration = Duration::from_secs(60);
+
 /// What a target can be asked for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ServedWork {
@@ -81,6 +84,10 @@
     pub listing: TargetListing,
     /// Whether the last listing still had the target.
     pub listed: bool,
+    /// Whether it is one of those that the gateway keeps links to.
+    pub chosen: bool,
+    /// When a call last asked for it by name.
+    pub asked_at: Option<time::Timestamp>,
     /// The link to its agent.
     pub link: LinkPhase,
     /// Links that failed since one was open.
@@ -115,6 +122,8 @@
         Self {
             listing,
             listed: true,
+            chosen: false,
+            asked_at: None,
             link: LinkPhase::Closed { retry_at: now },
             failed_links: 0,
             last_heard: now,
@@ -139,6 +148,18 @@
         }
     }
 
+    /// Says whether there should be a link to the agent.
+    ///
+    /// Beyond the chosen targets, one is linked to while it has something of this gateway's calls,
+    /// and for a time after a call asked for it by name.
+    pub fn needs_link(&self, now: time::Timestamp) -> bool {
+        let is_asked_for = self
+            .asked_at
+            .is_some_and(|asked_at| now.since(asked_at) < ASKED_LINK_LIFE);
+        let has_business = !self.in_flight.is_empty() || !self.abandoned.is_empty();
+        has_business || (self.listed && (self.chosen || is_asked_for))
+    }
+
     /// Says whether the target takes no new work.
     pub fn is_leaving(&self) -> bool {
         let has_left = self.left_incarnation.is_some() && self.left_incarnation == self.incarnation;
