Let a large stream yield for up to 60 s; divide the subset among models and services

A subset of 64 for each model would be 256 links with four models. Change: yield time 30 to 60 s. 64 links are divided, with at least 16 of each kind.

--- a/crates/gateway/src/reducer/targets.rs
+++ b/crates/gateway/src/reducer/targets.rs
@@ -11,9 +11,12 @@
 use super::GatewayReducer;
 use crate::state;
 
-/// Targets of one model or service that a gateway keeps links to.
+/// Targets that a gateway keeps links to, divided among models and services.
 const SUBSET_TARGETS: usize = 64;
 
+/// Targets of one model or service that a gateway keeps links to, however many there are.
+const LEAST_GROUP_TARGETS: usize = 16;
+
 impl GatewayReducer {
     /// Replaces the list of targets. One that is missing is left, but finishes what it has.
     pub(super) fn take_targets(
@@ -70,15 +73,13 @@
             .to_string()
             .parse()
             .expect("hexadecimal digits make a name");
+        let groups = group_candidates(&self.targets);
+        let size = (SUBSET_TARGETS / groups.len().max(1)).max(LEAST_GROUP_TARGETS);
+
         let mut chosen = BTreeSet::new();
-        for candidates in group_candidates(&self.targets) {
+        for candidates in groups {
             let zone = &self.identity.zone;
-            chosen.extend(subset::choose_targets(
-                &chooser,
-                zone,
-                &candidates,
-                SUBSET_TARGETS,
-            ));
+            chosen.extend(subset::choose_targets(&chooser, zone, &candidates, size));
         }
 
         for name in self.targets.names() {
--- a/crates/policy/src/schedule/forecasting/mod.rs
+++ b/crates/policy/src/schedule/forecasting/mod.rs
@@ -34,7 +34,7 @@
 const GAP_TARGET_S: f64 = 0.038;
 
 /// Time for which a large stream makes room for several late ones, once in its life.
-const YIELD_TIME: Duration = Duration::from_secs(30);
+const YIELD_TIME: Duration = Duration::from_secs(60);
 
 /// Longest short answer, in tokens.
 const SHORT_TOKENS: f32 = 64.0;
