Try a generation again when its engine answers that it can't serve

Cause: one of the socket tests failed in one full run and in none of four of its own: a stream placed on an engine that had just died met a 503 before the probe saw the death, and ended as target_error. Ruled out: the quarantine, since the request was innocent. Change: an answer of 5xx counts as lost without suspicion, so that a generation that has released nothing is tried elsewhere within the retry budget; 4xx stays final.

--- a/crates/agent/src/reducer/event.rs
+++ b/crates/agent/src/reducer/event.rs
@@ -13,7 +13,9 @@
     NotSent,
     /// The connection broke, or the target died, while it ran.
     Lost,
-    /// The target answered with an error.
+    /// The target answered that it can't serve now; the work may have run in part.
+    Unable,
+    /// The target answered that the work itself is wrong.
     Refused,
 }
 
--- a/crates/agent/src/reducer/target.rs
+++ b/crates/agent/src/reducer/target.rs
@@ -34,6 +34,7 @@
                 self.withdraw(now, attempt, code, DEFAULT_RETRY_AFTER, effects);
                 return;
             }
+            WorkFailure::Unable => (frames::FailureCause::TargetLost, false),
             WorkFailure::Lost => (frames::FailureCause::TargetLost, true),
             WorkFailure::Refused => (frames::FailureCause::TargetError, false),
         };
--- a/crates/agent/src/shell/stream.rs
+++ b/crates/agent/src/shell/stream.rs
@@ -53,6 +53,7 @@
                 self.follow(attempt, response).await;
                 return;
             }
+            Ok(response) if response.status().is_server_error() => reducer::WorkFailure::Unable,
             Ok(_) => reducer::WorkFailure::Refused,
             Err(error) => http::classify(&error),
         };
--- a/crates/gateway/tests/session.rs
+++ b/crates/gateway/tests/session.rs
@@ -36,7 +36,7 @@
             placement: Box::new(place::RoundRobinPlacement::default()),
             retry: Box::new(retry::BlindRetry::new(3)),
             limit: Box::new(limit::NoLimit),
-            quarantine: Box::new(quarantine::TrustingQuarantine),
+            quarantine: Box::new(quarantine::SuspectQuarantine::default()),
         };
         let gateway_identity = gateway::GatewayIdentity {
             process: ids::ProcessId::from_u128(1),
@@ -171,6 +171,31 @@
     )));
 }
 
+#[test]
+fn target_that_can_not_serve_is_left_for_another_try() {
+    let mut harness = SessionHarness::new();
+    harness.call(true);
+    let first = harness.started[0];
+
+    harness.agent_event(agent::AgentEvent::WorkFailed {
+        attempt: first,
+        failure: agent::WorkFailure::Unable,
+    });
+    harness.advance(Duration::from_millis(100));
+    harness.generate(&["fire ", "risk"]);
+
+    assert_eq!(harness.started.len(), 2);
+    assert_eq!(
+        harness.gateway.suspects(harness.now),
+        [],
+        "an answer of the target is no crash"
+    );
+    assert!(matches!(
+        harness.replies.last(),
+        Some(gateway::CallReply::Finished { total, .. }) if total.get() == 2
+    ));
+}
+
 #[test]
 fn resume_from_an_unlisted_target_ends_at_once() {
     let mut harness = SessionHarness::new();
