Doubt a target after a failure until it is found to answer

Innocent calls bounced between engines that were dead but not yet probed until their four attempts were used up. Change: a 5xx counts as a crash like a lost connection; after either, and after a refused connection, an agent starts nothing and refuses new work, without cost to retry budgets, until its probe finds the target well, at most 3 s.

--- a/crates/agent/src/reducer/event.rs
+++ b/crates/agent/src/reducer/event.rs
@@ -13,7 +13,7 @@
     NotSent,
     /// The connection broke, or the target died, while it ran.
     Lost,
-    /// The target answered that it can't serve now; the work may have run in part.
+    /// The target answered that it can't serve; the work may have run in part, and may be why.
     Unable,
     /// The target answered that the work itself is wrong.
     Refused,
--- a/crates/agent/src/reducer/intake.rs
+++ b/crates/agent/src/reducer/intake.rs
@@ -52,7 +52,7 @@
         {
             return;
         }
-        if let Some(code) = self.check_capacity(&order) {
+        if let Some(code) = self.check_capacity(now, &order) {
             self.refuse(link, attempt, code, DEFAULT_RETRY_AFTER, effects);
             return;
         }
@@ -225,11 +225,15 @@
         true
     }
 
-    fn check_capacity(&self, order: &frames::StartOrder) -> Option<frames::RefusalCode> {
+    fn check_capacity(
+        &self,
+        now: time::Timestamp,
+        order: &frames::StartOrder,
+    ) -> Option<frames::RefusalCode> {
         if self.departure != DeparturePhase::Serving {
             return Some(frames::RefusalCode::Leaving);
         }
-        if !self.target_up {
+        if !self.is_target_usable(now) {
             return Some(frames::RefusalCode::TargetDown);
         }
         if order.suspect && self.has_active_suspect() {
--- a/crates/agent/src/reducer/mod.rs
+++ b/crates/agent/src/reducer/mod.rs
@@ -76,6 +76,8 @@
     settled: state::TombstoneTable,
     departure: DeparturePhase,
     target_up: bool,
+    /// Until when nothing new is started, unless the target is found to answer before.
+    doubtful_until: time::Timestamp,
     next_pulse: time::Timestamp,
     counters: AgentCounters,
 }
@@ -94,6 +96,7 @@
             settled: state::TombstoneTable::default(),
             departure: DeparturePhase::Serving,
             target_up: false,
+            doubtful_until: time::Timestamp::ZERO,
             next_pulse: time::Timestamp::ZERO,
             counters: AgentCounters::default(),
         }
--- a/crates/agent/src/reducer/schedule.rs
+++ b/crates/agent/src/reducer/schedule.rs
@@ -16,7 +16,7 @@
 
 impl AgentReducer {
     pub(super) fn run_schedule(&mut self, now: time::Timestamp, effects: &mut Vec<AgentEffect>) {
-        if !self.target_up {
+        if !self.is_target_usable(now) {
             return;
         }
         let mut decisions = Vec::new();
--- a/crates/agent/src/reducer/target.rs
+++ b/crates/agent/src/reducer/target.rs
@@ -1,5 +1,7 @@
 //! Failures of the target and of the work on it.
 
+use std::time::Duration;
+
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
 use kingcupfall_link::frames;
@@ -11,6 +13,9 @@
 use super::intake::DEFAULT_RETRY_AFTER;
 use crate::state;
 
+/// Longest time for which a target is doubted after a failure.
+const DOUBT: Duration = Duration::from_secs(3);
+
 impl AgentReducer {
     pub(super) fn fail_attempt(
         &mut self,
@@ -28,14 +33,14 @@
             return;
         }
 
+        self.doubt_target(now, failure, effects);
         let (cause, suspect) = match failure {
             WorkFailure::NotSent => {
                 let code = frames::RefusalCode::TargetDown;
                 self.withdraw(now, attempt, code, DEFAULT_RETRY_AFTER, effects);
                 return;
             }
-            WorkFailure::Unable => (frames::FailureCause::TargetLost, false),
-            WorkFailure::Lost => (frames::FailureCause::TargetLost, true),
+            WorkFailure::Unable | WorkFailure::Lost => (frames::FailureCause::TargetLost, true),
             WorkFailure::Refused => (frames::FailureCause::TargetError, false),
         };
         let end = state::AttemptEnd::Failed { cause, suspect };
@@ -49,9 +54,16 @@
         up: bool,
         effects: &mut Vec<AgentEffect>,
     ) {
+        let was_usable = self.is_target_usable(now);
         let was_up = self.target_up;
         self.target_up = up;
+        if up {
+            self.doubtful_until = now;
+        }
         if was_up == up {
+            if up && !was_usable {
+                self.send_pulses(now, effects);
+            }
             return;
         }
 
@@ -64,6 +76,32 @@
         self.send_pulses(now, effects);
     }
 
+    /// Says whether the target answers, as far as is known.
+    pub(super) fn is_target_usable(&self, now: time::Timestamp) -> bool {
+        self.target_up && now >= self.doubtful_until
+    }
+
+    /// Starts nothing new after a failure until the target is found to answer.
+    ///
+    /// A dead target fails work at once, and would take all that gateways have left before the
+    /// next probe.
+    fn doubt_target(
+        &mut self,
+        now: time::Timestamp,
+        failure: WorkFailure,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        match failure {
+            WorkFailure::NotSent | WorkFailure::Unable | WorkFailure::Lost => {}
+            WorkFailure::Refused => return,
+        }
+        let was_usable = self.is_target_usable(now);
+        self.doubtful_until = now + DOUBT;
+        if was_usable {
+            self.send_pulses(now, effects);
+        }
+    }
+
     /// Refuses everything that has not started.
     pub(super) fn refuse_queue(
         &mut self,
--- a/crates/agent/src/reducer/upkeep.rs
+++ b/crates/agent/src/reducer/upkeep.rs
@@ -59,7 +59,7 @@
         let pulse = frames::AgentPulse {
             now,
             leaving: self.departure != super::DeparturePhase::Serving,
-            target_up: self.target_up,
+            target_up: self.is_target_usable(now),
             load,
             cached: self.changed_prefixes(link, cached),
         };
