--- a/crates/gateway/src/reducer/mod.rs
+++ b/crates/gateway/src/reducer/mod.rs
@@ -6,6 +6,7 @@
 mod effect;
 mod event;
 mod explain;
+mod failures;
 mod links;
 mod moves;
 mod placing;
