Read settings from one command line in both processes

Cause: agent and gateway each had the same command line and the same reading of settings, with its exit status, in two files. The agent looked through the effects of every event for answers that matter only while it leaves.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,8 +1,5 @@
 //! `kingcupfall-agent`: the agent beside one target.
 
-mod command;
-
-use std::fs;
 use std::process;
 use std::time::Duration;
 
@@ -10,18 +7,19 @@
 use kingcupfall_core::ids;
 use kingcupfall_link::transport;
 use kingcupfall_settings::agent;
+use kingcupfall_settings::command;
 use kingcupfall_telemetry::logs;
 use tokio::signal::unix;
 
-/// Exit status for settings with findings.
-const FINDINGS_STATUS: u8 = 2;
-
 /// Longest wait for an answer of a plain service.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// What the process is, for its help.
+const DESCRIPTION: &str = "The agent beside one target: the only process that talks to it";
+
 fn main() -> process::ExitCode {
-    let command = command::parse().run();
-    let settings = match read_settings(&command) {
+    let command = command::parse(DESCRIPTION).run();
+    let settings = match command.read::<agent::AgentSettings>() {
         Ok(settings) => settings,
         Err(status) => return status,
     };
@@ -46,24 +44,6 @@
     }
 }
 
-/// Reads the settings, or prints what is wrong with them.
-fn read_settings(
-    command: &command::AgentCommand,
-) -> Result<agent::AgentSettings, process::ExitCode> {
-    let name = command.settings.display();
-    let text = fs::read_to_string(&command.settings).map_err(|error| {
-        eprintln!("{name}: {error}");
-        process::ExitCode::FAILURE
-    })?;
-
-    kingcupfall_settings::load(&text).map_err(|findings| {
-        for finding in findings.iter() {
-            println!("{finding}");
-        }
-        process::ExitCode::from(FINDINGS_STATUS)
-    })
-}
-
 async fn run(settings: agent::AgentSettings) -> shell::Result<()> {
     let deadline = settings.drain.deadline;
     let incarnation = ids::Incarnation::random(&mut rand::rng());
--- a/crates/agent/src/reducer/departure.rs
+++ b/crates/agent/src/reducer/departure.rs
@@ -96,6 +96,10 @@
 
     /// Notes to which gateways the ends of attempts are on their way.
     pub(super) fn note_answers(&mut self, now: time::Timestamp, effects: &[AgentEffect]) {
+        // Only the answers to leaving pulses are compared with it.
+        if self.departure == DeparturePhase::Serving {
+            return;
+        }
         for effect in effects {
             if let AgentEffect::Send { link, frame } = effect
                 && is_answer(frame)
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,9 +1,6 @@
 //! `kingcupfall-gateway`: takes callers' calls, and brings their answers back whole and once.
 
-mod command;
-
 use std::error;
-use std::fs;
 use std::process;
 use std::time::Duration;
 
@@ -14,23 +11,24 @@
 use kingcupfall_gateway::reducer;
 use kingcupfall_gateway::shell;
 use kingcupfall_link::transport;
+use kingcupfall_settings::command;
 use kingcupfall_settings::gateway;
 use kingcupfall_telemetry::logs;
 use rand::Rng;
 use tokio::signal::unix;
 
-/// Exit status for settings with findings.
-const FINDINGS_STATUS: u8 = 2;
-
 /// Distinguishes the key of idempotency keys from that of links, which has the same secret.
 const SIGNING_LABEL: &[u8] = b"idempotency-keys:";
 
 /// Result of running the process.
 type Result<T> = std::result::Result<T, Box<dyn error::Error>>;
 
+/// What the process is, for its help.
+const DESCRIPTION: &str = "A gateway: takes callers' calls and brings their answers back";
+
 fn main() -> process::ExitCode {
-    let command = command::parse().run();
-    let settings = match read_settings(&command) {
+    let command = command::parse(DESCRIPTION).run();
+    let settings = match command.read::<gateway::GatewaySettings>() {
         Ok(settings) => settings,
         Err(status) => return status,
     };
@@ -51,24 +49,6 @@
     }
 }
 
-/// Reads the settings, or prints what is wrong with them.
-fn read_settings(
-    command: &command::GatewayCommand,
-) -> std::result::Result<gateway::GatewaySettings, process::ExitCode> {
-    let name = command.settings.display();
-    let text = fs::read_to_string(&command.settings).map_err(|error| {
-        eprintln!("{name}: {error}");
-        process::ExitCode::FAILURE
-    })?;
-
-    kingcupfall_settings::load(&text).map_err(|findings| {
-        for finding in findings.iter() {
-            println!("{finding}");
-        }
-        process::ExitCode::from(FINDINGS_STATUS)
-    })
-}
-
 async fn run(settings: gateway::GatewaySettings) -> Result<()> {
     logs::start(settings.log.level.get())?;
     let process = ids::ProcessId::random(&mut rand::rng());
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,6 +1,7 @@
 //! Settings of the binaries: typed values that are read from TOML and checked as a whole.
 
 pub mod agent;
+pub mod command;
 pub mod gateway;
 mod load;
 pub mod sections;
