--- /dev/null
+++ b/crates/relay/src/dispatch/calls.rs
@@ -0,0 +1,113 @@
+//! Calls that wait or have a target.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcupfall_core::ids;
+use kingcupfall_core::time;
+use kingcupfall_core::work;
+
+use super::LoadCount;
+use crate::directory;
+
+/// Share of a stream's expected output that is reserved when it starts. Streams of a target end
+/// at different times, so that their largest sizes do not meet.
+const OUTPUT_SHARE: f64 = 0.5;
+
+/// Output tokens beyond those generated for which room is kept, about two seconds of one stream.
+const GROWTH_TOKENS: u64 = 200;
+
+/// What a call needs.
+#[derive(Debug, Clone)]
+pub struct CallDemand {
+    /// Service that is to answer.
+    pub service: ids::ServiceName,
+    /// What may be repeated.
+    pub kind: directory::CallKind,
+    /// Whose call it is.
+    pub tag: work::CallerTag,
+    /// Rank; zero is the most urgent.
+    pub rank: u8,
+    /// Tokens of the prompt; zero for a plain service.
+    pub prompt_tokens: u64,
+    /// Output tokens that are expected; zero for a plain service.
+    pub output_tokens: u64,
+    /// What the service's engines can do; `None` for a plain service.
+    pub engine: Option<Rc<directory::EngineRule>>,
+    /// When the caller's request arrived.
+    pub arrived: time::Timestamp,
+    /// Time from arrival within which an answer is on time.
+    pub target_latency: Duration,
+    /// When the caller's time or the route's is over.
+    pub deadline: time::Timestamp,
+    /// The same for all repetitions of the request.
+    pub fingerprint: work::RequestFingerprint,
+    /// Targets that are not tried again.
+    pub tried: Vec<ids::TargetName>,
+}
+
+/// A call that has a target.
+#[derive(Debug)]
+pub(super) struct PlacedCall {
+    pub(super) demand: Box<CallDemand>,
+    pub(super) target: Rc<directory::TargetRecord>,
+    pub(super) copy: Option<Rc<directory::TargetRecord>>,
+    pub(super) has_started: bool,
+    pub(super) events: u64,
+}
+
+impl PlacedCall {
+    /// Tokens in the target's memory.
+    pub(super) fn used(&self) -> u64 {
+        match &self.demand.engine {
+            Some(engine) => self.demand.prompt_tokens + self.events * engine.event_tokens,
+            None => 0,
+        }
+    }
+
+    fn forecast(&self) -> u64 {
+        match &self.demand.engine {
+            Some(engine) => {
+                forecast_tokens(&self.demand).max(
+                    self.demand.prompt_tokens + self.events * engine.event_tokens + GROWTH_TOKENS,
+                )
+            }
+            None => 0,
+        }
+    }
+
+    /// Load at the target.
+    pub(super) fn load(&self) -> LoadCount {
+        let backlog = match self.has_started {
+            true => 0,
+            false => self.demand.prompt_tokens,
+        };
+        LoadCount {
+            calls: 1,
+            copies: 0,
+            used: self.used(),
+            forecast: self.forecast(),
+            backlog,
+        }
+    }
+
+    /// Load at the target that holds the copy.
+    pub(super) fn copy_load(&self) -> LoadCount {
+        LoadCount {
+            calls: 0,
+            copies: 1,
+            used: self.used(),
+            forecast: self.forecast(),
+            backlog: 0,
+        }
+    }
+}
+
+/// Memory to keep for a call that has not started.
+pub(super) fn forecast_tokens(demand: &CallDemand) -> u64 {
+    let output = (demand.output_tokens as f64 * OUTPUT_SHARE) as u64;
+    match demand.engine {
+        Some(_) => demand.prompt_tokens + output.max(GROWTH_TOKENS.min(demand.output_tokens)),
+        None => 0,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/dispatch/copies.rs
@@ -0,0 +1,73 @@
+//! Where the memory of a running stream is copied or moved to.
+
+use std::rc::Rc;
+
+use super::calls;
+use super::place;
+use crate::directory;
+
+/// Share of an engine's memory up to which it takes copies. Copies give way to streams, which
+/// need the rest.
+const COPY_MEMORY_SHARE: f64 = 0.72;
+
+/// Share of an engine's memory up to which it takes streams from an engine that leaves.
+const SHELTER_MEMORY_SHARE: f64 = 0.97;
+
+/// Fewest output tokens for which a copy pays: a shorter stream usually ends within the notice
+/// that an engine gives before it leaves.
+const COPY_OUTPUT_TOKENS: u64 = 120;
+
+/// Says whether a stream is worth a copy.
+pub(super) fn is_worth_copy(demand: &super::CallDemand) -> bool {
+    demand.engine.as_ref().is_some_and(|engine| engine.can_copy)
+        && demand.output_tokens >= COPY_OUTPUT_TOKENS
+}
+
+/// Chooses the target for a copy of a call that runs at `source`.
+pub(super) fn choose_copy(
+    demand: &super::CallDemand,
+    source: &directory::TargetRecord,
+    candidates: &[place::CandidateTarget<'_>],
+) -> Option<Rc<directory::TargetRecord>> {
+    let engine = demand.engine.as_ref()?;
+    let tokens = calls::forecast_tokens(demand);
+    emptiest(engine, tokens, COPY_MEMORY_SHARE, source, candidates)
+}
+
+/// Chooses the target to which a call's memory of `tokens` is moved.
+pub(super) fn choose_shelter(
+    demand: &super::CallDemand,
+    tokens: u64,
+    source: &directory::TargetRecord,
+    candidates: &[place::CandidateTarget<'_>],
+) -> Option<Rc<directory::TargetRecord>> {
+    let engine = demand.engine.as_ref()?;
+    emptiest(engine, tokens, SHELTER_MEMORY_SHARE, source, candidates)
+}
+
+/// Takes the emptiest target, of the source's zone if there is one: a move takes half as long.
+fn emptiest(
+    engine: &directory::EngineRule,
+    tokens: u64,
+    share: f64,
+    source: &directory::TargetRecord,
+    candidates: &[place::CandidateTarget<'_>],
+) -> Option<Rc<directory::TargetRecord>> {
+    candidates
+        .iter()
+        .filter(|candidate| {
+            candidate.record.key != source.key
+                && candidate.load.calls + candidate.load.copies < candidate.record.slots
+                && candidate.memory_share(engine, tokens) <= share
+        })
+        .min_by(|first, second| {
+            let first_far = first.record.zone != source.zone;
+            let second_far = second.record.zone != source.zone;
+            let first_share = first.memory_share(engine, tokens);
+            let second_share = second.memory_share(engine, tokens);
+            first_far
+                .cmp(&second_far)
+                .then(first_share.total_cmp(&second_share))
+        })
+        .map(|candidate| Rc::clone(candidate.record))
+}
--- /dev/null
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -0,0 +1,498 @@
+//! The reducer over all events.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcupfall_core::ids;
+use kingcupfall_core::time;
+use kingcupfall_core::work;
+use kingcupfall_policy::place as policy;
+use kingcupfall_policy::quarantine;
+
+use super::AttemptResult;
+use super::CallDemand;
+use super::CallPlacement;
+use super::CallRefusal;
+use super::DispatchEffect;
+use super::DispatchEvent;
+use super::LoadCount;
+use super::PeerLoad;
+use super::RefusalReason;
+use super::TargetDoubt;
+use super::calls;
+use super::copies;
+use super::load;
+use super::place;
+use super::queue;
+use crate::directory;
+
+/// Shortest time after which a caller is told to come back.
+const LEAST_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Longest time after which a caller is told to come back; within it reclaimed targets are
+/// replaced.
+const MOST_RETRY_AFTER: Duration = Duration::from_secs(4);
+
+/// Time after which a caller is told to come back when no target is known.
+const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Weight of one released call in the average time between releases of a service.
+const PACE_WEIGHT: f64 = 0.1;
+
+/// Time between releases of a service that is assumed before it is known.
+const ASSUMED_PACE_S: f64 = 0.2;
+
+/// What the dispatcher is started with.
+pub struct DispatchSettings {
+    /// Availability zone of this process.
+    pub zone: ids::ZoneName,
+    /// Chooses among engines.
+    pub placement: Box<dyn policy::PlacementPolicy>,
+    /// Holds requests that crash targets.
+    pub quarantine: Box<dyn quarantine::QuarantinePolicy>,
+}
+
+/// A target that may be used, or that still runs calls of this process.
+#[derive(Debug)]
+struct TargetEntry {
+    record: Rc<directory::TargetRecord>,
+    is_leaving: bool,
+    doubt: TargetDoubt,
+}
+
+/// How often calls of a service end.
+#[derive(Debug, Clone, Copy)]
+struct ReleasePace {
+    gap_s: f64,
+    last: time::Timestamp,
+}
+
+/// Decides for all calls of one process.
+pub struct Dispatcher {
+    settings: DispatchSettings,
+    targets: BTreeMap<ids::TargetName, TargetEntry>,
+    placed: BTreeMap<ids::CallId, calls::PlacedCall>,
+    waiting: queue::WaitingCalls,
+    peers: load::PeerLoads,
+    paces: BTreeMap<ids::ServiceName, ReleasePace>,
+}
+
+impl Dispatcher {
+    /// Makes a dispatcher that knows no target.
+    pub fn new(settings: DispatchSettings) -> Self {
+        Self {
+            settings,
+            targets: BTreeMap::new(),
+            placed: BTreeMap::new(),
+            waiting: queue::WaitingCalls::default(),
+            peers: load::PeerLoads::default(),
+            paces: BTreeMap::new(),
+        }
+    }
+
+    /// Takes an event.
+    pub fn handle(&mut self, now: time::Timestamp, event: DispatchEvent) -> Vec<DispatchEffect> {
+        let mut effects = Vec::new();
+        match event {
+            DispatchEvent::Arrived { call, demand } => self.arrive(now, call, demand, &mut effects),
+            DispatchEvent::Started { call } => {
+                if let Some(placed) = self.placed.get_mut(&call) {
+                    placed.has_started = true;
+                }
+            }
+            DispatchEvent::Progressed { call, events } => {
+                if let Some(placed) = self.placed.get_mut(&call) {
+                    placed.events = events;
+                }
+            }
+            DispatchEvent::Released { call, result } => {
+                self.release(now, call, result);
+                self.serve_waiting(now, &mut effects);
+            }
+            DispatchEvent::Ended { call } => {
+                self.waiting.remove(call);
+                self.placed.remove(&call);
+                self.serve_waiting(now, &mut effects);
+            }
+            DispatchEvent::ShelterWanted { call, tried } => {
+                let target = self.shelter(now, call, &tried);
+                effects.push(DispatchEffect::Shelter { call, target });
+            }
+            DispatchEvent::Moved { call, target } => {
+                self.move_call(now, call, target, &mut effects);
+            }
+            DispatchEvent::MoveFailed { call, target } => {
+                if let Some(placed) = self.placed.get_mut(&call) {
+                    placed.target = target;
+                    placed.copy = None;
+                }
+            }
+            DispatchEvent::Targets(changes) => {
+                for change in changes {
+                    self.change_target(change, &mut effects);
+                }
+                self.serve_waiting(now, &mut effects);
+            }
+            DispatchEvent::PeerLoads { peer, loads } => self.peers.put(peer, loads),
+            DispatchEvent::PeerLost { peer } => self.peers.remove(&peer),
+            DispatchEvent::Tick => {
+                self.serve_waiting(now, &mut effects);
+                self.refuse_overdue(now, &mut effects);
+            }
+        }
+        effects
+    }
+
+    /// Returns the number of processes whose loads are known, this one included.
+    pub fn processes(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// Returns what this process has at each target, as peers are told.
+    pub fn loads(&self) -> Vec<PeerLoad> {
+        self.own_loads()
+            .into_iter()
+            .map(|(target, load)| PeerLoad { target, load })
+            .collect()
+    }
+
+    /// Returns the requests that crashed targets.
+    pub fn suspects(&self, now: time::Timestamp) -> Vec<quarantine::SuspectRecord> {
+        self.settings.quarantine.records(now)
+    }
+
+    /// Takes a request that crashed targets of a peer.
+    pub fn merge_suspect(&mut self, now: time::Timestamp, record: &quarantine::SuspectRecord) {
+        self.settings.quarantine.merge(now, record);
+    }
+
+    /// Notes that a target crashed while it ran a request.
+    pub fn record_crash(
+        &mut self,
+        now: time::Timestamp,
+        fingerprint: work::RequestFingerprint,
+        attempt: ids::AttemptId,
+    ) {
+        self.settings
+            .quarantine
+            .record_crash(now, fingerprint, attempt);
+    }
+
+    /// Notes that a request completed.
+    pub fn record_completion(
+        &mut self,
+        now: time::Timestamp,
+        fingerprint: work::RequestFingerprint,
+    ) {
+        self.settings.quarantine.record_completion(now, fingerprint);
+    }
+
+    /// Returns the numbers of waiting and placed calls.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.waiting.in_order().len(), self.placed.len())
+    }
+
+    fn arrive(
+        &mut self,
+        now: time::Timestamp,
+        call: ids::CallId,
+        demand: Box<CallDemand>,
+        effects: &mut Vec<DispatchEffect>,
+    ) {
+        self.placed.remove(&call);
+        if let Err(refusal) = self.admit(now, &demand) {
+            effects.push(DispatchEffect::Refuse { call, refusal });
+            return;
+        }
+        self.waiting.insert(call, demand);
+        self.serve_waiting(now, effects);
+        self.refuse_hopeless(call, effects);
+    }
+
+    /// Refuses what no target can serve, whatever the load.
+    fn admit(&mut self, now: time::Timestamp, demand: &CallDemand) -> Result<(), CallRefusal> {
+        let verdict = self.settings.quarantine.judge(now, demand.fingerprint);
+        if let quarantine::SuspectVerdict::Quarantined { until } = verdict {
+            return Err(CallRefusal {
+                reason: RefusalReason::Quarantined,
+                retry_after: until.since(now),
+            });
+        }
+        let is_too_large = demand
+            .engine
+            .as_ref()
+            .is_some_and(|engine| demand.prompt_tokens > engine.memory.get());
+        if is_too_large {
+            return Err(CallRefusal {
+                reason: RefusalReason::TooLarge,
+                retry_after: MOST_RETRY_AFTER,
+            });
+        }
+        let has_target = self
+            .targets
+            .values()
+            .any(|entry| !entry.is_leaving && entry.record.service == demand.service);
+        match has_target {
+            true => Ok(()),
+            false => Err(CallRefusal {
+                reason: RefusalReason::NoTarget,
+                retry_after: NO_TARGET_RETRY_AFTER,
+            }),
+        }
+    }
+
+    /// Refuses a call at once when those ahead of it take longer than it can wait.
+    fn refuse_hopeless(&mut self, call: ids::CallId, effects: &mut Vec<DispatchEffect>) {
+        let Some(demand) = self.waiting.get(call) else {
+            return;
+        };
+        let wait = self.expected_wait(demand);
+        if wait <= queue::patience(demand) {
+            return;
+        }
+        self.waiting.remove(call);
+        effects.push(DispatchEffect::Refuse {
+            call,
+            refusal: CallRefusal {
+                reason: RefusalReason::Crowded,
+                retry_after: wait.clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER),
+            },
+        });
+    }
+
+    fn refuse_overdue(&mut self, now: time::Timestamp, effects: &mut Vec<DispatchEffect>) {
+        for call in self.waiting.overdue(now) {
+            let Some(demand) = self.waiting.remove(call) else {
+                continue;
+            };
+            let wait = self.expected_wait(&demand);
+            effects.push(DispatchEffect::Refuse {
+                call,
+                refusal: CallRefusal {
+                    reason: RefusalReason::WaitedOut,
+                    retry_after: wait.clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER),
+                },
+            });
+        }
+    }
+
+    /// Time until a call of this process would get a place, from how often its calls end.
+    fn expected_wait(&self, demand: &CallDemand) -> Duration {
+        let ahead = self.waiting.ahead(&demand.service, demand.rank).max(1);
+        let gap_s = self
+            .paces
+            .get(&demand.service)
+            .map_or(ASSUMED_PACE_S, |pace| pace.gap_s);
+        Duration::from_secs_f64((gap_s * ahead as f64).min(MOST_RETRY_AFTER.as_secs_f64()))
+    }
+
+    fn serve_waiting(&mut self, now: time::Timestamp, effects: &mut Vec<DispatchEffect>) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        for call in self.waiting.in_order() {
+            let Some(demand) = self.waiting.get(call).cloned() else {
+                continue;
+            };
+            let Some(target) = self.choose(now, &demand) else {
+                continue;
+            };
+            self.waiting.remove(call);
+            let placed = calls::PlacedCall {
+                demand: Box::new(demand),
+                target: Rc::clone(&target),
+                copy: None,
+                has_started: false,
+                events: 0,
+            };
+            self.placed.insert(call, placed);
+            let copy_to = self.assign_copy(now, call);
+            let placement = CallPlacement { target, copy_to };
+            effects.push(DispatchEffect::Place { call, placement });
+        }
+    }
+
+    fn choose(
+        &mut self,
+        now: time::Timestamp,
+        demand: &CallDemand,
+    ) -> Option<Rc<directory::TargetRecord>> {
+        let loads = self.own_loads();
+        let candidates = candidates(&self.targets, &self.peers, &loads, now, &demand.service);
+        let fresh: Vec<_> = candidates
+            .into_iter()
+            .filter(|candidate| !demand.tried.contains(&candidate.record.key.name))
+            .collect();
+        let placement = self.settings.placement.as_mut();
+        place::choose(now, &self.settings.zone, demand, &fresh, placement)
+    }
+
+    /// Chooses a target for a copy of a placed call, and counts it there.
+    fn assign_copy(
+        &mut self,
+        now: time::Timestamp,
+        call: ids::CallId,
+    ) -> Option<Rc<directory::TargetRecord>> {
+        let loads = self.own_loads();
+        let placed = self.placed.get_mut(&call)?;
+        if !copies::is_worth_copy(&placed.demand) {
+            return None;
+        }
+        let service = &placed.demand.service;
+        let candidates = candidates(&self.targets, &self.peers, &loads, now, service);
+        placed.copy = copies::choose_copy(&placed.demand, &placed.target, &candidates);
+        placed.copy.clone()
+    }
+
+    fn shelter(
+        &mut self,
+        now: time::Timestamp,
+        call: ids::CallId,
+        tried: &[ids::TargetName],
+    ) -> Option<Rc<directory::TargetRecord>> {
+        let loads = self.own_loads();
+        let placed = self.placed.get_mut(&call)?;
+        let service = &placed.demand.service;
+        let mut candidates = candidates(&self.targets, &self.peers, &loads, now, service);
+        candidates.retain(|candidate| !tried.contains(&candidate.record.key.name));
+        let tokens = placed.used();
+        placed.copy = copies::choose_shelter(&placed.demand, tokens, &placed.target, &candidates);
+        placed.copy.clone()
+    }
+
+    /// Makes another target the one that runs the call, and chooses the next copy.
+    fn move_call(
+        &mut self,
+        now: time::Timestamp,
+        call: ids::CallId,
+        target: Rc<directory::TargetRecord>,
+        effects: &mut Vec<DispatchEffect>,
+    ) {
+        let Some(placed) = self.placed.get_mut(&call) else {
+            return;
+        };
+        placed.copy = None;
+        placed.target = Rc::clone(&target);
+        let copy_to = self.assign_copy(now, call);
+        let placement = CallPlacement { target, copy_to };
+        effects.push(DispatchEffect::Place { call, placement });
+    }
+
+    fn release(&mut self, now: time::Timestamp, call: ids::CallId, result: AttemptResult) {
+        let Some(placed) = self.placed.remove(&call) else {
+            return;
+        };
+        if let Some(entry) = self.targets.get_mut(&placed.target.key.name)
+            && entry.record.key == placed.target.key
+        {
+            entry.doubt.record(now, result);
+        }
+        let pace = self
+            .paces
+            .entry(placed.demand.service.clone())
+            .or_insert(ReleasePace {
+                gap_s: ASSUMED_PACE_S,
+                last: now,
+            });
+        let gap_s = now.since(pace.last).as_secs_f64();
+        pace.gap_s += PACE_WEIGHT * (gap_s - pace.gap_s);
+        pace.last = now;
+    }
+
+    fn change_target(
+        &mut self,
+        change: directory::TargetChange,
+        effects: &mut Vec<DispatchEffect>,
+    ) {
+        match change {
+            directory::TargetChange::Usable(record) => {
+                let name = record.key.name.clone();
+                match self.targets.get_mut(&name) {
+                    Some(entry) if entry.record.key == record.key => {
+                        entry.record = record;
+                        entry.is_leaving = false;
+                    }
+                    Some(_) | None => {
+                        let entry = TargetEntry {
+                            record,
+                            is_leaving: false,
+                            doubt: TargetDoubt::default(),
+                        };
+                        self.targets.insert(name, entry);
+                    }
+                }
+            }
+            directory::TargetChange::Leaving(key) => {
+                if let Some(entry) = self.targets.get_mut(&key.name)
+                    && entry.record.key == key
+                {
+                    entry.is_leaving = true;
+                }
+                self.leave(&key, effects);
+            }
+            directory::TargetChange::Gone(key) => {
+                if self
+                    .targets
+                    .get(&key.name)
+                    .is_some_and(|entry| entry.record.key == key)
+                {
+                    self.targets.remove(&key.name);
+                }
+                self.leave(&key, effects);
+            }
+        }
+    }
+
+    /// Tells the streams that run or have their copy at a target that it leaves.
+    fn leave(&mut self, key: &directory::TargetKey, effects: &mut Vec<DispatchEffect>) {
+        for (call, placed) in &mut self.placed {
+            if placed.demand.engine.is_none() {
+                continue;
+            }
+            if placed.copy.as_ref().is_some_and(|copy| copy.key == *key) {
+                placed.copy = None;
+                effects.push(DispatchEffect::DropCopy { call: *call });
+            }
+            if placed.target.key == *key {
+                effects.push(DispatchEffect::Evacuate { call: *call });
+            }
+        }
+    }
+
+    fn own_loads(&self) -> BTreeMap<ids::TargetName, LoadCount> {
+        let mut loads: BTreeMap<ids::TargetName, LoadCount> = BTreeMap::new();
+        for placed in self.placed.values() {
+            *loads.entry(placed.target.key.name.clone()).or_default() += placed.load();
+            if let Some(copy) = &placed.copy {
+                *loads.entry(copy.key.name.clone()).or_default() += placed.copy_load();
+            }
+        }
+        loads
+    }
+}
+
+/// Returns the targets of a service that take work, with the load of all processes.
+fn candidates<'a>(
+    targets: &'a BTreeMap<ids::TargetName, TargetEntry>,
+    peers: &load::PeerLoads,
+    own: &BTreeMap<ids::TargetName, LoadCount>,
+    now: time::Timestamp,
+    service: &ids::ServiceName,
+) -> Vec<place::CandidateTarget<'a>> {
+    targets
+        .iter()
+        .filter(|(_, entry)| {
+            entry.record.service == *service && !entry.is_leaving && !entry.doubt.is_paused(now)
+        })
+        .map(|(name, entry)| {
+            let mut load = peers.sum(name);
+            load += own.get(name).copied().unwrap_or_default();
+            place::CandidateTarget {
+                record: &entry.record,
+                load,
+                doubt: &entry.doubt,
+            }
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/relay/src/shell/intake.rs
@@ -0,0 +1,375 @@
+//! Reads callers' requests and decides what they are.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::Uri;
+use http::header;
+use http::request;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body;
+use kingcupfall_core::ids;
+use kingcupfall_core::measures;
+use kingcupfall_core::time;
+use kingcupfall_core::work;
+use tokio::sync::mpsc;
+
+use super::answers;
+use super::state;
+use super::state::RelayState;
+use crate::directory;
+use crate::dispatch;
+use crate::protocol;
+use crate::telemetry;
+
+/// Time after which a process without routes may have some.
+const ROUTES_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Time after which another process has taken over from one that stops.
+const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// Time after which bodies have been sent on.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Memory that a request takes beside its body.
+const REQUEST_BYTES: u64 = 16 * 1024;
+
+/// Weight of an organisation; the deployments that this process serves give none.
+const EVEN_WEIGHT: u32 = 1;
+
+/// Stand-in for a route or an organisation whose name is no name of ours.
+const UNNAMED: &str = "unnamed";
+
+/// A request as it is sent to targets, again if need be.
+pub(super) struct StoredRequest {
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+/// A caller's request that routes and keys allow.
+pub(super) struct AcceptedCall {
+    pub(super) call: ids::CallId,
+    pub(super) inbox: mpsc::UnboundedReceiver<dispatch::DispatchEffect>,
+    pub(super) head: protocol::CallHead,
+    pub(super) request: StoredRequest,
+    pub(super) route: Rc<directory::RouteRule>,
+    pub(super) organisation: Option<Rc<directory::OrganisationRule>>,
+    pub(super) demand: dispatch::CallDemand,
+    pub(super) guard: CallGuard,
+    _memory: state::BodyReservation,
+}
+
+/// Gives a call's places back when its task ends, however it does.
+pub(super) struct CallGuard {
+    state: Rc<RelayState>,
+    call: ids::CallId,
+    kind: directory::CallKind,
+    request: Box<str>,
+    organisation: Box<str>,
+    arrived: time::Timestamp,
+    is_settled: bool,
+}
+
+impl CallGuard {
+    /// Notes how the call ended.
+    pub(super) fn settle(&mut self, outcome: &'static str) {
+        self.is_settled = true;
+        let took = self.state.now().since(self.arrived);
+        let kind = self.kind.label();
+        self.state
+            .metrics
+            .record_call(kind, outcome, &self.organisation, took);
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        if !self.is_settled {
+            self.settle("caller_left");
+            let record = telemetry::DecisionRecord::new(telemetry::RecordKind::CallerLeft)
+                .request(&self.request)
+                .after(self.state.now().since(self.arrived));
+            self.state.record(&record);
+        }
+        self.state.close_call(self.call);
+    }
+}
+
+impl AcceptedCall {
+    /// Returns the name of the caller's organisation.
+    pub(super) fn organisation_name(&self) -> Option<&str> {
+        self.organisation
+            .as_ref()
+            .map(|organisation| organisation.name.as_str())
+    }
+
+    /// Returns a record that names the call.
+    pub(super) fn record(&self, kind: telemetry::RecordKind) -> telemetry::DecisionRecord {
+        let record = telemetry::DecisionRecord::new(kind)
+            .request(&self.head.request)
+            .route(&self.route.name);
+        match self.organisation_name() {
+            Some(organisation) => record.organisation(organisation),
+            None => record,
+        }
+    }
+}
+
+/// Reads a request up to its end, and finds its route and its organisation.
+///
+/// # Errors
+///
+/// The answer to a request that goes no further.
+pub(super) async fn accept(
+    state: &Rc<RelayState>,
+    request: Request<body::Incoming>,
+) -> Result<Box<AcceptedCall>, answers::CallAnswer> {
+    let arrived = state.now();
+    let (parts, body) = request.into_parts();
+    let head = state.protocol.read_call(&parts.headers);
+    let limits = state.routes().map(|routes| routes.table.limits());
+    let (body, memory) = read_body(state, &parts, body, limits, &head, arrived).await?;
+    // Routes may have changed while the body came in; what is in force now decides.
+    let Some(routes) = state.routes() else {
+        let reason = dispatch::RefusalReason::NotConfigured;
+        return Err(refuse(state, &head, reason, ROUTES_RETRY_AFTER));
+    };
+    let table = &routes.table;
+    let route = find_route(state, table, &parts, &head)?;
+    let organisation = find_organisation(state, table, &route, &head)?;
+    if state.is_stopping() && route.kind == directory::CallKind::Stream {
+        let reason = dispatch::RefusalReason::Stopping;
+        return Err(refuse(state, &head, reason, STOP_RETRY_AFTER));
+    }
+
+    let Some(service) = route.choose_service(state.draw()) else {
+        let reason = dispatch::RefusalReason::NoTarget;
+        return Err(refuse(state, &head, reason, ROUTES_RETRY_AFTER));
+    };
+    let demand = demand(table, &route, service, organisation.as_deref(), &head, arrived);
+    let fingerprint = fingerprint(organisation.as_deref(), &parts, &body);
+    let (call, inbox) = state.open_call();
+    state.count_request(service);
+    let guard = CallGuard {
+        state: Rc::clone(state),
+        call,
+        kind: route.kind,
+        request: head.request.clone(),
+        organisation: demand.tag.organisation.as_str().into(),
+        arrived,
+        is_settled: false,
+    };
+
+    Ok(Box::new(AcceptedCall {
+        call,
+        inbox,
+        head,
+        request: StoredRequest {
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+        },
+        demand: dispatch::CallDemand {
+            fingerprint,
+            ..demand
+        },
+        route,
+        organisation,
+        guard,
+        _memory: memory,
+    }))
+}
+
+async fn read_body(
+    state: &Rc<RelayState>,
+    parts: &request::Parts,
+    body: body::Incoming,
+    limits: Option<directory::CallerLimits>,
+    head: &protocol::CallHead,
+    arrived: time::Timestamp,
+) -> Result<(Bytes, state::BodyReservation), answers::CallAnswer> {
+    let limit = limits.map_or(u64::MAX, |limits| limits.body.get());
+    let announced = body::Body::size_hint(&body).lower();
+    if announced > limit {
+        return Err(reject(state, head, parts, StatusCode::PAYLOAD_TOO_LARGE));
+    }
+    let Some(memory) = state.reserve_body(announced + REQUEST_BYTES) else {
+        let reason = dispatch::RefusalReason::Overloaded;
+        let mut answer = refuse(state, head, reason, MEMORY_RETRY_AFTER);
+        answers::close_after(&mut answer);
+        return Err(answer);
+    };
+
+    let most = usize::try_from(limit).unwrap_or(usize::MAX);
+    let collected = Limited::new(body, most).collect();
+    let patience = head
+        .patience
+        .or(limits.map(|limits| limits.idle_timeout))
+        .unwrap_or(ROUTES_RETRY_AFTER);
+    let due = state.instant(arrived + patience);
+    match tokio::time::timeout_at(due, collected).await {
+        Ok(Ok(collected)) => Ok((collected.to_bytes(), memory)),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(reject(state, head, parts, StatusCode::PAYLOAD_TOO_LARGE))
+        }
+        Ok(Err(_)) => Err(reject(state, head, parts, StatusCode::BAD_REQUEST)),
+        Err(_) => Err(reject(state, head, parts, StatusCode::REQUEST_TIMEOUT)),
+    }
+}
+
+fn find_route(
+    state: &RelayState,
+    table: &directory::RouteTable,
+    parts: &request::Parts,
+    head: &protocol::CallHead,
+) -> Result<Rc<directory::RouteRule>, answers::CallAnswer> {
+    let host = parts
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .or(parts.uri.host())
+        .unwrap_or_default();
+    table
+        .route(host, parts.uri.path())
+        .map(Rc::clone)
+        .ok_or_else(|| reject(state, head, parts, StatusCode::NOT_FOUND))
+}
+
+fn find_organisation(
+    state: &RelayState,
+    table: &directory::RouteTable,
+    route: &directory::RouteRule,
+    head: &protocol::CallHead,
+) -> Result<Option<Rc<directory::OrganisationRule>>, answers::CallAnswer> {
+    let organisation = head
+        .key
+        .as_deref()
+        .and_then(|key| table.organisation(key))
+        .map(Rc::clone);
+    if organisation.is_none() && table.needs_keys() && !route.is_anonymous {
+        let record = telemetry::DecisionRecord::new(telemetry::RecordKind::Rejected)
+            .request(&head.request)
+            .route(&route.name)
+            .outcome("unknown key")
+            .version(table.version().get())
+            .status(StatusCode::UNAUTHORIZED.as_u16());
+        state.record(&record);
+        return Err(answers::text(StatusCode::UNAUTHORIZED, "unknown key"));
+    }
+    Ok(organisation)
+}
+
+fn demand(
+    table: &directory::RouteTable,
+    route: &directory::RouteRule,
+    service: &ids::ServiceName,
+    organisation: Option<&directory::OrganisationRule>,
+    head: &protocol::CallHead,
+    arrived: time::Timestamp,
+) -> dispatch::CallDemand {
+    let engine = match route.kind {
+        directory::CallKind::Stream => table
+            .service(service)
+            .and_then(|service| service.engine.clone()),
+        directory::CallKind::Idempotent | directory::CallKind::AtMostOnce => None,
+    };
+    let rank = organisation
+        .and_then(|organisation| organisation.rank)
+        .unwrap_or(route.rank);
+    let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
+
+    dispatch::CallDemand {
+        service: service.clone(),
+        kind: route.kind,
+        tag: work::CallerTag {
+            organisation: organisation.map_or_else(
+                || name_or(UNNAMED, UNNAMED),
+                |organisation| organisation.name.clone(),
+            ),
+            class: name_or(&route.name, UNNAMED),
+            priority: measures::Priority::new(u8::MAX - rank),
+            weight: measures::Weight::new(EVEN_WEIGHT),
+        },
+        rank,
+        prompt_tokens: head.prompt_tokens,
+        output_tokens: head.output_tokens,
+        engine: engine.map(Rc::new),
+        arrived,
+        target_latency: route.target_latency,
+        deadline: arrived + patience,
+        fingerprint: work::RequestFingerprint::new(0),
+        tried: Vec::new(),
+    }
+}
+
+/// Takes a name, or the other one where the platform uses characters that ours don't have.
+fn name_or<T: std::str::FromStr>(name: &str, other: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    name.parse()
+        .unwrap_or_else(|_| other.parse().expect("a constant name is a name"))
+}
+
+fn fingerprint(
+    organisation: Option<&directory::OrganisationRule>,
+    parts: &request::Parts,
+    body: &[u8],
+) -> work::RequestFingerprint {
+    let organisation = organisation.map_or_else(
+        || name_or(UNNAMED, UNNAMED),
+        |organisation| organisation.name.clone(),
+    );
+    let resource = format!("{} {}", parts.method, parts.uri);
+    work::RequestFingerprint::of_request(&organisation, &resource, body)
+}
+
+/// Refuses a request that has reached no target.
+fn refuse(
+    state: &RelayState,
+    head: &protocol::CallHead,
+    reason: dispatch::RefusalReason,
+    retry_after: Duration,
+) -> answers::CallAnswer {
+    state.metrics.record_refusal(reason.label());
+    let record = telemetry::DecisionRecord::new(telemetry::RecordKind::Refused)
+        .request(&head.request)
+        .outcome(reason.label())
+        .version(state.routes_version().get())
+        .retry_after(retry_after);
+    state.record(&record);
+    answers::refusal(&dispatch::CallRefusal {
+        reason,
+        retry_after,
+    })
+}
+
+/// Rejects an improper request; its connection is closed unless it was read whole.
+fn reject(
+    state: &RelayState,
+    head: &protocol::CallHead,
+    parts: &request::Parts,
+    status: StatusCode,
+) -> answers::CallAnswer {
+    let reason = status.canonical_reason().unwrap_or_default();
+    let record = telemetry::DecisionRecord::new(telemetry::RecordKind::Rejected)
+        .request(&head.request)
+        .outcome(parts.uri.path())
+        .version(state.routes_version().get())
+        .status(status.as_u16());
+    state.record(&record);
+    let mut answer = answers::text(status, reason);
+    if status != StatusCode::NOT_FOUND {
+        answers::close_after(&mut answer);
+    }
+    answer
+}
--- /dev/null
+++ b/crates/relay/src/shell/peers.rs
@@ -0,0 +1,467 @@
+//! Links to other processes of the same kind.
+//!
+//! Each link carries pulses both ways: what the sender has at each target, which targets it knows
+//! to leave, and how new its knowledge is. A peer that falls behind, because the platform's
+//! directory does not answer it, is handed the routes and the targets.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use kingcupfall_core::ids;
+use kingcupfall_core::time;
+use kingcupfall_link::codec;
+use kingcupfall_policy::quarantine;
+use rand::Rng;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite;
+
+use super::client;
+use super::directory as shell_directory;
+use super::state::RelayState;
+use crate::directory;
+use crate::dispatch;
+use crate::telemetry;
+
+/// Time between pulses on a link; a placement is known to peers within it.
+const PULSE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Silence after which a link is closed.
+const LINK_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Time between attempts to link to a known address.
+const DIAL_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Most links that a process opens; with more peers it hears of a sample of their load.
+const MOST_DIALLED: usize = 8;
+
+/// Most addresses that a pulse names.
+const MOST_MEMBERS: usize = 24;
+
+/// Most lives of targets that a pulse names as leaving: those of some ten seconds.
+const MOST_DEPARTURES: usize = 32;
+
+/// Time for which a peer may be behind before it is handed what it lacks; until then it most
+/// likely reads the directory itself.
+const CATCH_UP_AFTER: Duration = Duration::from_millis(400);
+
+/// Pulses after which an address that nobody answers at is forgotten, unless it is a seed.
+const FORGET_FAILURES: u32 = 20;
+
+/// What a process tells its peers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Regular state.
+    #[serde(rename = "p")]
+    Pulse(Box<PeerPulse>),
+    /// Routes, as they were published.
+    #[serde(rename = "r")]
+    Routes(#[serde(with = "serde_with::As::<serde_with::Bytes>")] Vec<u8>),
+    /// All targets.
+    #[serde(rename = "t")]
+    Targets {
+        /// State of the directory that showed them.
+        #[serde(rename = "r")]
+        revision: directory::DirectoryRevision,
+        /// The targets.
+        #[serde(rename = "t")]
+        targets: Vec<directory::TargetRecord>,
+    },
+}
+
+/// Regular state of a process.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PeerPulse {
+    /// Its VM.
+    #[serde(rename = "v")]
+    pub vm: ids::VmName,
+    /// Where it takes links.
+    #[serde(rename = "a")]
+    pub address: net::SocketAddr,
+    /// Start of its life.
+    #[serde(rename = "s")]
+    pub started_ms: u64,
+    /// Addresses of processes that it is linked to.
+    #[serde(rename = "m")]
+    pub members: Vec<net::SocketAddr>,
+    /// Version of its routes.
+    #[serde(rename = "c")]
+    pub routes: directory::TableVersion,
+    /// State of the directory that it knows.
+    #[serde(rename = "d")]
+    pub directory: directory::DirectoryRevision,
+    /// What it has at each target.
+    #[serde(rename = "l")]
+    pub loads: Vec<dispatch::PeerLoad>,
+    /// Targets that it knows to leave, newest first.
+    #[serde(rename = "g")]
+    pub departures: Vec<(directory::TargetKey, directory::TargetDeparture)>,
+    /// Requests that crash targets.
+    #[serde(rename = "q")]
+    pub suspects: Vec<quarantine::SuspectRecord>,
+    /// Whether it stops.
+    #[serde(rename = "x")]
+    pub is_stopping: bool,
+}
+
+/// Addresses at which peers may be.
+#[derive(Debug, Default)]
+struct AddressBook {
+    failures: BTreeMap<net::SocketAddr, u32>,
+    linked: BTreeMap<net::SocketAddr, usize>,
+    dialled: BTreeSet<net::SocketAddr>,
+}
+
+type SharedBook = Rc<std::cell::RefCell<AddressBook>>;
+
+/// Since when the other end of a link is behind, and what it was handed.
+#[derive(Debug, Default)]
+struct LinkProgress {
+    vm: Option<ids::VmName>,
+    address: Option<net::SocketAddr>,
+    routes_behind: Option<time::Timestamp>,
+    targets_behind: Option<time::Timestamp>,
+    routes_given: directory::TableVersion,
+    targets_given: directory::DirectoryRevision,
+}
+
+/// Takes links of peers, and opens links to those that are known.
+pub(super) fn start(state: &Rc<RelayState>, listener: TcpListener) {
+    let book = SharedBook::default();
+    task::spawn_local(accept(Rc::clone(state), Rc::clone(&book), listener));
+    task::spawn_local(dial(Rc::clone(state), book));
+}
+
+async fn accept(state: Rc<RelayState>, book: SharedBook, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("a peer's connection can't be taken: {error}");
+                tokio::time::sleep(DIAL_INTERVAL).await;
+                continue;
+            }
+        };
+        let state = Rc::clone(&state);
+        let book = Rc::clone(&book);
+        task::spawn_local(async move {
+            let upgraded = async {
+                client::watch(&stream)?;
+                let socket = tokio_tungstenite::accept_async(stream).await;
+                socket.map_err(std::io::Error::other)
+            };
+            match tokio::time::timeout(LINK_TIMEOUT, upgraded).await {
+                Ok(Ok(socket)) => run_link(&state, &book, socket).await,
+                Ok(Err(error)) => log::debug!("a peer's link was not opened: {error}"),
+                Err(_) => log::debug!("a peer's link was not opened in time"),
+            }
+        });
+    }
+}
+
+async fn dial(state: Rc<RelayState>, book: SharedBook) {
+    let own = state.settings.borrow().peers;
+    loop {
+        let seeds = state.settings.borrow().seeds.clone();
+        for address in choose_addresses(&book, &seeds, own) {
+            book.borrow_mut().dialled.insert(address);
+            let state = Rc::clone(&state);
+            let book = Rc::clone(&book);
+            task::spawn_local(async move {
+                match open(address).await {
+                    Ok(socket) => {
+                        book.borrow_mut().failures.insert(address, 0);
+                        run_link(&state, &book, socket).await;
+                    }
+                    Err(error) => {
+                        log::debug!("no link to {address}: {error}");
+                        let mut book = book.borrow_mut();
+                        *book.failures.entry(address).or_default() += 1;
+                    }
+                }
+                book.borrow_mut().dialled.remove(&address);
+            });
+        }
+        // Jitter keeps processes that start together from dialling together.
+        let jitter = rand::rng().random_range(0.7..1.3);
+        tokio::time::sleep(DIAL_INTERVAL.mul_f64(jitter)).await;
+    }
+}
+
+/// Returns addresses to link to: seeds and members without a link.
+fn choose_addresses(
+    book: &SharedBook,
+    seeds: &[net::SocketAddr],
+    own: net::SocketAddr,
+) -> Vec<net::SocketAddr> {
+    let mut book = book.borrow_mut();
+    for seed in seeds {
+        book.failures.entry(*seed).or_default();
+    }
+    book.failures
+        .retain(|address, failures| *failures < FORGET_FAILURES || seeds.contains(address));
+    let free = MOST_DIALLED.saturating_sub(book.dialled.len());
+    book.failures
+        .keys()
+        .filter(|address| {
+            **address != own
+                && !book.dialled.contains(*address)
+                && !book.linked.contains_key(*address)
+        })
+        .take(free)
+        .copied()
+        .collect()
+}
+
+async fn open(address: net::SocketAddr) -> std::io::Result<WebSocketStream<TcpStream>> {
+    let stream = client::connect(address).await?;
+    let url = format!("ws://{address}/");
+    let upgrade = tokio_tungstenite::client_async(url, stream);
+    match tokio::time::timeout(LINK_TIMEOUT, upgrade).await {
+        Ok(Ok((socket, _))) => Ok(socket),
+        Ok(Err(error)) => Err(std::io::Error::other(error)),
+        Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
+    }
+}
+
+/// Sends and takes pulses until the link breaks or falls silent.
+async fn run_link(state: &Rc<RelayState>, book: &SharedBook, socket: WebSocketStream<TcpStream>) {
+    let (mut sink, mut stream) = socket.split();
+    let mut progress = LinkProgress::default();
+    let mut pulses = tokio::time::interval(PULSE_INTERVAL);
+    pulses.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut heard_at = state.now();
+    let cause = loop {
+        tokio::select! {
+            message = stream.next() => match message {
+                Some(Ok(tungstenite::Message::Binary(bytes))) => {
+                    heard_at = state.now();
+                    take(state, book, &mut progress, &bytes);
+                }
+                Some(Ok(_)) => {}
+                Some(Err(_)) | None => break "closed",
+            },
+            _ = pulses.tick() => {
+                if state.now().since(heard_at) > LINK_TIMEOUT {
+                    break "silent";
+                }
+                let messages = due_messages(state, book, &mut progress);
+                let sent = send_all(&mut sink, messages);
+                match tokio::time::timeout(LINK_TIMEOUT, sent).await {
+                    Ok(true) => {}
+                    Ok(false) | Err(_) => break "not sent",
+                }
+            }
+        }
+    };
+    lose(state, book, &progress, cause);
+}
+
+async fn send_all<S>(sink: &mut S, messages: Vec<Vec<u8>>) -> bool
+where
+    S: SinkExt<tungstenite::Message> + Unpin,
+{
+    for bytes in messages {
+        let message = tungstenite::Message::Binary(bytes.into());
+        if sink.send(message).await.is_err() {
+            return false;
+        }
+    }
+    true
+}
+
+fn lose(state: &RelayState, book: &SharedBook, progress: &LinkProgress, cause: &str) {
+    if let Some(address) = progress.address {
+        let mut book = book.borrow_mut();
+        if let Some(links) = book.linked.get_mut(&address) {
+            *links -= 1;
+            if *links == 0 {
+                book.linked.remove(&address);
+            }
+        }
+    }
+    let Some(vm) = &progress.vm else {
+        return;
+    };
+    let mut peers = state.peers.borrow_mut();
+    let Some(links) = peers.get_mut(vm) else {
+        return;
+    };
+    *links -= 1;
+    if *links > 0 {
+        return;
+    }
+    peers.remove(vm);
+    drop(peers);
+    let record = telemetry::DecisionRecord::new(telemetry::RecordKind::PeerLost)
+        .target_text(vm.as_str())
+        .outcome(cause);
+    state.record(&record);
+    state.submit(dispatch::DispatchEvent::PeerLost { peer: vm.clone() });
+}
+
+fn take(state: &RelayState, book: &SharedBook, progress: &mut LinkProgress, bytes: &[u8]) {
+    let message = match codec::decode::<PeerMessage>(bytes) {
+        Ok(message) => message,
+        Err(error) => {
+            log::warn!("a peer sent what is no message: {error}");
+            return;
+        }
+    };
+    match message {
+        PeerMessage::Pulse(pulse) => take_pulse(state, book, progress, *pulse),
+        PeerMessage::Routes(text) => match (state.decode_routes)(&text) {
+            Some(table) => {
+                shell_directory::take_routes(state, Rc::new(table), text.into(), "peer");
+            }
+            None => log::warn!("a peer sent routes that can't be read"),
+        },
+        PeerMessage::Targets { revision, targets } => {
+            let changes = state
+                .targets
+                .borrow_mut()
+                .list(state.now(), revision, targets);
+            shell_directory::apply(state, changes, "peer");
+        }
+    }
+}
+
+fn take_pulse(
+    state: &RelayState,
+    book: &SharedBook,
+    progress: &mut LinkProgress,
+    pulse: PeerPulse,
+) {
+    if progress.vm.is_none() {
+        meet(state, book, progress, &pulse);
+    }
+    let now = state.now();
+    let is_behind = pulse.routes < state.routes_version();
+    progress.routes_behind = behind_since(progress.routes_behind, is_behind, now);
+    let is_behind = pulse.directory < state.targets.borrow().revision();
+    progress.targets_behind = behind_since(progress.targets_behind, is_behind, now);
+
+    {
+        let mut book = book.borrow_mut();
+        for address in pulse.members.iter().take(MOST_MEMBERS) {
+            book.failures.entry(*address).or_default();
+        }
+    }
+    let changes = state.targets.borrow_mut().depart(&pulse.departures);
+    shell_directory::apply(state, changes, "peer");
+    state.dispatcher(|dispatcher, now| {
+        for suspect in &pulse.suspects {
+            dispatcher.merge_suspect(now, suspect);
+        }
+    });
+    state.submit(dispatch::DispatchEvent::PeerLoads {
+        peer: pulse.vm,
+        loads: pulse.loads,
+    });
+}
+
+fn meet(state: &RelayState, book: &SharedBook, progress: &mut LinkProgress, pulse: &PeerPulse) {
+    progress.vm = Some(pulse.vm.clone());
+    progress.address = Some(pulse.address);
+    let mut book = book.borrow_mut();
+    *book.linked.entry(pulse.address).or_default() += 1;
+    book.failures.insert(pulse.address, 0);
+    let mut peers = state.peers.borrow_mut();
+    let links = peers.entry(pulse.vm.clone()).or_default();
+    *links += 1;
+    if *links == 1 {
+        let record = telemetry::DecisionRecord::new(telemetry::RecordKind::PeerSeen)
+            .target_text(pulse.vm.as_str())
+            .version(pulse.routes.get());
+        state.record(&record);
+    }
+}
+
+fn behind_since(
+    since: Option<time::Timestamp>,
+    is_behind: bool,
+    now: time::Timestamp,
+) -> Option<time::Timestamp> {
+    match is_behind {
+        true => Some(since.unwrap_or(now)),
+        false => None,
+    }
+}
+
+/// Returns the pulse, and what the other end has lacked for too long.
+fn due_messages(
+    state: &RelayState,
+    book: &SharedBook,
+    progress: &mut LinkProgress,
+) -> Vec<Vec<u8>> {
+    let mut messages = vec![PeerMessage::Pulse(Box::new(pulse(state, book)))];
+    let now = state.now();
+    let is_due = |since: Option<time::Timestamp>| {
+        since.is_some_and(|since| now.since(since) >= CATCH_UP_AFTER)
+    };
+    if is_due(progress.routes_behind)
+        && let Some(routes) = state.routes()
+        && routes.table.version() > progress.routes_given
+    {
+        progress.routes_given = routes.table.version();
+        messages.push(PeerMessage::Routes(routes.text.to_vec()));
+    }
+    let targets = state.targets.borrow();
+    if is_due(progress.targets_behind) && targets.revision() > progress.targets_given {
+        progress.targets_given = targets.revision();
+        messages.push(PeerMessage::Targets {
+            revision: targets.revision(),
+            targets: targets.records().map(|record| (**record).clone()).collect(),
+        });
+    }
+
+    let encoded = messages.iter().map(codec::encode);
+    encoded
+        .filter_map(|bytes| match bytes {
+            Ok(bytes) => Some(bytes),
+            Err(error) => {
+                log::error!("a message to a peer can't be written: {error}");
+                None
+            }
+        })
+        .collect()
+}
+
+fn pulse(state: &RelayState, book: &SharedBook) -> PeerPulse {
+    let settings = state.settings.borrow();
+    let targets = state.targets.borrow();
+    let departures = targets
+        .departures()
+        .take(MOST_DEPARTURES)
+        .map(|(key, departure)| (key.clone(), departure))
+        .collect();
+    let (loads, suspects) =
+        state.dispatcher(|dispatcher, now| (dispatcher.loads(), dispatcher.suspects(now)));
+    PeerPulse {
+        vm: settings.vm.clone(),
+        address: settings.peers,
+        started_ms: state.started_ms,
+        members: book
+            .borrow()
+            .linked
+            .keys()
+            .take(MOST_MEMBERS)
+            .copied()
+            .collect(),
+        routes: state.routes_version(),
+        directory: targets.revision(),
+        loads,
+        departures,
+        suspects,
+        is_stopping: state.is_stopping(),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/shell/plain.rs
@@ -0,0 +1,363 @@
+//! Calls of plain services: each has one whole answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::response;
+use http_body_util::Full;
+use kingcupfall_core::ids;
+
+use super::answers;
+use super::client;
+use super::intake;
+use super::state::RelayState;
+use crate::directory;
+use crate::dispatch;
+use crate::protocol;
+use crate::telemetry;
+
+/// Most targets that are asked when each says that it did not run the request.
+const MOST_SHEDS: u32 = 3;
+
+/// Most targets that are tried when none can be reached. Nothing was sent, so that no bound of
+/// the route applies.
+const MOST_UNREACHABLE: u32 = 4;
+
+/// Share of the time left that an attempt may take when another one may follow.
+const FIRST_ATTEMPT_SHARE: f64 = 0.45;
+
+/// What came of one attempt.
+pub(super) enum AttemptOutcome {
+    /// A whole answer that goes to the caller.
+    Answered(response::Parts, Bytes, protocol::AnswerVerdict),
+    /// The target says that it did not run the request.
+    NotRun,
+    /// Nothing was sent.
+    Unreachable,
+    /// It may have run, and there is no answer.
+    Unknown(dispatch::AttemptResult),
+}
+
+/// Attempts so far.
+#[derive(Debug, Default)]
+struct AttemptCounts {
+    may_have_run: u32,
+    sheds: u32,
+    unreachable: u32,
+}
+
+/// What follows an attempt.
+enum NextStep {
+    Again,
+    Answer(answers::CallAnswer, &'static str),
+}
+
+/// Serves one call.
+pub(super) async fn serve(
+    state: &Rc<RelayState>,
+    mut call: Box<intake::AcceptedCall>,
+) -> answers::CallAnswer {
+    let mut counts = AttemptCounts::default();
+    loop {
+        let target = match place(state, &mut call).await {
+            Ok(placement) => placement.target,
+            Err(refusal) if counts.may_have_run == 0 => {
+                return refuse(state, &mut call, &refusal);
+            }
+            Err(_) => {
+                call.guard.settle("unknown");
+                return answers::text(StatusCode::BAD_GATEWAY, "no answer of a target");
+            }
+        };
+        let started = state.now();
+        let outcome = attempt(state, &call, &target, &counts).await;
+        report(state, &call, &target, &outcome, started);
+        call.demand.tried.push(target.key.name.clone());
+        match next_step(state, &mut call, &mut counts, outcome) {
+            NextStep::Again => {}
+            NextStep::Answer(answer, label) => {
+                call.guard.settle(label);
+                return answer;
+            }
+        }
+    }
+}
+
+/// Waits for a place at a target.
+pub(super) async fn place(
+    state: &RelayState,
+    call: &mut intake::AcceptedCall,
+) -> Result<dispatch::CallPlacement, dispatch::CallRefusal> {
+    let arrival = dispatch::DispatchEvent::Arrived {
+        call: call.call,
+        demand: Box::new(call.demand.clone()),
+    };
+    let mut effects = state.ask(call.call, arrival);
+    loop {
+        for effect in effects.drain(..) {
+            match effect {
+                dispatch::DispatchEffect::Place { placement, .. } => {
+                    record_placed(state, call, &placement);
+                    return Ok(placement);
+                }
+                dispatch::DispatchEffect::Refuse { refusal, .. } => return Err(refusal),
+                dispatch::DispatchEffect::Evacuate { .. }
+                | dispatch::DispatchEffect::DropCopy { .. }
+                | dispatch::DispatchEffect::Shelter { .. } => {}
+            }
+        }
+        let due = state.instant(call.demand.deadline);
+        match tokio::time::timeout_at(due, call.inbox.recv()).await {
+            Ok(Some(effect)) => effects.push(effect),
+            Ok(None) | Err(_) => {
+                return Err(dispatch::CallRefusal {
+                    reason: dispatch::RefusalReason::WaitedOut,
+                    retry_after: Duration::ZERO,
+                });
+            }
+        }
+    }
+}
+
+fn record_placed(
+    state: &RelayState,
+    call: &intake::AcceptedCall,
+    placement: &dispatch::CallPlacement,
+) {
+    let waited = state.now().since(call.demand.arrived);
+    state.metrics.record_wait(call.route.kind.label(), waited);
+    let copy = placement.copy_to.as_ref().map(|copy| &copy.key.name);
+    let record = call
+        .record(telemetry::RecordKind::Placed)
+        .target(&placement.target.key.name)
+        .copy(copy)
+        .version(placement.target.revision.get())
+        .count(call.demand.tried.len() as u64)
+        .after(waited);
+    state.record(&record);
+}
+
+/// Answers a call that no target has run.
+pub(super) fn refuse(
+    state: &RelayState,
+    call: &mut intake::AcceptedCall,
+    refusal: &dispatch::CallRefusal,
+) -> answers::CallAnswer {
+    state.metrics.record_refusal(refusal.reason.label());
+    let record = call
+        .record(telemetry::RecordKind::Refused)
+        .outcome(refusal.reason.label())
+        .version(state.targets.borrow().revision().get())
+        .after(state.now().since(call.demand.arrived))
+        .retry_after(refusal.retry_after);
+    state.record(&record);
+    call.guard.settle("refused");
+    answers::refusal(refusal)
+}
+
+/// Makes the request as it goes to a target.
+pub(super) fn forwarded(
+    state: &RelayState,
+    call: &intake::AcceptedCall,
+    head: &protocol::ForwardedHead<'_>,
+) -> Request<Full<Bytes>> {
+    let stored = &call.request;
+    let mut request = Request::new(Full::new(stored.body.clone()));
+    *request.method_mut() = stored.method.clone();
+    *request.uri_mut() = stored.uri.clone();
+    *request.headers_mut() = state.protocol.forward(&stored.headers, head);
+    request
+}
+
+async fn attempt(
+    state: &RelayState,
+    call: &intake::AcceptedCall,
+    target: &directory::TargetRecord,
+    counts: &AttemptCounts,
+) -> AttemptOutcome {
+    let time_left = call.demand.deadline.since(state.now());
+    let may_repeat = call.route.kind == directory::CallKind::Idempotent
+        && counts.may_have_run + 1 < call.route.max_attempts;
+    let timeout = match may_repeat {
+        true => time_left.mul_f64(FIRST_ATTEMPT_SHARE),
+        false => time_left,
+    };
+    let head = protocol::ForwardedHead {
+        target: &target.key,
+        time_left,
+        organisation: call.organisation_name(),
+        urgency: None,
+        copy_to: None,
+        resumption: None,
+    };
+    let request = forwarded(state, call, &head);
+    match client::exchange(target.address, request, timeout).await {
+        Ok((parts, body)) => judge(state, call, parts, body),
+        Err(client::SendError::Unreachable(_)) => AttemptOutcome::Unreachable,
+        Err(client::SendError::Broken(_) | client::SendError::Incomplete(_)) => {
+            AttemptOutcome::Unknown(dispatch::AttemptResult::Broken)
+        }
+        Err(client::SendError::Silent) => {
+            AttemptOutcome::Unknown(dispatch::AttemptResult::Silent)
+        }
+    }
+}
+
+/// Judges a whole answer.
+pub(super) fn judge(
+    state: &RelayState,
+    call: &intake::AcceptedCall,
+    parts: response::Parts,
+    body: Bytes,
+) -> AttemptOutcome {
+    match state.protocol.judge_answer(&parts, &call.head.request) {
+        protocol::AnswerVerdict::NotRun => AttemptOutcome::NotRun,
+        protocol::AnswerVerdict::Foreign => {
+            AttemptOutcome::Unknown(dispatch::AttemptResult::Broken)
+        }
+        verdict @ (protocol::AnswerVerdict::Success | protocol::AnswerVerdict::Failure) => {
+            AttemptOutcome::Answered(parts, body, verdict)
+        }
+    }
+}
+
+/// Tells dispatcher, log and metrics what came of an attempt.
+pub(super) fn report(
+    state: &RelayState,
+    call: &intake::AcceptedCall,
+    target: &directory::TargetRecord,
+    outcome: &AttemptOutcome,
+    started: kingcupfall_core::time::Timestamp,
+) {
+    let took = state.now().since(started);
+    let (result, label) = match outcome {
+        AttemptOutcome::Answered(_, _, protocol::AnswerVerdict::Success) => {
+            (dispatch::AttemptResult::Succeeded { took }, None)
+        }
+        AttemptOutcome::Answered(..) => (dispatch::AttemptResult::Failed, Some("failed")),
+        AttemptOutcome::NotRun => (dispatch::AttemptResult::Shed, Some("shed")),
+        AttemptOutcome::Unreachable => {
+            (dispatch::AttemptResult::Unreachable, Some("unreachable"))
+        }
+        AttemptOutcome::Unknown(result) => (*result, Some("unknown")),
+    };
+    state.submit(dispatch::DispatchEvent::Released {
+        call: call.call,
+        result,
+    });
+    if matches!(result, dispatch::AttemptResult::Broken) {
+        record_crash(state, call);
+    }
+    let Some(label) = label else {
+        return;
+    };
+    state.metrics.record_failure(label);
+    let record = call
+        .record(telemetry::RecordKind::AttemptFailed)
+        .target(&target.key.name)
+        .version(target.revision.get())
+        .outcome(label)
+        .after(took);
+    state.record(&record);
+}
+
+/// Holds the loss of a connection against the request that was under way on it.
+pub(super) fn record_crash(state: &RelayState, call: &intake::AcceptedCall) {
+    let attempt = ids::AttemptId::from_u128(
+        (u128::from(state.started_ms) << 64) | u128::from(call.call.get()),
+    );
+    let fingerprint = call.demand.fingerprint;
+    state.dispatcher(|dispatcher, now| dispatcher.record_crash(now, fingerprint, attempt));
+}
+
+fn next_step(
+    state: &RelayState,
+    call: &mut intake::AcceptedCall,
+    counts: &mut AttemptCounts,
+    outcome: AttemptOutcome,
+) -> NextStep {
+    let is_idempotent = call.route.kind == directory::CallKind::Idempotent;
+    match outcome {
+        AttemptOutcome::Answered(parts, body, verdict) => {
+            counts.may_have_run += 1;
+            let is_failure = verdict == protocol::AnswerVerdict::Failure
+                && parts.status.is_server_error();
+            if is_failure && is_idempotent && may_run_again(state, call, counts) {
+                return NextStep::Again;
+            }
+            let label = match verdict {
+                protocol::AnswerVerdict::Success => "completed",
+                _ => "target_failure",
+            };
+            NextStep::Answer(whole(state, parts, body), label)
+        }
+        AttemptOutcome::NotRun => {
+            counts.sheds += 1;
+            if counts.sheds < MOST_SHEDS && state.take_retry(&call.demand.service) {
+                return NextStep::Again;
+            }
+            give_up(counts, call, dispatch::RefusalReason::Shed)
+        }
+        AttemptOutcome::Unreachable => {
+            counts.unreachable += 1;
+            if counts.unreachable < MOST_UNREACHABLE {
+                return NextStep::Again;
+            }
+            give_up(counts, call, dispatch::RefusalReason::NoTarget)
+        }
+        AttemptOutcome::Unknown(_) => {
+            counts.may_have_run += 1;
+            if is_idempotent && may_run_again(state, call, counts) {
+                return NextStep::Again;
+            }
+            let status = match state.now() >= call.demand.deadline {
+                true => StatusCode::GATEWAY_TIMEOUT,
+                false => StatusCode::BAD_GATEWAY,
+            };
+            NextStep::Answer(answers::text(status, "no answer of the target"), "unknown")
+        }
+    }
+}
+
+fn may_run_again(
+    state: &RelayState,
+    call: &intake::AcceptedCall,
+    counts: &AttemptCounts,
+) -> bool {
+    counts.may_have_run < call.route.max_attempts
+        && state.now() < call.demand.deadline
+        && state.take_retry(&call.demand.service)
+}
+
+/// Ends a call without an answer: refused if no target may have run it.
+fn give_up(
+    counts: &AttemptCounts,
+    call: &intake::AcceptedCall,
+    reason: dispatch::RefusalReason,
+) -> NextStep {
+    if counts.may_have_run > 0 {
+        let answer = answers::text(StatusCode::BAD_GATEWAY, "no answer of a target");
+        return NextStep::Answer(answer, "unknown");
+    }
+    let refusal = dispatch::CallRefusal {
+        reason,
+        retry_after: call.demand.target_latency / 2,
+    };
+    NextStep::Answer(answers::refusal(&refusal), "refused")
+}
+
+/// Returns a target's whole answer to the caller.
+pub(super) fn whole(
+    state: &RelayState,
+    parts: response::Parts,
+    body: Bytes,
+) -> answers::CallAnswer {
+    let mut answer = Response::new(answers::AnswerBody::Whole(Full::new(body)));
+    *answer.status_mut() = parts.status;
+    *answer.headers_mut() = state.protocol.answer_headers(&parts.headers);
+    answer
+}
--- /dev/null
+++ b/crates/relay/src/shell/state.rs
@@ -0,0 +1,306 @@
+//! State that all tasks of the process share. They run on one thread.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use kingcupfall_core::ids;
+use kingcupfall_core::time;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::RelaySettings;
+use crate::directory;
+use crate::dispatch;
+use crate::protocol;
+use crate::telemetry;
+
+/// Share of the process's memory that the bodies of requests may take.
+const BODY_MEMORY_SHARE: u64 = 3;
+
+/// How far the process has come with stopping.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// It serves.
+    Serving,
+    /// It finishes what it has, and takes what still comes.
+    Leaving,
+    /// Idle connections are closed.
+    Closing,
+}
+
+/// Decodes the text of routes that a peer hands over.
+pub type RouteDecoder = Box<dyn Fn(&[u8]) -> Option<directory::RouteTable>>;
+
+/// What the state is made of.
+pub struct RelaySetup {
+    /// Settings of the process.
+    pub settings: RelaySettings,
+    /// Decisions.
+    pub dispatcher: dispatch::Dispatcher,
+    /// Words of the deployment.
+    pub protocol: Box<dyn protocol::WireProtocol>,
+    /// Decodes routes from peers.
+    pub decode_routes: RouteDecoder,
+    /// Decision records.
+    pub log: telemetry::LogStream,
+    /// Start of this process, in Unix milliseconds, by which peers tell its lives apart.
+    pub started_ms: u64,
+    /// Seed of all random choices.
+    pub seed: u64,
+}
+
+/// Routes in force, with the text they came from.
+#[derive(Debug, Clone)]
+pub(super) struct RoutesInForce {
+    pub(super) table: Rc<directory::RouteTable>,
+    pub(super) text: Bytes,
+}
+
+/// Shared state.
+pub struct RelayState {
+    pub(super) settings: RefCell<RelaySettings>,
+    pub(super) protocol: Box<dyn protocol::WireProtocol>,
+    pub(super) decode_routes: RouteDecoder,
+    pub(super) started_ms: u64,
+    /// Counters and histograms.
+    pub metrics: telemetry::RelayMetrics,
+    pub(super) targets: RefCell<directory::TargetTable>,
+    pub(super) phase: watch::Sender<StopPhase>,
+    pub(super) connections: Cell<usize>,
+    pub(super) open_calls: Cell<usize>,
+    pub(super) peers: RefCell<BTreeMap<ids::VmName, usize>>,
+    routes: RefCell<Option<RoutesInForce>>,
+    dispatcher: RefCell<dispatch::Dispatcher>,
+    budgets: RefCell<BTreeMap<ids::ServiceName, dispatch::RetryBudget>>,
+    inboxes: RefCell<HashMap<ids::CallId, mpsc::UnboundedSender<dispatch::DispatchEffect>>>,
+    log: telemetry::LogStream,
+    origin: Instant,
+    next_call: Cell<u64>,
+    body_bytes: Cell<u64>,
+    random: RefCell<SmallRng>,
+}
+
+impl RelayState {
+    /// Makes the state of a process that knows no route and no target.
+    pub fn new(setup: RelaySetup) -> Rc<Self> {
+        let (phase, _) = watch::channel(StopPhase::Serving);
+        Rc::new(Self {
+            settings: RefCell::new(setup.settings),
+            protocol: setup.protocol,
+            decode_routes: setup.decode_routes,
+            started_ms: setup.started_ms,
+            metrics: telemetry::RelayMetrics::new(),
+            targets: RefCell::new(directory::TargetTable::default()),
+            phase,
+            connections: Cell::new(0),
+            open_calls: Cell::new(0),
+            peers: RefCell::new(BTreeMap::new()),
+            routes: RefCell::new(None),
+            dispatcher: RefCell::new(setup.dispatcher),
+            budgets: RefCell::new(BTreeMap::new()),
+            inboxes: RefCell::new(HashMap::new()),
+            log: setup.log,
+            origin: Instant::now(),
+            next_call: Cell::new(0),
+            body_bytes: Cell::new(0),
+            random: RefCell::new(SmallRng::seed_from_u64(setup.seed)),
+        })
+    }
+
+    /// Returns the time on the process's clock.
+    pub fn now(&self) -> time::Timestamp {
+        let micros = self.origin.elapsed().as_micros();
+        time::Timestamp::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    /// Returns the runtime's instant for a timestamp.
+    pub(super) fn instant(&self, at: time::Timestamp) -> Instant {
+        self.origin + at.since(time::Timestamp::ZERO)
+    }
+
+    /// Writes a record.
+    pub fn record(&self, record: &telemetry::DecisionRecord) {
+        self.log.write(self.now(), record);
+    }
+
+    /// Puts changed settings in force. Addresses stay as they were at the start.
+    pub fn reload(&self, settings: RelaySettings) {
+        *self.settings.borrow_mut() = settings;
+    }
+
+    /// Tells that the process is to stop.
+    pub fn is_stopping(&self) -> bool {
+        *self.phase.borrow() > StopPhase::Serving
+    }
+
+    /// Returns the routes in force.
+    pub(super) fn routes(&self) -> Option<RoutesInForce> {
+        self.routes.borrow().clone()
+    }
+
+    /// Returns the version of the routes in force.
+    pub fn routes_version(&self) -> directory::TableVersion {
+        let routes = self.routes.borrow();
+        routes
+            .as_ref()
+            .map_or_else(directory::TableVersion::default, |routes| {
+                routes.table.version()
+            })
+    }
+
+    /// Puts routes in force unless newer ones are; says whether it did.
+    pub(super) fn take_routes(&self, table: Rc<directory::RouteTable>, text: Bytes) -> bool {
+        let mut routes = self.routes.borrow_mut();
+        let is_newer = routes
+            .as_ref()
+            .is_none_or(|known| known.table.version() < table.version());
+        if is_newer {
+            *routes = Some(RoutesInForce { table, text });
+        }
+        is_newer
+    }
+
+    /// Says whether callers can be served.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.routes.borrow().is_some()
+    }
+
+    /// Returns a number that no call of this process had, and the place its notices come to.
+    pub(super) fn open_call(
+        &self,
+    ) -> (
+        ids::CallId,
+        mpsc::UnboundedReceiver<dispatch::DispatchEffect>,
+    ) {
+        let number = self.next_call.get() + 1;
+        self.next_call.set(number);
+        self.open_calls.set(self.open_calls.get() + 1);
+        let call = ids::CallId::new(number);
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.inboxes.borrow_mut().insert(call, sender);
+        (call, receiver)
+    }
+
+    /// Forgets a call and gives its places back.
+    pub(super) fn close_call(&self, call: ids::CallId) {
+        self.inboxes.borrow_mut().remove(&call);
+        self.open_calls.set(self.open_calls.get() - 1);
+        self.submit(dispatch::DispatchEvent::Ended { call });
+    }
+
+    /// Lets the dispatcher take an event; each call finds what concerns it in its inbox.
+    pub(super) fn submit(&self, event: dispatch::DispatchEvent) {
+        let now = self.now();
+        let effects = self.dispatcher.borrow_mut().handle(now, event);
+        for effect in effects {
+            self.deliver(effect);
+        }
+    }
+
+    /// Lets the dispatcher take an event of a call, and returns what concerns that call.
+    pub(super) fn ask(
+        &self,
+        call: ids::CallId,
+        event: dispatch::DispatchEvent,
+    ) -> Vec<dispatch::DispatchEffect> {
+        let now = self.now();
+        let effects = self.dispatcher.borrow_mut().handle(now, event);
+        let (own, others): (Vec<_>, Vec<_>) =
+            effects.into_iter().partition(|effect| effect.call() == call);
+        for effect in others {
+            self.deliver(effect);
+        }
+        own
+    }
+
+    /// Runs a question at the dispatcher.
+    pub(super) fn dispatcher<T>(
+        &self,
+        question: impl FnOnce(&mut dispatch::Dispatcher, time::Timestamp) -> T,
+    ) -> T {
+        let now = self.now();
+        question(&mut self.dispatcher.borrow_mut(), now)
+    }
+
+    /// Counts a caller's request in the budget of repeated attempts.
+    pub(super) fn count_request(&self, service: &ids::ServiceName) {
+        let bounds = self.settings.borrow().retries;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.record_request(self.now(), &bounds);
+    }
+
+    /// Takes one repeated attempt from the budget.
+    pub(super) fn take_retry(&self, service: &ids::ServiceName) -> bool {
+        let bounds = self.settings.borrow().retries;
+        let processes = self.dispatcher.borrow().processes();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.take(self.now(), &bounds, processes)
+    }
+
+    /// Returns a number drawn uniformly from [0, 1).
+    pub(super) fn draw(&self) -> f64 {
+        self.random.borrow_mut().random()
+    }
+
+    /// Reserves memory for a body, if there is any left.
+    pub(super) fn reserve_body(self: &Rc<Self>, bytes: u64) -> Option<BodyReservation> {
+        let limit = self.settings.borrow().memory.get() / BODY_MEMORY_SHARE;
+        let taken = self.body_bytes.get() + bytes;
+        if taken > limit {
+            return None;
+        }
+        self.body_bytes.set(taken);
+        Some(BodyReservation {
+            state: Rc::clone(self),
+            bytes,
+        })
+    }
+
+    /// Returns the text of the metrics address.
+    pub(super) fn metrics_text(&self) -> String {
+        let (waiting, placed) = self.dispatcher.borrow().counts();
+        self.metrics.set_state(&telemetry::MetricsState {
+            lost_lines: self.log.lost(),
+            routes_version: self.routes_version().get(),
+            targets: self.targets.borrow().records().count(),
+            peers: self.peers.borrow().len(),
+            waiting,
+            placed,
+        });
+        self.metrics.encode().unwrap_or_else(|error| {
+            log::error!("metrics can't be written: {error}");
+            String::new()
+        })
+    }
+
+    fn deliver(&self, effect: dispatch::DispatchEffect) {
+        let inboxes = self.inboxes.borrow();
+        if let Some(inbox) = inboxes.get(&effect.call()) {
+            // A call that has just ended gives its places back itself.
+            let _ = inbox.send(effect);
+        }
+    }
+}
+
+/// Memory that a body takes until it is dropped.
+pub(super) struct BodyReservation {
+    state: Rc<RelayState>,
+    bytes: u64,
+}
+
+impl Drop for BodyReservation {
+    fn drop(&mut self) {
+        let taken = self.state.body_bytes.get();
+        self.state.body_bytes.set(taken.saturating_sub(self.bytes));
+    }
+}
--- /dev/null
+++ b/crates/relay/src/telemetry/mod.rs
@@ -0,0 +1,12 @@
+//! Decision records and metrics.
+
+mod metrics;
+mod records;
+mod writer;
+
+pub use metrics::MetricsState;
+pub use metrics::RelayMetrics;
+pub use records::DecisionRecord;
+pub use records::RecordKind;
+pub use writer::LogStream;
+pub use writer::start;
