--- a/crates/relay/src/shell/pump.rs
+++ b/crates/relay/src/shell/pump.rs
@@ -93,6 +93,8 @@
     last_event: Option<u64>,
     events: u64,
     heard_at: time::Timestamp,
+    first_event: Option<Duration>,
+    longest_pause: Duration,
     opened_at: time::Timestamp,
     evacuation: Option<StreamEvacuation>,
     pending: Option<PendingMove>,
@@ -119,6 +121,8 @@
             last_event: None,
             events: 0,
             heard_at: now,
+            first_event: None,
+            longest_pause: Duration::ZERO,
             opened_at: now,
             evacuation: None,
             pending: None,
@@ -224,10 +228,13 @@
         if self.events == 0 {
             let took = now.since(self.call.demand.arrived);
             let kind = self.call.route.kind.label();
+            self.first_event = Some(took);
             self.state.metrics.record_first_event(kind, took);
             self.state.submit(dispatch::DispatchEvent::Started { call });
         } else {
-            self.state.metrics.record_pause(now.since(self.heard_at));
+            let pause = now.since(self.heard_at);
+            self.longest_pause = self.longest_pause.max(pause);
+            self.state.metrics.record_pause(pause);
         }
         self.events += 1;
         self.heard_at = now;
@@ -547,7 +554,8 @@
             .target(&self.target.key.name)
             .outcome(label)
             .count(self.events)
-            .after(now.since(self.call.demand.arrived));
+            .after(now.since(self.call.demand.arrived))
+            .stream(self.first_event, self.longest_pause);
         self.state.record(&record);
         self.call.guard.settle(label);
         self.state.submit(dispatch::DispatchEvent::Released {
--- a/crates/relay/src/telemetry/records.rs
+++ b/crates/relay/src/telemetry/records.rs
@@ -123,6 +123,10 @@
     pub after_ms: Option<u64>,
     /// Time after which the caller may come back.
     pub retry_after_ms: Option<u64>,
+    /// Time from arrival to the first event of a stream.
+    pub first_event_ms: Option<u64>,
+    /// Longest pause between events of a stream.
+    pub longest_pause_ms: Option<u64>,
 }
 
 impl DecisionRecord {
@@ -141,6 +145,8 @@
             count: None,
             after_ms: None,
             retry_after_ms: None,
+            first_event_ms: None,
+            longest_pause_ms: None,
         }
     }
 
@@ -210,6 +216,13 @@
         self
     }
 
+    /// Sets how a stream kept its times.
+    pub fn stream(mut self, first_event: Option<Duration>, longest_pause: Duration) -> Self {
+        self.first_event_ms = first_event.map(millis);
+        self.longest_pause_ms = Some(millis(longest_pause));
+        self
+    }
+
     /// Sets when the caller may come back.
     pub fn retry_after(mut self, retry_after: Duration) -> Self {
         self.retry_after_ms = Some(millis(retry_after));
