--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -17,6 +17,18 @@
 /// Output tokens beyond those generated for which room is kept, about two seconds of one stream.
 const GROWTH_TOKENS: u64 = 200;
 
+/// Fewest output tokens of a stream that counts as long: it takes a second or more.
+const LONG_OUTPUT_TOKENS: u64 = 120;
+
+/// Time that a call of a plain service takes, for waits.
+const ASSUMED_CALL_TIME: Duration = Duration::from_millis(100);
+
+/// Time to the first event of a stream, for waits.
+const ASSUMED_FIRST_EVENT: Duration = Duration::from_millis(500);
+
+/// Time of one output token on a crowded engine, for waits.
+const ASSUMED_TOKEN_S: f64 = 0.01;
+
 /// What a call needs.
 #[derive(Debug, Clone)]
 pub struct CallDemand {
@@ -52,6 +64,7 @@
     pub(super) demand: Box<CallDemand>,
     pub(super) target: Rc<directory::TargetRecord>,
     pub(super) copy: Option<Rc<directory::TargetRecord>>,
+    pub(super) placed_at: time::Timestamp,
     pub(super) has_started: bool,
     pub(super) events: u64,
 }
@@ -65,6 +78,21 @@
         }
     }
 
+    /// Time until the call gives its place back, if it is as long as expected.
+    pub(super) fn time_left(&self, now: time::Timestamp) -> Duration {
+        let passed = now.since(self.placed_at);
+        let Some(engine) = &self.demand.engine else {
+            return ASSUMED_CALL_TIME.saturating_sub(passed);
+        };
+        let done = self.events * engine.event_tokens;
+        let left = self.demand.output_tokens.saturating_sub(done).max(1);
+        let first = match self.has_started {
+            true => Duration::ZERO,
+            false => ASSUMED_FIRST_EVENT.saturating_sub(passed),
+        };
+        first + Duration::from_secs_f64(left as f64 * ASSUMED_TOKEN_S)
+    }
+
     fn forecast(&self) -> u64 {
         match &self.demand.engine {
             Some(engine) => {
@@ -88,6 +116,8 @@
             used: self.used(),
             forecast: self.forecast(),
             backlog,
+            long_streams: u32::from(is_long(&self.demand)),
+            prompt_rate: 0,
         }
     }
 
@@ -98,16 +128,21 @@
             copies: 1,
             used: self.used(),
             forecast: self.forecast(),
-            backlog: 0,
+            ..LoadCount::default()
         }
     }
 }
 
 /// Memory to keep for a call that has not started.
 pub(super) fn forecast_tokens(demand: &CallDemand) -> u64 {
-    let output = (demand.output_tokens as f64 * OUTPUT_SHARE) as u64;
+    let output = (demand.output_tokens as f64 * crate::tune::tune("T_OUT", OUTPUT_SHARE)) as u64;
     match demand.engine {
         Some(_) => demand.prompt_tokens + output.max(GROWTH_TOKENS.min(demand.output_tokens)),
         None => 0,
     }
 }
+
+/// Says whether a stream is expected to be long.
+pub(super) fn is_long(demand: &CallDemand) -> bool {
+    demand.engine.is_some() && demand.output_tokens >= LONG_OUTPUT_TOKENS
+}
--- a/crates/relay/src/dispatch/copies.rs
+++ b/crates/relay/src/dispatch/copies.rs
@@ -8,19 +8,16 @@
 
 /// Share of an engine's memory up to which it takes copies. Copies give way to streams, which
 /// need the rest.
-const COPY_MEMORY_SHARE: f64 = 0.72;
+const COPY_MEMORY_SHARE: f64 = 0.6;
 
 /// Share of an engine's memory up to which it takes streams from an engine that leaves.
 const SHELTER_MEMORY_SHARE: f64 = 0.97;
 
-/// Fewest output tokens for which a copy pays: a shorter stream usually ends within the notice
-/// that an engine gives before it leaves.
-const COPY_OUTPUT_TOKENS: u64 = 120;
-
-/// Says whether a stream is worth a copy.
+/// Says whether a stream is worth a copy: a short one usually ends within the notice that an
+/// engine gives before it leaves.
 pub(super) fn is_worth_copy(demand: &super::CallDemand) -> bool {
     demand.engine.as_ref().is_some_and(|engine| engine.can_copy)
-        && demand.output_tokens >= COPY_OUTPUT_TOKENS
+        && calls::is_long(demand)
 }
 
 /// Chooses the target for a copy of a call that runs at `source`.
@@ -31,7 +28,7 @@
 ) -> Option<Rc<directory::TargetRecord>> {
     let engine = demand.engine.as_ref()?;
     let tokens = calls::forecast_tokens(demand);
-    emptiest(engine, tokens, COPY_MEMORY_SHARE, source, candidates)
+    emptiest(engine, tokens, crate::tune::tune("T_COPY", COPY_MEMORY_SHARE), source, candidates)
 }
 
 /// Chooses the target to which a call's memory of `tokens` is moved.
--- a/crates/relay/src/dispatch/load.rs
+++ b/crates/relay/src/dispatch/load.rs
@@ -2,13 +2,16 @@
 
 use std::collections::BTreeMap;
 use std::ops;
+use std::time::Duration;
 
 use kingcupfall_core::ids;
-use kingcupfall_core::load;
-use kingcupfall_core::measures;
+use kingcupfall_core::time;
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Time over which the rate of prompts is taken, several prompts at the usual rate.
+const RATE_SPAN: Duration = Duration::from_secs(2);
+
 /// Work of one process at one target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadCount {
@@ -27,6 +30,12 @@
     /// Prompt tokens that were not processed yet.
     #[serde(rename = "b")]
     pub backlog: u64,
+    /// Streams that are expected to be long.
+    #[serde(rename = "s")]
+    pub long_streams: u32,
+    /// Prompt tokens sent there in a second, of late.
+    #[serde(rename = "p")]
+    pub prompt_rate: u64,
 }
 
 impl ops::AddAssign for LoadCount {
@@ -36,20 +45,8 @@
         self.used = self.used.saturating_add(other.used);
         self.forecast = self.forecast.saturating_add(other.forecast);
         self.backlog = self.backlog.saturating_add(other.backlog);
-    }
-}
-
-impl LoadCount {
-    /// Returns the load in the form that placement policies take.
-    pub fn summary(&self, memory: measures::TokenCount) -> load::LoadSummary {
-        load::LoadSummary {
-            running: self.calls,
-            memory_total: memory,
-            memory_used: measures::TokenCount::new(self.used),
-            memory_forecast: measures::TokenCount::new(self.forecast),
-            prefill_backlog: measures::TokenCount::new(self.backlog),
-            ..load::LoadSummary::default()
-        }
+        self.long_streams = self.long_streams.saturating_add(other.long_streams);
+        self.prompt_rate = self.prompt_rate.saturating_add(other.prompt_rate);
     }
 }
 
@@ -92,3 +89,26 @@
         sum
     }
 }
+
+/// Prompt tokens sent to a target in a second, over the last few seconds.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct PromptRate {
+    tokens: f64,
+    at: time::Timestamp,
+}
+
+impl PromptRate {
+    pub(super) fn add(&mut self, now: time::Timestamp, tokens: u64) {
+        self.tokens = self.remaining(now) + tokens as f64;
+        self.at = now;
+    }
+
+    pub(super) fn per_second(&self, now: time::Timestamp) -> u64 {
+        (self.remaining(now) / RATE_SPAN.as_secs_f64()) as u64
+    }
+
+    fn remaining(&self, now: time::Timestamp) -> f64 {
+        let age = now.since(self.at).as_secs_f64() / RATE_SPAN.as_secs_f64();
+        self.tokens * (-age).exp()
+    }
+}
--- a/crates/relay/src/dispatch/place.rs
+++ b/crates/relay/src/dispatch/place.rs
@@ -1,13 +1,9 @@
 //! Which target a call goes to.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use kingcupfall_core::ids;
-use kingcupfall_core::load;
-use kingcupfall_core::measures;
 use kingcupfall_core::time;
-use kingcupfall_policy::place;
 
 use super::CallDemand;
 use super::LoadCount;
@@ -25,6 +21,21 @@
 /// Prompt tokens that an engine processes a second beside running streams.
 const PREFILL_TOKENS_PER_S: f64 = 7_000.0;
 
+/// Time by which each prompt token delays the streams beside it.
+const CHUNK_TOKEN_S: f64 = 1.0 / 14_000.0;
+
+/// Time of a step without streams or prompts.
+const STEP_S: f64 = 0.007;
+
+/// Time that each stream adds to a step.
+const STREAM_STEP_S: f64 = 0.000_12;
+
+/// Time that a chunk of a prompt adds to a step.
+const CHUNK_STEP_S: f64 = 0.008;
+
+/// Cost of full memory, where streams are preempted; it grows with the square of what is used.
+const CROWDING_COST_S: f64 = 2.0;
+
 /// Calls of a plain service in flight at a target, in multiples of its slots, up to which more
 /// are sent there; a further call would wait for two others and be late.
 const PLAIN_DEPTH: u32 = 2;
@@ -55,13 +66,13 @@
         let places = self.load.calls + self.load.copies;
         match &demand.engine {
             Some(engine) => {
-                let memory = engine.memory.get() as f64 * MEMORY_SHARE;
+                let memory = engine.memory.get() as f64 * crate::tune::tune("T_MEM", MEMORY_SHARE);
                 let wanted = self.load.forecast + calls::forecast_tokens(demand);
                 let backlog = demand.target_latency.as_secs_f64() * PREFILL_TOKENS_PER_S;
                 let is_idle = self.load.backlog == 0;
                 places < self.record.slots
                     && wanted as f64 <= memory
-                    && (is_idle || self.load.backlog as f64 <= backlog * BACKLOG_SHARE)
+                    && (is_idle || self.load.backlog as f64 <= backlog * crate::tune::tune("T_BACK", BACKLOG_SHARE))
             }
             None => self.load.calls < self.record.slots.max(1) * PLAIN_DEPTH,
         }
@@ -72,6 +83,40 @@
         (self.load.forecast + tokens) as f64 / engine.memory.get().max(1) as f64
     }
 
+    /// Cost of sending a call here, in seconds of delay for all calls.
+    fn cost_s(&self, now: time::Timestamp, zone: &ids::ZoneName, demand: &CallDemand) -> f64 {
+        match &demand.engine {
+            Some(engine) => self.engine_cost_s(zone, demand, engine),
+            None => self.plain_cost_s(now, zone),
+        }
+    }
+
+    /// An engine processes prompts in chunks between steps, each of which gives every stream a
+    /// token. A prompt delays the streams that run beside it, and a stream is delayed by the
+    /// prompts that come while it runs. So prompts with short answers gather where few long
+    /// streams are, and long streams where few prompts come.
+    fn engine_cost_s(
+        &self,
+        zone: &ids::ZoneName,
+        demand: &CallDemand,
+        engine: &directory::EngineRule,
+    ) -> f64 {
+        let prompt_s = demand.prompt_tokens as f64 * CHUNK_TOKEN_S;
+        let imposed_s = prompt_s * f64::from(self.load.long_streams);
+        let backlog_s = self.load.backlog as f64 / PREFILL_TOKENS_PER_S;
+        let chunks_share = (self.load.prompt_rate as f64 / PREFILL_TOKENS_PER_S).min(1.0);
+        let step_s = STEP_S
+            + STREAM_STEP_S * f64::from(self.load.calls)
+            + CHUNK_STEP_S * chunks_share;
+        let own_s = demand.output_tokens as f64 * step_s;
+        let crowding = self.memory_share(engine, calls::forecast_tokens(demand));
+        let distance = match self.record.zone == *zone {
+            true => 0.0,
+            false => ZONE_COST_S,
+        };
+        imposed_s * crate::tune::tune("T_IMP", 1.0) + backlog_s * crate::tune::tune("T_BLW", 1.0) + own_s * crate::tune::tune("T_OWN", 1.0) + crowding * crowding * crate::tune::tune("T_CROWD", CROWDING_COST_S) + distance
+    }
+
     fn plain_cost_s(&self, now: time::Timestamp, zone: &ids::ZoneName) -> f64 {
         let latency = self.doubt.latency_s().unwrap_or(ASSUMED_LATENCY_S);
         let depth = f64::from(self.load.calls) / f64::from(self.record.slots.max(1));
@@ -90,7 +135,6 @@
     zone: &ids::ZoneName,
     demand: &CallDemand,
     candidates: &[CandidateTarget<'_>],
-    policy: &mut dyn place::PlacementPolicy,
 ) -> Option<Rc<directory::TargetRecord>> {
     let with_room: Vec<_> = candidates
         .iter()
@@ -103,55 +147,10 @@
         .collect();
     let best = if sound.is_empty() { with_room } else { sound };
 
-    match &demand.engine {
-        Some(engine) => choose_engine(now, zone, demand, engine, &best, policy),
-        None => best
-            .iter()
-            .min_by(|first, second| {
-                let first = first.plain_cost_s(now, zone);
-                first.total_cmp(&second.plain_cost_s(now, zone))
-            })
-            .map(|candidate| Rc::clone(candidate.record)),
-    }
-}
-
-fn choose_engine(
-    now: time::Timestamp,
-    zone: &ids::ZoneName,
-    demand: &CallDemand,
-    engine: &directory::EngineRule,
-    candidates: &[&CandidateTarget<'_>],
-    policy: &mut dyn place::PlacementPolicy,
-) -> Option<Rc<directory::TargetRecord>> {
-    let loads: Vec<load::LoadSummary> = candidates
-        .iter()
-        .map(|candidate| candidate.load.summary(engine.memory))
-        .collect();
-    let views: Vec<_> = candidates
-        .iter()
-        .zip(&loads)
-        .map(|(candidate, load)| place::TargetView {
-            name: &candidate.record.key.name,
-            distance: match candidate.record.zone == *zone {
-                true => place::ZoneDistance::Same,
-                false => place::ZoneDistance::Other,
-            },
-            load,
-            load_age: Duration::ZERO,
-            in_flight: candidate.load.calls,
-            placed_since: 0,
-            placed_tokens: measures::TokenCount::ZERO,
+    best.iter()
+        .min_by(|first, second| {
+            let first = first.cost_s(now, zone, demand);
+            first.total_cmp(&second.cost_s(now, zone, demand))
         })
-        .collect();
-    let question = place::PlacementQuestion {
-        tag: &demand.tag,
-        prompt_tokens: measures::TokenCount::new(demand.prompt_tokens),
-        prefix: None,
-        suspect: false,
-    };
-
-    let index = policy.choose(now, &question, &views)?;
-    candidates
-        .get(index)
         .map(|candidate| Rc::clone(candidate.record))
 }
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -7,7 +7,6 @@
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
 use kingcupfall_core::work;
-use kingcupfall_policy::place as policy;
 use kingcupfall_policy::quarantine;
 
 use super::AttemptResult;
@@ -37,18 +36,10 @@
 /// Time after which a caller is told to come back when no target is known.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Weight of one released call in the average time between releases of a service.
-const PACE_WEIGHT: f64 = 0.1;
-
-/// Time between releases of a service that is assumed before it is known.
-const ASSUMED_PACE_S: f64 = 0.2;
-
 /// What the dispatcher is started with.
 pub struct DispatchSettings {
     /// Availability zone of this process.
     pub zone: ids::ZoneName,
-    /// Chooses among engines.
-    pub placement: Box<dyn policy::PlacementPolicy>,
     /// Holds requests that crash targets.
     pub quarantine: Box<dyn quarantine::QuarantinePolicy>,
 }
@@ -59,13 +50,7 @@
     record: Rc<directory::TargetRecord>,
     is_leaving: bool,
     doubt: TargetDoubt,
-}
-
-/// How often calls of a service end.
-#[derive(Debug, Clone, Copy)]
-struct ReleasePace {
-    gap_s: f64,
-    last: time::Timestamp,
+    prompts: load::PromptRate,
 }
 
 /// Decides for all calls of one process.
@@ -75,7 +60,6 @@
     placed: BTreeMap<ids::CallId, calls::PlacedCall>,
     waiting: queue::WaitingCalls,
     peers: load::PeerLoads,
-    paces: BTreeMap<ids::ServiceName, ReleasePace>,
 }
 
 impl Dispatcher {
@@ -87,7 +71,6 @@
             placed: BTreeMap::new(),
             waiting: queue::WaitingCalls::default(),
             peers: load::PeerLoads::default(),
-            paces: BTreeMap::new(),
         }
     }
 
@@ -150,8 +133,8 @@
     }
 
     /// Returns what this process has at each target, as peers are told.
-    pub fn loads(&self) -> Vec<PeerLoad> {
-        self.own_loads()
+    pub fn loads(&self, now: time::Timestamp) -> Vec<PeerLoad> {
+        self.own_loads(now)
             .into_iter()
             .map(|(target, load)| PeerLoad { target, load })
             .collect()
@@ -207,7 +190,7 @@
         }
         self.waiting.insert(call, demand);
         self.serve_waiting(now, effects);
-        self.refuse_hopeless(call, effects);
+        self.refuse_hopeless(now, call, effects);
     }
 
     /// Refuses what no target can serve, whatever the load.
@@ -243,11 +226,16 @@
     }
 
     /// Refuses a call at once when those ahead of it take longer than it can wait.
-    fn refuse_hopeless(&mut self, call: ids::CallId, effects: &mut Vec<DispatchEffect>) {
+    fn refuse_hopeless(
+        &mut self,
+        now: time::Timestamp,
+        call: ids::CallId,
+        effects: &mut Vec<DispatchEffect>,
+    ) {
         let Some(demand) = self.waiting.get(call) else {
             return;
         };
-        let wait = self.expected_wait(demand);
+        let wait = self.expected_wait(now, demand);
         if wait <= queue::patience(demand) {
             return;
         }
@@ -266,7 +254,7 @@
             let Some(demand) = self.waiting.remove(call) else {
                 continue;
             };
-            let wait = self.expected_wait(&demand);
+            let wait = self.expected_wait(now, &demand);
             effects.push(DispatchEffect::Refuse {
                 call,
                 refusal: CallRefusal {
@@ -277,14 +265,21 @@
         }
     }
 
-    /// Time until a call of this process would get a place, from how often its calls end.
-    fn expected_wait(&self, demand: &CallDemand) -> Duration {
+    /// Time until a call of this process would get a place. Each process waits for the places that
+    /// its own calls give back, so that all waits together fit what becomes free.
+    fn expected_wait(&self, now: time::Timestamp, demand: &CallDemand) -> Duration {
         let ahead = self.waiting.ahead(&demand.service, demand.rank).max(1);
-        let gap_s = self
-            .paces
-            .get(&demand.service)
-            .map_or(ASSUMED_PACE_S, |pace| pace.gap_s);
-        Duration::from_secs_f64((gap_s * ahead as f64).min(MOST_RETRY_AFTER.as_secs_f64()))
+        let mut left: Vec<_> = self
+            .placed
+            .values()
+            .filter(|placed| placed.demand.service == demand.service)
+            .map(|placed| placed.time_left(now))
+            .collect();
+        left.sort();
+        match left.get(ahead - 1) {
+            Some(left) => *left,
+            None => MOST_RETRY_AFTER,
+        }
     }
 
     fn serve_waiting(&mut self, now: time::Timestamp, effects: &mut Vec<DispatchEffect>) {
@@ -299,14 +294,19 @@
                 continue;
             };
             self.waiting.remove(call);
+            let prompt_tokens = demand.prompt_tokens;
             let placed = calls::PlacedCall {
                 demand: Box::new(demand),
                 target: Rc::clone(&target),
                 copy: None,
+                placed_at: now,
                 has_started: false,
                 events: 0,
             };
             self.placed.insert(call, placed);
+            if let Some(entry) = self.targets.get_mut(&target.key.name) {
+                entry.prompts.add(now, prompt_tokens);
+            }
             let copy_to = self.assign_copy(now, call);
             let placement = CallPlacement { target, copy_to };
             effects.push(DispatchEffect::Place { call, placement });
@@ -318,14 +318,13 @@
         now: time::Timestamp,
         demand: &CallDemand,
     ) -> Option<Rc<directory::TargetRecord>> {
-        let loads = self.own_loads();
+        let loads = self.own_loads(now);
         let candidates = candidates(&self.targets, &self.peers, &loads, now, &demand.service);
         let fresh: Vec<_> = candidates
             .into_iter()
             .filter(|candidate| !demand.tried.contains(&candidate.record.key.name))
             .collect();
-        let placement = self.settings.placement.as_mut();
-        place::choose(now, &self.settings.zone, demand, &fresh, placement)
+        place::choose(now, &self.settings.zone, demand, &fresh)
     }
 
     /// Chooses a target for a copy of a placed call, and counts it there.
@@ -334,7 +333,7 @@
         now: time::Timestamp,
         call: ids::CallId,
     ) -> Option<Rc<directory::TargetRecord>> {
-        let loads = self.own_loads();
+        let loads = self.own_loads(now);
         let placed = self.placed.get_mut(&call)?;
         if !copies::is_worth_copy(&placed.demand) {
             return None;
@@ -351,7 +350,7 @@
         call: ids::CallId,
         tried: &[ids::TargetName],
     ) -> Option<Rc<directory::TargetRecord>> {
-        let loads = self.own_loads();
+        let loads = self.own_loads(now);
         let placed = self.placed.get_mut(&call)?;
         let service = &placed.demand.service;
         let mut candidates = candidates(&self.targets, &self.peers, &loads, now, service);
@@ -388,16 +387,6 @@
         {
             entry.doubt.record(now, result);
         }
-        let pace = self
-            .paces
-            .entry(placed.demand.service.clone())
-            .or_insert(ReleasePace {
-                gap_s: ASSUMED_PACE_S,
-                last: now,
-            });
-        let gap_s = now.since(pace.last).as_secs_f64();
-        pace.gap_s += PACE_WEIGHT * (gap_s - pace.gap_s);
-        pace.last = now;
     }
 
     fn change_target(
@@ -418,6 +407,7 @@
                             record,
                             is_leaving: false,
                             doubt: TargetDoubt::default(),
+                            prompts: load::PromptRate::default(),
                         };
                         self.targets.insert(name, entry);
                     }
@@ -460,7 +450,7 @@
         }
     }
 
-    fn own_loads(&self) -> BTreeMap<ids::TargetName, LoadCount> {
+    fn own_loads(&self, now: time::Timestamp) -> BTreeMap<ids::TargetName, LoadCount> {
         let mut loads: BTreeMap<ids::TargetName, LoadCount> = BTreeMap::new();
         for placed in self.placed.values() {
             *loads.entry(placed.target.key.name.clone()).or_default() += placed.load();
@@ -468,6 +458,12 @@
                 *loads.entry(copy.key.name.clone()).or_default() += placed.copy_load();
             }
         }
+        for (name, entry) in &self.targets {
+            let rate = entry.prompts.per_second(now);
+            if rate > 0 {
+                loads.entry(name.clone()).or_default().prompt_rate += rate;
+            }
+        }
         loads
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod protocol;
 pub mod shell;
 pub mod telemetry;
+pub mod tune;
--- a/crates/relay/src/shell/peers.rs
+++ b/crates/relay/src/shell/peers.rs
@@ -445,7 +445,7 @@
         .map(|(key, departure)| (key.clone(), departure))
         .collect();
     let (loads, suspects) =
-        state.dispatcher(|dispatcher, now| (dispatcher.loads(), dispatcher.suspects(now)));
+        state.dispatcher(|dispatcher, now| (dispatcher.loads(now), dispatcher.suspects(now)));
     PeerPulse {
         vm: settings.vm.clone(),
         address: settings.peers,
