Tell peers of placements and departures at once; share the reading of the store

Cause: on the grown sites first events came late (median 1.1 s): 16 to 31 gateways with 200 ms old counts sent their streams to the same engine, found by rebuilding the pending prompts at each placement from the logs.

--- a/crates/relay/src/directory/table.rs
+++ b/crates/relay/src/directory/table.rs
@@ -86,6 +86,11 @@
             .filter_map(|key| Some((key, *self.departures.get(key)?)))
     }
 
+    /// Returns how a life left, if it did.
+    pub fn departure(&self, key: &TargetKey) -> Option<TargetDeparture> {
+        self.departures.get(key).copied()
+    }
+
     /// Notes that the directory does not answer.
     pub fn lose(&mut self) {
         self.is_lost = true;
--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -96,6 +96,13 @@
         /// Its load by target; targets that are left out have none.
         loads: Vec<PeerLoad>,
     },
+    /// A peer told what it has at some targets.
+    PeerChanged {
+        /// The peer.
+        peer: ids::VmName,
+        /// Its load at those targets.
+        loads: Vec<PeerLoad>,
+    },
     /// A peer is gone.
     PeerLost {
         /// The peer.
--- a/crates/relay/src/dispatch/load.rs
+++ b/crates/relay/src/dispatch/load.rs
@@ -73,6 +73,12 @@
         self.peers.insert(peer, loads.collect());
     }
 
+    pub(super) fn update(&mut self, peer: &ids::VmName, loads: Vec<PeerLoad>) {
+        if let Some(known) = self.peers.get_mut(peer) {
+            known.extend(loads.into_iter().map(|load| (load.target, load.load)));
+        }
+    }
+
     pub(super) fn remove(&mut self, peer: &ids::VmName) {
         self.peers.remove(peer);
     }
--- a/crates/relay/src/dispatch/place.rs
+++ b/crates/relay/src/dispatch/place.rs
@@ -4,6 +4,8 @@
 
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
 
 use super::CallDemand;
 use super::LoadCount;
@@ -21,6 +23,12 @@
 /// Prompt tokens that an engine processes a second beside running streams.
 const PREFILL_TOKENS_PER_S: f64 = 7_000.0;
 
+/// Processes that choose among all targets. Few of them seldom choose within one pulse.
+const FEW_PROCESSES: usize = 8;
+
+/// Targets among which one of many processes takes the best.
+pub(super) const SAMPLE_CHOICES: usize = 3;
+
 /// Time by which each prompt token delays the streams beside it.
 const CHUNK_TOKEN_S: f64 = 1.0 / 14_000.0;
 
@@ -129,12 +137,22 @@
     }
 }
 
+/// What a random choice of targets is made with.
+pub(super) struct SampleDraws<'a> {
+    /// Processes that choose at the same time.
+    pub(super) processes: usize,
+    /// Targets among which the best is taken.
+    pub(super) choices: usize,
+    pub(super) random: &'a mut SmallRng,
+}
+
 /// Chooses a target with room for a call.
 pub(super) fn choose(
     now: time::Timestamp,
     zone: &ids::ZoneName,
     demand: &CallDemand,
     candidates: &[CandidateTarget<'_>],
+    draws: &mut SampleDraws<'_>,
 ) -> Option<Rc<directory::TargetRecord>> {
     let with_room: Vec<_> = candidates
         .iter()
@@ -147,10 +165,25 @@
         .collect();
     let best = if sound.is_empty() { with_room } else { sound };
 
-    best.iter()
+    let sample = sample(best, draws);
+    sample
+        .iter()
         .min_by(|first, second| {
             let first = first.cost_s(now, zone, demand);
             first.total_cmp(&second.cost_s(now, zone, demand))
         })
         .map(|candidate| Rc::clone(candidate.record))
 }
+
+/// Takes a few targets at random where many processes choose, so that they do not all take the one
+/// that looked best to all of them.
+fn sample<'a, 'b>(
+    mut candidates: Vec<&'a CandidateTarget<'b>>,
+    draws: &mut SampleDraws<'_>,
+) -> Vec<&'a CandidateTarget<'b>> {
+    if draws.processes <= FEW_PROCESSES || candidates.len() <= draws.choices {
+        return candidates;
+    }
+    let (chosen, _) = candidates.partial_shuffle(draws.random, draws.choices);
+    chosen.to_vec()
+}
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -1,6 +1,7 @@
 //! The reducer over all events.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,6 +9,8 @@
 use kingcupfall_core::time;
 use kingcupfall_core::work;
 use kingcupfall_policy::quarantine;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 use super::AttemptResult;
 use super::CallDemand;
@@ -42,6 +45,8 @@
     pub zone: ids::ZoneName,
     /// Holds requests that crash targets.
     pub quarantine: Box<dyn quarantine::QuarantinePolicy>,
+    /// Seed of random choices.
+    pub seed: u64,
 }
 
 /// A target that may be used, or that still runs calls of this process.
@@ -60,17 +65,22 @@
     placed: BTreeMap<ids::CallId, calls::PlacedCall>,
     waiting: queue::WaitingCalls,
     peers: load::PeerLoads,
+    random: SmallRng,
+    changed: BTreeSet<ids::TargetName>,
 }
 
 impl Dispatcher {
     /// Makes a dispatcher that knows no target.
     pub fn new(settings: DispatchSettings) -> Self {
+        let random = SmallRng::seed_from_u64(settings.seed);
         Self {
             settings,
             targets: BTreeMap::new(),
             placed: BTreeMap::new(),
             waiting: queue::WaitingCalls::default(),
             peers: load::PeerLoads::default(),
+            random,
+            changed: BTreeSet::new(),
         }
     }
 
@@ -82,6 +92,7 @@
             DispatchEvent::Started { call } => {
                 if let Some(placed) = self.placed.get_mut(&call) {
                     placed.has_started = true;
+                    self.changed.insert(placed.target.key.name.clone());
                 }
             }
             DispatchEvent::Progressed { call, events } => {
@@ -118,6 +129,7 @@
                 self.serve_waiting(now, &mut effects);
             }
             DispatchEvent::PeerLoads { peer, loads } => self.peers.put(peer, loads),
+            DispatchEvent::PeerChanged { peer, loads } => self.peers.update(&peer, loads),
             DispatchEvent::PeerLost { peer } => self.peers.remove(&peer),
             DispatchEvent::Tick => {
                 self.serve_waiting(now, &mut effects);
@@ -132,6 +144,22 @@
         self.peers.len() + 1
     }
 
+    /// Returns what this process has at targets where that changed in a way that peers should
+    /// know at once, so that they do not all send their next stream to the same target.
+    pub fn take_changed(&mut self, now: time::Timestamp) -> Vec<PeerLoad> {
+        if self.changed.is_empty() {
+            return Vec::new();
+        }
+        let loads = self.own_loads(now);
+        std::mem::take(&mut self.changed)
+            .into_iter()
+            .map(|target| PeerLoad {
+                load: loads.get(&target).copied().unwrap_or_default(),
+                target,
+            })
+            .collect()
+    }
+
     /// Returns what this process has at each target, as peers are told.
     pub fn loads(&self, now: time::Timestamp) -> Vec<PeerLoad> {
         self.own_loads(now)
@@ -307,6 +335,9 @@
             if let Some(entry) = self.targets.get_mut(&target.key.name) {
                 entry.prompts.add(now, prompt_tokens);
             }
+            if prompt_tokens > 0 {
+                self.changed.insert(target.key.name.clone());
+            }
             let copy_to = self.assign_copy(now, call);
             let placement = CallPlacement { target, copy_to };
             effects.push(DispatchEffect::Place { call, placement });
@@ -324,7 +355,12 @@
             .into_iter()
             .filter(|candidate| !demand.tried.contains(&candidate.record.key.name))
             .collect();
-        place::choose(now, &self.settings.zone, demand, &fresh)
+        let mut draws = place::SampleDraws {
+            processes: self.peers.len() + 1,
+            choices: crate::tune::tune("T_D", place::SAMPLE_CHOICES as f64) as usize,
+            random: &mut self.random,
+        };
+        place::choose(now, &self.settings.zone, demand, &fresh, &mut draws)
     }
 
     /// Chooses a target for a copy of a placed call, and counts it there.
@@ -341,6 +377,9 @@
         let service = &placed.demand.service;
         let candidates = candidates(&self.targets, &self.peers, &loads, now, service);
         placed.copy = copies::choose_copy(&placed.demand, &placed.target, &candidates);
+        if let Some(copy) = &placed.copy {
+            self.changed.insert(copy.key.name.clone());
+        }
         placed.copy.clone()
     }
 
@@ -357,6 +396,9 @@
         candidates.retain(|candidate| !tried.contains(&candidate.record.key.name));
         let tokens = placed.used();
         placed.copy = copies::choose_shelter(&placed.demand, tokens, &placed.target, &candidates);
+        if let Some(copy) = &placed.copy {
+            self.changed.insert(copy.key.name.clone());
+        }
         placed.copy.clone()
     }
 
@@ -373,6 +415,7 @@
         };
         placed.copy = None;
         placed.target = Rc::clone(&target);
+        self.changed.insert(target.key.name.clone());
         let copy_to = self.assign_copy(now, call);
         let placement = CallPlacement { target, copy_to };
         effects.push(DispatchEffect::Place { call, placement });
--- a/crates/relay/src/shell/directory.rs
+++ b/crates/relay/src/shell/directory.rs
@@ -11,6 +11,9 @@
 use crate::dispatch;
 use crate::telemetry;
 
+/// Source of what peers tell.
+pub(super) const PEER_SOURCE: &str = "peer";
+
 /// Time between looks at waiting calls and lapsed records.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -132,5 +135,24 @@
             .version(revision);
         state.record(&record);
     }
+    if source != PEER_SOURCE {
+        tell_departures(state, &changes);
+    }
     state.submit(dispatch::DispatchEvent::Targets(changes));
 }
+
+/// Tells peers of targets that leave, as news travel faster among them than from the directory.
+fn tell_departures(state: &RelayState, changes: &[directory::TargetChange]) {
+    let departures: Vec<_> = {
+        let targets = state.targets.borrow();
+        let left = changes.iter().filter_map(|change| match change {
+            directory::TargetChange::Usable(_) => None,
+            directory::TargetChange::Leaving(key) | directory::TargetChange::Gone(key) => Some(key),
+        });
+        left.filter_map(|key| Some((key.clone(), targets.departure(key)?)))
+            .collect()
+    };
+    if !departures.is_empty() {
+        state.tell_peers(&super::PeerMessage::Departures(departures));
+    }
+}
--- a/crates/relay/src/shell/peers.rs
+++ b/crates/relay/src/shell/peers.rs
@@ -32,17 +32,23 @@
 use crate::dispatch;
 use crate::telemetry;
 
-/// Time between pulses on a link; a placement is known to peers within it.
+/// Shortest time between pulses on a link.
 const PULSE_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Silence after which a link is closed.
-const LINK_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Processes among which pulses go at the shortest interval.
+const PULSE_PROCESSES: usize = 8;
+
+/// Longest interval, in multiples of the shortest.
+const MOST_PULSE_TIMES: usize = 4;
+
+/// Silence after which a link is closed: three pulses at the longest interval.
+const LINK_TIMEOUT: Duration = Duration::from_millis(2_400);
 
 /// Time between attempts to link to a known address.
 const DIAL_INTERVAL: Duration = Duration::from_millis(700);
 
 /// Most links that a process opens; with more peers it hears of a sample of their load.
-const MOST_DIALLED: usize = 8;
+const MOST_DIALLED: usize = 40;
 
 /// Most addresses that a pulse names.
 const MOST_MEMBERS: usize = 24;
@@ -63,6 +69,19 @@
     /// Regular state.
     #[serde(rename = "p")]
     Pulse(Box<PeerPulse>),
+    /// What a process has at some targets.
+    #[serde(rename = "l")]
+    Loads {
+        /// Its VM.
+        #[serde(rename = "v")]
+        vm: ids::VmName,
+        /// Its load there.
+        #[serde(rename = "l")]
+        loads: Vec<dispatch::PeerLoad>,
+    },
+    /// Targets that leave.
+    #[serde(rename = "g")]
+    Departures(Vec<(directory::TargetKey, directory::TargetDeparture)>),
     /// Routes, as they were published.
     #[serde(rename = "r")]
     Routes(#[serde(with = "serde_with::As::<serde_with::Bytes>")] Vec<u8>),
@@ -237,11 +256,22 @@
 async fn run_link(state: &Rc<RelayState>, book: &SharedBook, socket: WebSocketStream<TcpStream>) {
     let (mut sink, mut stream) = socket.split();
     let mut progress = LinkProgress::default();
-    let mut pulses = tokio::time::interval(PULSE_INTERVAL);
-    pulses.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut next_pulse = tokio::time::Instant::now();
     let mut heard_at = state.now();
+    let mut news = state.news.subscribe();
     let cause = loop {
         tokio::select! {
+            bytes = news.recv() => {
+                // Where news were left out, the next pulse tells the whole state.
+                let Ok(bytes) = bytes else {
+                    continue;
+                };
+                let sent = sink.send(tungstenite::Message::Binary(bytes));
+                match tokio::time::timeout(LINK_TIMEOUT, sent).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(_)) | Err(_) => break "not sent",
+                }
+            }
             message = stream.next() => match message {
                 Some(Ok(tungstenite::Message::Binary(bytes))) => {
                     heard_at = state.now();
@@ -250,7 +280,8 @@
                 Some(Ok(_)) => {}
                 Some(Err(_)) | None => break "closed",
             },
-            _ = pulses.tick() => {
+            () = tokio::time::sleep_until(next_pulse) => {
+                next_pulse = tokio::time::Instant::now() + pulse_interval(state);
                 if state.now().since(heard_at) > LINK_TIMEOUT {
                     break "silent";
                 }
@@ -266,6 +297,13 @@
     lose(state, book, &progress, cause);
 }
 
+/// Returns the time between pulses: with more links each carries fewer, so that the bytes of all
+/// stay bounded. Placements and departures are told at once anyway.
+fn pulse_interval(state: &RelayState) -> Duration {
+    let times = (state.processes() / PULSE_PROCESSES).clamp(1, MOST_PULSE_TIMES);
+    PULSE_INTERVAL * u32::try_from(times).unwrap_or(1)
+}
+
 async fn send_all<S>(sink: &mut S, messages: Vec<Vec<u8>>) -> bool
 where
     S: SinkExt<tungstenite::Message> + Unpin,
@@ -319,9 +357,16 @@
     };
     match message {
         PeerMessage::Pulse(pulse) => take_pulse(state, book, progress, *pulse),
+        PeerMessage::Loads { vm, loads } => {
+            state.submit(dispatch::DispatchEvent::PeerChanged { peer: vm, loads });
+        }
+        PeerMessage::Departures(departures) => {
+            let changes = state.targets.borrow_mut().depart(&departures);
+            shell_directory::apply(state, changes, shell_directory::PEER_SOURCE);
+        }
         PeerMessage::Routes(text) => match (state.decode_routes)(&text) {
             Some(table) => {
-                shell_directory::take_routes(state, Rc::new(table), text.into(), "peer");
+                shell_directory::take_routes(state, Rc::new(table), text.into(), shell_directory::PEER_SOURCE);
             }
             None => log::warn!("a peer sent routes that can't be read"),
         },
@@ -330,7 +375,7 @@
                 .targets
                 .borrow_mut()
                 .list(state.now(), revision, targets);
-            shell_directory::apply(state, changes, "peer");
+            shell_directory::apply(state, changes, shell_directory::PEER_SOURCE);
         }
     }
 }
@@ -357,7 +402,7 @@
         }
     }
     let changes = state.targets.borrow_mut().depart(&pulse.departures);
-    shell_directory::apply(state, changes, "peer");
+    shell_directory::apply(state, changes, shell_directory::PEER_SOURCE);
     state.dispatcher(|dispatcher, now| {
         for suspect in &pulse.suspects {
             dispatcher.merge_suspect(now, suspect);
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -9,9 +9,11 @@
 use bytes::Bytes;
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
+use kingcupfall_link::codec;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::sync::broadcast;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -25,6 +27,9 @@
 /// Share of the process's memory that the bodies of requests may take.
 const BODY_MEMORY_SHARE: u64 = 3;
 
+/// Messages that may wait for a slow link; one that falls behind waits for the next pulse.
+const NEWS_LIMIT: usize = 256;
+
 /// How far the process has come with stopping.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopPhase {
@@ -77,6 +82,8 @@
     pub(super) connections: Cell<usize>,
     pub(super) open_calls: Cell<usize>,
     pub(super) peers: RefCell<BTreeMap<ids::VmName, usize>>,
+    /// Messages that go out on all links at once.
+    pub(super) news: broadcast::Sender<Bytes>,
     routes: RefCell<Option<RoutesInForce>>,
     dispatcher: RefCell<dispatch::Dispatcher>,
     budgets: RefCell<BTreeMap<ids::ServiceName, dispatch::RetryBudget>>,
@@ -103,6 +110,7 @@
             connections: Cell::new(0),
             open_calls: Cell::new(0),
             peers: RefCell::new(BTreeMap::new()),
+            news: broadcast::channel(NEWS_LIMIT).0,
             routes: RefCell::new(None),
             dispatcher: RefCell::new(setup.dispatcher),
             budgets: RefCell::new(BTreeMap::new()),
@@ -126,6 +134,11 @@
         self.origin + at.since(time::Timestamp::ZERO)
     }
 
+    /// Returns the number of processes that tell each other what they know, this one included.
+    pub fn processes(&self) -> usize {
+        self.dispatcher.borrow().processes()
+    }
+
     /// Writes a record.
     pub fn record(&self, record: &telemetry::DecisionRecord) {
         self.log.write(self.now(), record);
@@ -200,6 +213,7 @@
     pub(super) fn submit(&self, event: dispatch::DispatchEvent) {
         let now = self.now();
         let effects = self.dispatcher.borrow_mut().handle(now, event);
+        self.tell_changes(now);
         for effect in effects {
             self.deliver(effect);
         }
@@ -213,6 +227,7 @@
     ) -> Vec<dispatch::DispatchEffect> {
         let now = self.now();
         let effects = self.dispatcher.borrow_mut().handle(now, event);
+        self.tell_changes(now);
         let (own, others): (Vec<_>, Vec<_>) =
             effects.into_iter().partition(|effect| effect.call() == call);
         for effect in others {
@@ -283,6 +298,29 @@
         })
     }
 
+    /// Tells peers at once of changed loads.
+    fn tell_changes(&self, now: time::Timestamp) {
+        let loads = self.dispatcher.borrow_mut().take_changed(now);
+        if !loads.is_empty() {
+            self.tell_peers(&super::PeerMessage::Loads {
+                vm: self.settings.borrow().vm.clone(),
+                loads,
+            });
+        }
+    }
+
+    /// Sends a message on all links to peers.
+    pub(super) fn tell_peers(&self, message: &super::PeerMessage) {
+        if self.news.receiver_count() == 0 {
+            return;
+        }
+        match codec::encode(message) {
+            // Without a link there is nobody to tell.
+            Ok(bytes) => drop(self.news.send(bytes.into())),
+            Err(error) => log::error!("a message to peers can't be written: {error}"),
+        }
+    }
+
     fn deliver(&self, effect: dispatch::DispatchEffect) {
         let inboxes = self.inboxes.borrow();
         if let Some(inbox) = inboxes.get(&effect.call()) {
