Go on from the first copy of a stream's memory in place of a last move

Reading what the first copy lacks is less than a chunk of a prompt. Ruled out: no last move but a second copy (longer notice needed).

--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -12,7 +12,7 @@
 
 /// Share of a stream's expected output that is reserved when it starts. Streams of a target end
 /// at different times, so that their largest sizes do not meet.
-const OUTPUT_SHARE: f64 = 0.5;
+const OUTPUT_SHARE: f64 = 0.25;
 
 /// Output tokens beyond those generated for which room is kept, about two seconds of one stream.
 const GROWTH_TOKENS: u64 = 200;
--- a/crates/relay/src/dispatch/copies.rs
+++ b/crates/relay/src/dispatch/copies.rs
@@ -8,10 +8,11 @@
 
 /// Share of an engine's memory up to which it takes copies. Copies give way to streams, which
 /// need the rest.
-const COPY_MEMORY_SHARE: f64 = 0.6;
+const COPY_MEMORY_SHARE: f64 = 0.4;
 
-/// Share of an engine's memory up to which it takes streams from an engine that leaves.
-const SHELTER_MEMORY_SHARE: f64 = 0.97;
+/// Share of an engine's memory that may be in use once a stream of an engine that leaves is there.
+/// What is reserved for growth does not count: a stream under way goes before those to come.
+const SHELTER_MEMORY_SHARE: f64 = 0.98;
 
 /// Says whether a stream is worth a copy: a short one usually ends within the notice that an
 /// engine gives before it leaves.
@@ -28,7 +29,10 @@
 ) -> Option<Rc<directory::TargetRecord>> {
     let engine = demand.engine.as_ref()?;
     let tokens = calls::forecast_tokens(demand);
-    emptiest(engine, tokens, crate::tune::tune("T_COPY", COPY_MEMORY_SHARE), source, candidates)
+    let most = crate::tune::tune("T_COPY", COPY_MEMORY_SHARE);
+    emptiest(source, candidates, most, |candidate| {
+        candidate.memory_share(engine, tokens)
+    })
 }
 
 /// Chooses the target to which a call's memory of `tokens` is moved.
@@ -39,32 +43,31 @@
     candidates: &[place::CandidateTarget<'_>],
 ) -> Option<Rc<directory::TargetRecord>> {
     let engine = demand.engine.as_ref()?;
-    emptiest(engine, tokens, SHELTER_MEMORY_SHARE, source, candidates)
+    emptiest(source, candidates, SHELTER_MEMORY_SHARE, |candidate| {
+        (candidate.load.used + tokens) as f64 / engine.memory.get().max(1) as f64
+    })
 }
 
 /// Takes the emptiest target, of the source's zone if there is one: a move takes half as long.
 fn emptiest(
-    engine: &directory::EngineRule,
-    tokens: u64,
-    share: f64,
     source: &directory::TargetRecord,
     candidates: &[place::CandidateTarget<'_>],
+    most: f64,
+    share: impl Fn(&place::CandidateTarget<'_>) -> f64,
 ) -> Option<Rc<directory::TargetRecord>> {
     candidates
         .iter()
         .filter(|candidate| {
             candidate.record.key != source.key
                 && candidate.load.calls + candidate.load.copies < candidate.record.slots
-                && candidate.memory_share(engine, tokens) <= share
+                && share(candidate) <= most
         })
         .min_by(|first, second| {
             let first_far = first.record.zone != source.zone;
             let second_far = second.record.zone != source.zone;
-            let first_share = first.memory_share(engine, tokens);
-            let second_share = second.memory_share(engine, tokens);
             first_far
                 .cmp(&second_far)
-                .then(first_share.total_cmp(&second_share))
+                .then(share(first).total_cmp(&share(second)))
         })
         .map(|candidate| Rc::clone(candidate.record))
 }
--- a/crates/relay/src/dispatch/place.rs
+++ b/crates/relay/src/dispatch/place.rs
@@ -14,7 +14,7 @@
 use crate::directory;
 
 /// Share of an engine's memory that admitted streams may be forecast to need.
-const MEMORY_SHARE: f64 = 0.95;
+const MEMORY_SHARE: f64 = 1.0;
 
 /// Prompt tokens that may wait at an engine, in parts of what it processes within the target
 /// latency; beyond that the first event would be late.
@@ -27,7 +27,7 @@
 const FEW_PROCESSES: usize = 8;
 
 /// Targets among which one of many processes takes the best.
-pub(super) const SAMPLE_CHOICES: usize = 3;
+pub(super) const SAMPLE_CHOICES: usize = 100;
 
 /// Time by which each prompt token delays the streams beside it.
 const CHUNK_TOKEN_S: f64 = 1.0 / 14_000.0;
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -264,7 +264,7 @@
             return;
         };
         let wait = self.expected_wait(now, demand);
-        if wait <= queue::patience(demand) {
+        if wait <= queue::patience(demand).mul_f64(crate::tune::tune("T_CR", 1.0)) {
             return;
         }
         self.waiting.remove(call);
--- a/crates/relay/src/protocol/mod.rs
+++ b/crates/relay/src/protocol/mod.rs
@@ -80,14 +80,9 @@
     Copied {
         /// Name of the copy, to go on with.
         handle: Box<str>,
-        /// Events that the target has generated so far.
-        events: u64,
-    },
-    /// The other target has no room or can't be reached; a stopped stream can go on at its source.
-    Refused {
-        /// Name of the memory that the source keeps.
-        handle: Option<Box<str>>,
     },
+    /// The other target has no room or can't be reached.
+    Refused,
     /// A move of the stream is in progress.
     Busy,
     /// The target does not run the stream.
@@ -108,14 +103,13 @@
     /// Returns the headers of an answer that go to the caller.
     fn answer_headers(&self, headers: &HeaderMap) -> HeaderMap;
 
-    /// Returns the request that moves the memory of a stream from the target that runs it.
-    /// A last move stops the stream there.
+    /// Returns the request that copies the memory of a stream from the target that runs it, and
+    /// goes on running it.
     fn move_request(
         &self,
         request: &str,
         source: net::SocketAddr,
         to: net::SocketAddr,
-        is_last: bool,
     ) -> Request<Full<Bytes>>;
 
     /// Reads the answer to such a request.
--- a/crates/relay/src/shell/moves.rs
+++ b/crates/relay/src/shell/moves.rs
@@ -18,8 +18,6 @@
 pub(super) struct MoveReport {
     /// Target that the memory was to go to.
     pub(super) target: Rc<directory::TargetRecord>,
-    /// Whether it was the last one, after which the source generates no more.
-    pub(super) is_last: bool,
     /// Time that it took.
     pub(super) took: Duration,
     /// What the source said; `None` when it said nothing.
@@ -32,13 +30,11 @@
     request: Box<str>,
     source: Rc<directory::TargetRecord>,
     target: Rc<directory::TargetRecord>,
-    is_last: bool,
 ) -> MoveReport {
     let started: time::Timestamp = state.now();
-    let wish =
-        state
-            .protocol
-            .move_request(&request, source.address, target.address, is_last);
+    let wish = state
+        .protocol
+        .move_request(&request, source.address, target.address);
     let answer = match client::exchange(source.address, wish, MOVE_TIMEOUT).await {
         Ok((parts, body)) => Some(state.protocol.read_move(parts.status, &body)),
         Err(error) => {
@@ -49,7 +45,6 @@
 
     MoveReport {
         target,
-        is_last,
         took: state.now().since(started),
         answer,
     }
--- a/crates/relay/src/shell/pump.rs
+++ b/crates/relay/src/shell/pump.rs
@@ -30,16 +30,12 @@
 /// Longest time in which a target must begin to go on with a stream.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Time from the news that a target leaves to the last move. Targets leave 1.5 s after the news
-/// at the earliest, and the last move and the way to the next target take some 100 ms each.
-const LAST_MOVE_AFTER: Duration = Duration::from_millis(950);
-
-/// A repeated move that takes no longer finds the links idle, so that a last one is as short.
-const SHORT_MOVE: Duration = Duration::from_millis(70);
-
-/// Most targets that are asked to shelter a stream.
+/// Targets that are asked to shelter a stream before the first of them is asked again.
 const MOST_SHELTERS: usize = 4;
 
+/// Time until a stream without a shelter looks for one again; streams end and give room.
+const SHELTER_RETRY: Duration = Duration::from_millis(120);
+
 /// Urgency of a stream that goes on at another target.
 const RESUMED_URGENCY: u8 = 0;
 
@@ -48,9 +44,8 @@
 /// Why a stream's target is being left.
 #[derive(Debug)]
 struct StreamEvacuation {
-    since: time::Timestamp,
     tried: Vec<ids::TargetName>,
-    is_stopped: bool,
+    retry_at: time::Timestamp,
 }
 
 /// A copy of the stream's memory at another target.
@@ -78,6 +73,7 @@
     CallerLeft,
     DeadlinePassed,
     Silent,
+    ShelterDue,
 }
 
 /// One stream on its way.
@@ -86,7 +82,6 @@
     call: Box<intake::AcceptedCall>,
     target: Rc<directory::TargetRecord>,
     backup: Option<Rc<directory::TargetRecord>>,
-    moved: Option<MemoryCopy>,
     upstream: client::OpenAnswer,
     sender: mpsc::Sender<answers::StreamPart>,
     parser: protocol::EventParser,
@@ -114,7 +109,6 @@
             call,
             target: placement.target,
             backup: placement.copy_to,
-            moved: None,
             upstream,
             sender,
             parser: protocol::EventParser::default(),
@@ -142,10 +136,14 @@
 
     async fn next_step(&mut self) -> PumpStep {
         let deadline = self.state.instant(self.call.demand.deadline);
-        let silent_at = match self.has_copy() && self.events > 0 {
+        let silent_at = match self.backup.is_some() && self.events > 0 {
             true => self.state.instant(self.heard_at + SILENCE_LIMIT),
             false => deadline,
         };
+        let shelter_at = match &self.evacuation {
+            Some(evacuation) if self.pending.is_none() => self.state.instant(evacuation.retry_at),
+            Some(_) | None => deadline,
+        };
         let pending = async {
             match &mut self.pending {
                 Some(pending) => pending.await,
@@ -160,6 +158,7 @@
             () = self.sender.closed() => PumpStep::CallerLeft,
             () = tokio::time::sleep_until(deadline) => PumpStep::DeadlinePassed,
             () = tokio::time::sleep_until(silent_at) => PumpStep::Silent,
+            () = tokio::time::sleep_until(shelter_at) => PumpStep::ShelterDue,
         }
     }
 
@@ -176,6 +175,10 @@
             PumpStep::CallerLeft => Some(PumpEnd::CallerLeft),
             PumpStep::DeadlinePassed => Some(PumpEnd::TimedOut),
             PumpStep::Silent => self.recover("silent").await,
+            PumpStep::ShelterDue => {
+                self.seek_shelter();
+                None
+            }
         }
     }
 
@@ -245,11 +248,7 @@
     }
 
     async fn take_end(&mut self) -> Option<PumpEnd> {
-        let is_stopped = self
-            .evacuation
-            .as_ref()
-            .is_some_and(|evacuation| evacuation.is_stopped);
-        if !is_stopped && !self.parser.has_rest() {
+        if !self.parser.has_rest() {
             return Some(PumpEnd::Completed);
         }
         self.recover("ended early").await
@@ -280,9 +279,8 @@
             return None;
         }
         self.evacuation = Some(StreamEvacuation {
-            since: self.state.now(),
             tried: Vec::new(),
-            is_stopped: false,
+            retry_at: self.state.now(),
         });
         if let Some(copy) = self.backup_copy()
             && self.events > 0
@@ -302,12 +300,18 @@
             .engine
             .as_ref()
             .is_some_and(|engine| engine.can_move);
-        let Some(evacuation) = &self.evacuation else {
+        let now = self.state.now();
+        let Some(evacuation) = &mut self.evacuation else {
             return;
         };
-        if !can_move || evacuation.tried.len() >= MOST_SHELTERS {
+        evacuation.retry_at = now + SHELTER_RETRY;
+        // What waits or is being read can't be moved; it is once it has begun.
+        if !can_move || self.events == 0 {
             return;
         }
+        if evacuation.tried.len() >= MOST_SHELTERS {
+            evacuation.tried.clear();
+        }
         let wish = dispatch::DispatchEvent::ShelterWanted {
             call: self.call.call,
             tried: evacuation.tried.clone(),
@@ -321,100 +325,54 @@
                 _ => None,
             });
         match shelter {
-            Some(target) => self.start_move(target, false),
+            Some(target) => self.start_move(target),
             None => self.note_move("no shelter"),
         }
     }
 
-    fn start_move(&mut self, target: Rc<directory::TargetRecord>, is_last: bool) {
+    fn start_move(&mut self, target: Rc<directory::TargetRecord>) {
         let request = self.call.head.request.clone();
         let source = Rc::clone(&self.target);
         let state = Rc::clone(&self.state);
-        self.pending = Some(Box::pin(moves::run(state, request, source, target, is_last)));
+        self.pending = Some(Box::pin(moves::run(state, request, source, target)));
     }
 
+    /// Goes on at the target that has the memory now. What the source has generated meanwhile is
+    /// less than a chunk of a prompt, so that reading it again is quicker than a last move, which
+    /// would stop the stream while it waits behind the moves of others.
     async fn take_move(&mut self, report: moves::MoveReport) -> Option<PumpEnd> {
         match report.answer {
-            Some(protocol::MoveAnswer::Copied { handle, events }) => {
-                self.moved = Some(MemoryCopy {
-                    holder: Rc::clone(&report.target),
+            Some(protocol::MoveAnswer::Copied { handle }) => {
+                let copy = MemoryCopy {
+                    holder: report.target,
                     named_at: self.target.address,
                     handle,
-                });
-                match report.is_last {
-                    true => self.go_on_moved(events).await,
-                    false => self.move_again(report.target, report.took),
+                };
+                self.state.metrics.record_move_time(report.took);
+                if !self.resume(copy, "moved in time").await {
+                    self.seek_shelter();
                 }
             }
-            Some(protocol::MoveAnswer::Refused { handle }) => {
+            Some(protocol::MoveAnswer::Refused) => {
                 self.note_move("no room at the shelter");
-                if report.is_last {
-                    return self.go_on_at_source(handle).await;
-                }
                 if let Some(evacuation) = &mut self.evacuation {
                     evacuation.tried.push(report.target.key.name.clone());
                 }
                 self.seek_shelter();
-                None
             }
-            Some(protocol::MoveAnswer::Busy) => self.move_again(report.target, report.took),
-            Some(protocol::MoveAnswer::Unknown) | None => {
+            Some(protocol::MoveAnswer::Busy | protocol::MoveAnswer::Unknown) | None => {
                 self.note_move("the source does not move it");
-                None
             }
         }
-    }
-
-    /// Copies what is new, and stops the stream once that is short or the time is nearly over.
-    fn move_again(
-        &mut self,
-        target: Rc<directory::TargetRecord>,
-        took: Duration,
-    ) -> Option<PumpEnd> {
-        let since = self.evacuation.as_ref().map_or(time::Timestamp::ZERO, |it| it.since);
-        let is_due = self.state.now().since(since) >= LAST_MOVE_AFTER;
-        let is_last = is_due || took <= SHORT_MOVE;
-        if is_last && let Some(evacuation) = &mut self.evacuation {
-            evacuation.is_stopped = true;
-        }
-        self.start_move(target, is_last);
         None
     }
 
-    /// Reads what the source generated before it stopped, and goes on at the shelter.
-    async fn go_on_moved(&mut self, events: u64) -> Option<PumpEnd> {
-        let due = tokio::time::Instant::now() + SHORT_MOVE;
-        while self.events < events {
-            match tokio::time::timeout_at(due, self.upstream.body.frame()).await {
-                Ok(Some(Ok(frame))) => {
-                    if let Some(end) = self.take_frame(frame).await {
-                        return Some(end);
-                    }
-                }
-                Ok(Some(Err(_)) | None) | Err(_) => break,
-            }
-        }
-        self.recover("moved").await
-    }
-
-    /// Goes on at a source that stopped the stream and could not move it.
-    async fn go_on_at_source(&mut self, handle: Option<Box<str>>) -> Option<PumpEnd> {
-        let handle = handle?;
-        self.moved = Some(MemoryCopy {
-            holder: Rc::clone(&self.target),
-            named_at: self.target.address,
-            handle,
-        });
-        self.recover("stopped in vain").await
-    }
-
     /// Goes on from a copy, now that the target generates no more.
     async fn recover(&mut self, cause: &str) -> Option<PumpEnd> {
-        let copies = [self.moved.take(), self.backup_copy()];
-        for copy in copies.into_iter().flatten() {
-            if self.resume(copy, cause).await {
-                return None;
-            }
+        if let Some(copy) = self.backup_copy()
+            && self.resume(copy, cause).await
+        {
+            return None;
         }
         let record = stream::move_record(
             &self.call,
@@ -468,7 +426,6 @@
         self.state.metrics.record_move("resumed");
         self.target = copy.holder;
         self.backup = next_copy;
-        self.moved = None;
         self.pending = None;
         self.evacuation = None;
         self.parser = protocol::EventParser::default();
@@ -511,10 +468,6 @@
         (verdict == protocol::AnswerVerdict::Success).then_some(answer)
     }
 
-    fn has_copy(&self) -> bool {
-        self.moved.is_some() || self.backup.is_some()
-    }
-
     /// Returns the copy that the target keeps up to date; it is named by the caller's request.
     fn backup_copy(&self) -> Option<MemoryCopy> {
         let holder = self.backup.as_ref()?;
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -61,6 +61,7 @@
     waits: LatencyFamily<KindLabels>,
     first_events: LatencyFamily<KindLabels>,
     pauses: Histogram,
+    move_times: Histogram,
     lost_lines: Gauge,
     routes_version: Gauge,
     targets: Gauge,
@@ -90,6 +91,7 @@
             waits: Family::new_with_constructor(latency_histogram),
             first_events: Family::new_with_constructor(latency_histogram),
             pauses: latency_histogram(),
+            move_times: latency_histogram(),
             lost_lines: Gauge::default(),
             routes_version: Gauge::default(),
             targets: Gauge::default(),
@@ -113,6 +115,7 @@
         registry.register("wait_seconds", "Time from arrival to a place", self.waits.clone());
         registry.register("first_event_seconds", "Time to the first event", self.first_events.clone());
         registry.register("event_pause_seconds", "Pause between events", self.pauses.clone());
+        registry.register("move_seconds", "Time of a memory move", self.move_times.clone());
         registry.register("lost_log_lines", "Log lines without room", self.lost_lines.clone());
         registry.register("routes_version", "Version in force", self.routes_version.clone());
         registry.register("targets", "Targets that may be used", self.targets.clone());
@@ -170,6 +173,11 @@
             .observe(took.as_secs_f64());
     }
 
+    /// Takes the time for which the memory of a stream was on its way.
+    pub fn record_move_time(&self, took: Duration) {
+        self.move_times.observe(took.as_secs_f64());
+    }
+
     /// Takes the time between two events of a stream.
     pub fn record_pause(&self, pause: Duration) {
         self.pauses.observe(pause.as_secs_f64());
