--- a/crates/relay/src/directory/table.rs
+++ b/crates/relay/src/directory/table.rs
@@ -114,7 +114,10 @@
         if revision < self.revision {
             return Vec::new();
         }
-        let listed: BTreeSet<_> = records.iter().map(|record| record.key.name.clone()).collect();
+        let listed: BTreeSet<_> = records
+            .iter()
+            .map(|record| record.key.name.clone())
+            .collect();
         let missing: Vec<_> = self
             .entries
             .keys()
--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -95,11 +95,8 @@
 
     fn forecast(&self) -> u64 {
         match &self.demand.engine {
-            Some(engine) => {
-                forecast_tokens(&self.demand).max(
-                    self.demand.prompt_tokens + self.events * engine.event_tokens + GROWTH_TOKENS,
-                )
-            }
+            Some(engine) => forecast_tokens(&self.demand)
+                .max(self.demand.prompt_tokens + self.events * engine.event_tokens + GROWTH_TOKENS),
             None => 0,
         }
     }
@@ -135,7 +132,7 @@
 
 /// Memory to keep for a call that has not started.
 pub(super) fn forecast_tokens(demand: &CallDemand) -> u64 {
-    let output = (demand.output_tokens as f64 * crate::tune::tune("T_OUT", OUTPUT_SHARE)) as u64;
+    let output = (demand.output_tokens as f64 * OUTPUT_SHARE) as u64;
     match demand.engine {
         Some(_) => demand.prompt_tokens + output.max(GROWTH_TOKENS.min(demand.output_tokens)),
         None => 0,
--- a/crates/relay/src/dispatch/copies.rs
+++ b/crates/relay/src/dispatch/copies.rs
@@ -17,8 +17,7 @@
 /// Says whether a stream is worth a copy: a short one usually ends within the notice that an
 /// engine gives before it leaves.
 pub(super) fn is_worth_copy(demand: &super::CallDemand) -> bool {
-    demand.engine.as_ref().is_some_and(|engine| engine.can_copy)
-        && calls::is_long(demand)
+    demand.engine.as_ref().is_some_and(|engine| engine.can_copy) && calls::is_long(demand)
 }
 
 /// Chooses the target for a copy of a call that runs at `source`.
@@ -29,7 +28,7 @@
 ) -> Option<Rc<directory::TargetRecord>> {
     let engine = demand.engine.as_ref()?;
     let tokens = calls::forecast_tokens(demand);
-    let most = crate::tune::tune("T_COPY", COPY_MEMORY_SHARE);
+    let most = COPY_MEMORY_SHARE;
     emptiest(source, candidates, most, |candidate| {
         candidate.memory_share(engine, tokens)
     })
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -14,8 +14,8 @@
 mod queue;
 mod reducer;
 
-pub use budget::RetryBudget;
 pub use budget::RetryBounds;
+pub use budget::RetryBudget;
 pub use calls::CallDemand;
 pub use doubt::TargetDoubt;
 pub use effect::CallPlacement;
--- a/crates/relay/src/dispatch/place.rs
+++ b/crates/relay/src/dispatch/place.rs
@@ -4,8 +4,6 @@
 
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
-use rand::rngs::SmallRng;
-use rand::seq::SliceRandom;
 
 use super::CallDemand;
 use super::LoadCount;
@@ -23,12 +21,6 @@
 /// Prompt tokens that an engine processes a second beside running streams.
 const PREFILL_TOKENS_PER_S: f64 = 7_000.0;
 
-/// Processes that choose among all targets. Few of them seldom choose within one pulse.
-const FEW_PROCESSES: usize = 8;
-
-/// Targets among which one of many processes takes the best.
-pub(super) const SAMPLE_CHOICES: usize = 100;
-
 /// Time by which each prompt token delays the streams beside it.
 const CHUNK_TOKEN_S: f64 = 1.0 / 14_000.0;
 
@@ -74,13 +66,13 @@
         let places = self.load.calls + self.load.copies;
         match &demand.engine {
             Some(engine) => {
-                let memory = engine.memory.get() as f64 * crate::tune::tune("T_MEM", MEMORY_SHARE);
+                let memory = engine.memory.get() as f64 * MEMORY_SHARE;
                 let wanted = self.load.forecast + calls::forecast_tokens(demand);
                 let backlog = demand.target_latency.as_secs_f64() * PREFILL_TOKENS_PER_S;
                 let is_idle = self.load.backlog == 0;
                 places < self.record.slots
                     && wanted as f64 <= memory
-                    && (is_idle || self.load.backlog as f64 <= backlog * crate::tune::tune("T_BACK", BACKLOG_SHARE))
+                    && (is_idle || self.load.backlog as f64 <= backlog * BACKLOG_SHARE)
             }
             None => self.load.calls < self.record.slots.max(1) * PLAIN_DEPTH,
         }
@@ -113,16 +105,15 @@
         let imposed_s = prompt_s * f64::from(self.load.long_streams);
         let backlog_s = self.load.backlog as f64 / PREFILL_TOKENS_PER_S;
         let chunks_share = (self.load.prompt_rate as f64 / PREFILL_TOKENS_PER_S).min(1.0);
-        let step_s = STEP_S
-            + STREAM_STEP_S * f64::from(self.load.calls)
-            + CHUNK_STEP_S * chunks_share;
+        let step_s =
+            STEP_S + STREAM_STEP_S * f64::from(self.load.calls) + CHUNK_STEP_S * chunks_share;
         let own_s = demand.output_tokens as f64 * step_s;
         let crowding = self.memory_share(engine, calls::forecast_tokens(demand));
         let distance = match self.record.zone == *zone {
             true => 0.0,
             false => ZONE_COST_S,
         };
-        imposed_s * crate::tune::tune("T_IMP", 1.0) + backlog_s * crate::tune::tune("T_BLW", 1.0) + own_s * crate::tune::tune("T_OWN", 1.0) + crowding * crowding * crate::tune::tune("T_CROWD", CROWDING_COST_S) + distance
+        imposed_s + backlog_s + own_s + crowding * crowding * CROWDING_COST_S + distance
     }
 
     fn plain_cost_s(&self, now: time::Timestamp, zone: &ids::ZoneName) -> f64 {
@@ -137,22 +128,12 @@
     }
 }
 
-/// What a random choice of targets is made with.
-pub(super) struct SampleDraws<'a> {
-    /// Processes that choose at the same time.
-    pub(super) processes: usize,
-    /// Targets among which the best is taken.
-    pub(super) choices: usize,
-    pub(super) random: &'a mut SmallRng,
-}
-
 /// Chooses a target with room for a call.
 pub(super) fn choose(
     now: time::Timestamp,
     zone: &ids::ZoneName,
     demand: &CallDemand,
     candidates: &[CandidateTarget<'_>],
-    draws: &mut SampleDraws<'_>,
 ) -> Option<Rc<directory::TargetRecord>> {
     let with_room: Vec<_> = candidates
         .iter()
@@ -165,25 +146,10 @@
         .collect();
     let best = if sound.is_empty() { with_room } else { sound };
 
-    let sample = sample(best, draws);
-    sample
-        .iter()
+    best.iter()
         .min_by(|first, second| {
             let first = first.cost_s(now, zone, demand);
             first.total_cmp(&second.cost_s(now, zone, demand))
         })
         .map(|candidate| Rc::clone(candidate.record))
 }
-
-/// Takes a few targets at random where many processes choose, so that they do not all take the one
-/// that looked best to all of them.
-fn sample<'a, 'b>(
-    mut candidates: Vec<&'a CandidateTarget<'b>>,
-    draws: &mut SampleDraws<'_>,
-) -> Vec<&'a CandidateTarget<'b>> {
-    if draws.processes <= FEW_PROCESSES || candidates.len() <= draws.choices {
-        return candidates;
-    }
-    let (chosen, _) = candidates.partial_shuffle(draws.random, draws.choices);
-    chosen.to_vec()
-}
--- a/crates/relay/src/dispatch/queue.rs
+++ b/crates/relay/src/dispatch/queue.rs
@@ -66,7 +66,7 @@
 /// Returns for how long after its arrival a call may wait for a place.
 pub(super) fn patience(demand: &CallDemand) -> Duration {
     let share = match demand.engine {
-        Some(_) => crate::tune::tune("T_PAT", STREAM_PATIENCE),
+        Some(_) => STREAM_PATIENCE,
         None => PLAIN_PATIENCE,
     };
     demand
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -9,8 +9,6 @@
 use kingcupfall_core::time;
 use kingcupfall_core::work;
 use kingcupfall_policy::quarantine;
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 
 use super::AttemptResult;
 use super::CallDemand;
@@ -45,8 +43,6 @@
     pub zone: ids::ZoneName,
     /// Holds requests that crash targets.
     pub quarantine: Box<dyn quarantine::QuarantinePolicy>,
-    /// Seed of random choices.
-    pub seed: u64,
 }
 
 /// A target that may be used, or that still runs calls of this process.
@@ -65,21 +61,18 @@
     placed: BTreeMap<ids::CallId, calls::PlacedCall>,
     waiting: queue::WaitingCalls,
     peers: load::PeerLoads,
-    random: SmallRng,
     changed: BTreeSet<ids::TargetName>,
 }
 
 impl Dispatcher {
     /// Makes a dispatcher that knows no target.
     pub fn new(settings: DispatchSettings) -> Self {
-        let random = SmallRng::seed_from_u64(settings.seed);
         Self {
             settings,
             targets: BTreeMap::new(),
             placed: BTreeMap::new(),
             waiting: queue::WaitingCalls::default(),
             peers: load::PeerLoads::default(),
-            random,
             changed: BTreeSet::new(),
         }
     }
@@ -264,7 +257,7 @@
             return;
         };
         let wait = self.expected_wait(now, demand);
-        if wait <= queue::patience(demand).mul_f64(crate::tune::tune("T_CR", 1.0)) {
+        if wait <= queue::patience(demand) {
             return;
         }
         self.waiting.remove(call);
@@ -355,12 +348,7 @@
             .into_iter()
             .filter(|candidate| !demand.tried.contains(&candidate.record.key.name))
             .collect();
-        let mut draws = place::SampleDraws {
-            processes: self.peers.len() + 1,
-            choices: crate::tune::tune("T_D", place::SAMPLE_CHOICES as f64) as usize,
-            random: &mut self.random,
-        };
-        place::choose(now, &self.settings.zone, demand, &fresh, &mut draws)
+        place::choose(now, &self.settings.zone, demand, &fresh)
     }
 
     /// Chooses a target for a copy of a placed call, and counts it there.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,4 +9,3 @@
 pub mod protocol;
 pub mod shell;
 pub mod telemetry;
-pub mod tune;
--- a/crates/relay/src/shell/intake.rs
+++ b/crates/relay/src/shell/intake.rs
@@ -154,7 +154,14 @@
         let reason = dispatch::RefusalReason::NoTarget;
         return Err(refuse(state, &head, reason, ROUTES_RETRY_AFTER));
     };
-    let demand = demand(table, &route, service, organisation.as_deref(), &head, arrived);
+    let demand = demand(
+        table,
+        &route,
+        service,
+        organisation.as_deref(),
+        &head,
+        arrived,
+    );
     let fingerprint = fingerprint(organisation.as_deref(), &parts, &body);
     let (call, inbox) = state.open_call();
     state.count_request(service);
--- a/crates/relay/src/shell/peers.rs
+++ b/crates/relay/src/shell/peers.rs
@@ -366,7 +366,12 @@
         }
         PeerMessage::Routes(text) => match (state.decode_routes)(&text) {
             Some(table) => {
-                shell_directory::take_routes(state, Rc::new(table), text.into(), shell_directory::PEER_SOURCE);
+                shell_directory::take_routes(
+                    state,
+                    Rc::new(table),
+                    text.into(),
+                    shell_directory::PEER_SOURCE,
+                );
             }
             None => log::warn!("a peer sent routes that can't be read"),
         },
--- a/crates/relay/src/shell/plain.rs
+++ b/crates/relay/src/shell/plain.rs
@@ -201,9 +201,7 @@
         Err(client::SendError::Broken(_) | client::SendError::Incomplete(_)) => {
             AttemptOutcome::Unknown(dispatch::AttemptResult::Broken)
         }
-        Err(client::SendError::Silent) => {
-            AttemptOutcome::Unknown(dispatch::AttemptResult::Silent)
-        }
+        Err(client::SendError::Silent) => AttemptOutcome::Unknown(dispatch::AttemptResult::Silent),
     }
 }
 
@@ -240,9 +238,7 @@
         }
         AttemptOutcome::Answered(..) => (dispatch::AttemptResult::Failed, Some("failed")),
         AttemptOutcome::NotRun => (dispatch::AttemptResult::Shed, Some("shed")),
-        AttemptOutcome::Unreachable => {
-            (dispatch::AttemptResult::Unreachable, Some("unreachable"))
-        }
+        AttemptOutcome::Unreachable => (dispatch::AttemptResult::Unreachable, Some("unreachable")),
         AttemptOutcome::Unknown(result) => (*result, Some("unknown")),
     };
     state.submit(dispatch::DispatchEvent::Released {
@@ -284,8 +280,8 @@
     match outcome {
         AttemptOutcome::Answered(parts, body, verdict) => {
             counts.may_have_run += 1;
-            let is_failure = verdict == protocol::AnswerVerdict::Failure
-                && parts.status.is_server_error();
+            let is_failure =
+                verdict == protocol::AnswerVerdict::Failure && parts.status.is_server_error();
             if is_failure && is_idempotent && may_run_again(state, call, counts) {
                 return NextStep::Again;
             }
@@ -323,11 +319,7 @@
     }
 }
 
-fn may_run_again(
-    state: &RelayState,
-    call: &intake::AcceptedCall,
-    counts: &AttemptCounts,
-) -> bool {
+fn may_run_again(state: &RelayState, call: &intake::AcceptedCall, counts: &AttemptCounts) -> bool {
     counts.may_have_run < call.route.max_attempts
         && state.now() < call.demand.deadline
         && state.take_retry(&call.demand.service)
--- a/crates/relay/src/shell/pump.rs
+++ b/crates/relay/src/shell/pump.rs
@@ -254,10 +254,7 @@
         self.recover("ended early").await
     }
 
-    async fn take_notice(
-        &mut self,
-        notice: Option<dispatch::DispatchEffect>,
-    ) -> Option<PumpEnd> {
+    async fn take_notice(&mut self, notice: Option<dispatch::DispatchEffect>) -> Option<PumpEnd> {
         match notice {
             Some(dispatch::DispatchEffect::Evacuate { .. }) => self.evacuate().await,
             Some(dispatch::DispatchEffect::DropCopy { .. }) => {
@@ -493,10 +490,7 @@
         let now = self.state.now();
         let took = now.since(self.opened_at);
         let (result, label) = match end {
-            PumpEnd::Completed => (
-                dispatch::AttemptResult::Succeeded { took },
-                "completed",
-            ),
+            PumpEnd::Completed => (dispatch::AttemptResult::Succeeded { took }, "completed"),
             PumpEnd::CallerLeft => (dispatch::AttemptResult::Withdrawn, "caller_left"),
             PumpEnd::TimedOut => (dispatch::AttemptResult::Withdrawn, "timed_out"),
             PumpEnd::Broken => (dispatch::AttemptResult::Broken, "broken"),
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -228,8 +228,9 @@
         let now = self.now();
         let effects = self.dispatcher.borrow_mut().handle(now, event);
         self.tell_changes(now);
-        let (own, others): (Vec<_>, Vec<_>) =
-            effects.into_iter().partition(|effect| effect.call() == call);
+        let (own, others): (Vec<_>, Vec<_>) = effects
+            .into_iter()
+            .partition(|effect| effect.call() == call);
         for effect in others {
             self.deliver(effect);
         }
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -107,20 +107,68 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("calls", "Calls that ended", self.calls.clone());
-        registry.register("refusals", "Calls refused, by reason", self.refusals.clone());
-        registry.register("attempt_failures", "Attempts at targets that failed", self.failures.clone());
-        registry.register("stream_moves", "Streams brought to another target", self.moves.clone());
-        registry.register("store_calls", "Calls at the platform's directory", self.store_calls.clone());
-        registry.register("call_seconds", "Time from arrival to end", self.durations.clone());
-        registry.register("wait_seconds", "Time from arrival to a place", self.waits.clone());
-        registry.register("first_event_seconds", "Time to the first event", self.first_events.clone());
-        registry.register("event_pause_seconds", "Pause between events", self.pauses.clone());
-        registry.register("move_seconds", "Time of a memory move", self.move_times.clone());
-        registry.register("lost_log_lines", "Log lines without room", self.lost_lines.clone());
-        registry.register("routes_version", "Version in force", self.routes_version.clone());
+        registry.register(
+            "refusals",
+            "Calls refused, by reason",
+            self.refusals.clone(),
+        );
+        registry.register(
+            "attempt_failures",
+            "Attempts at targets that failed",
+            self.failures.clone(),
+        );
+        registry.register(
+            "stream_moves",
+            "Streams brought to another target",
+            self.moves.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls at the platform's directory",
+            self.store_calls.clone(),
+        );
+        registry.register(
+            "call_seconds",
+            "Time from arrival to end",
+            self.durations.clone(),
+        );
+        registry.register(
+            "wait_seconds",
+            "Time from arrival to a place",
+            self.waits.clone(),
+        );
+        registry.register(
+            "first_event_seconds",
+            "Time to the first event",
+            self.first_events.clone(),
+        );
+        registry.register(
+            "event_pause_seconds",
+            "Pause between events",
+            self.pauses.clone(),
+        );
+        registry.register(
+            "move_seconds",
+            "Time of a memory move",
+            self.move_times.clone(),
+        );
+        registry.register(
+            "lost_log_lines",
+            "Log lines without room",
+            self.lost_lines.clone(),
+        );
+        registry.register(
+            "routes_version",
+            "Version in force",
+            self.routes_version.clone(),
+        );
         registry.register("targets", "Targets that may be used", self.targets.clone());
         registry.register("peers", "Peers that are linked", self.peers.clone());
-        registry.register("waiting_calls", "Calls that wait for a place", self.waiting.clone());
+        registry.register(
+            "waiting_calls",
+            "Calls that wait for a place",
+            self.waiting.clone(),
+        );
         registry.register("placed_calls", "Calls at targets", self.placed.clone());
     }
 
@@ -132,7 +180,9 @@
         organisation: &str,
         took: Duration,
     ) {
-        self.calls.get_or_create(&CallLabels { kind, outcome }).inc();
+        self.calls
+            .get_or_create(&CallLabels { kind, outcome })
+            .inc();
         let organisation = self.organisation_label(organisation);
         self.durations
             .get_or_create(&OrganisationLabels { organisation })
@@ -156,7 +206,9 @@
 
     /// Counts a call at the platform's directory.
     pub fn record_store_call(&self, reason: &'static str) {
-        self.store_calls.get_or_create(&ReasonLabels { reason }).inc();
+        self.store_calls
+            .get_or_create(&ReasonLabels { reason })
+            .inc();
     }
 
     /// Takes the time that a call waited for a place.
