--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,4 +7,3 @@
 pub mod reducer;
 pub mod shell;
 pub mod state;
-pub mod upgrade;
--- a/crates/agent/src/shell/mod.rs
+++ b/crates/agent/src/shell/mod.rs
@@ -27,7 +27,6 @@
 pub use driver::TargetDriver;
 pub use fleet::DocumentWatch;
 pub use http::HttpDriver;
-pub(crate) use http::make_client;
 pub use metrics::MetricSource;
 pub use scheduler::standard_scheduler;
 pub use turn::AgentHandle;
--- a/crates/relay/src/shell/intake.rs
+++ b/crates/relay/src/shell/intake.rs
@@ -1,6 +1,7 @@
 //! Reads callers' requests and decides what they are.
 
 use std::rc::Rc;
+use std::result;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -123,6 +124,9 @@
     }
 }
 
+/// Result of a step of reading a request: an answer ends it.
+type Result<T> = result::Result<T, Box<answers::CallAnswer>>;
+
 /// Reads a request up to its end, and finds its route and its organisation.
 ///
 /// # Errors
@@ -131,7 +135,7 @@
 pub(super) async fn accept(
     state: &Rc<RelayState>,
     request: Request<body::Incoming>,
-) -> Result<Box<AcceptedCall>, answers::CallAnswer> {
+) -> Result<Box<AcceptedCall>> {
     let arrived = state.now();
     let (parts, body) = request.into_parts();
     let head = state.protocol.read_call(&parts.headers);
@@ -203,7 +207,7 @@
     limits: Option<directory::CallerLimits>,
     head: &protocol::CallHead,
     arrived: time::Timestamp,
-) -> Result<(Bytes, state::BodyReservation), answers::CallAnswer> {
+) -> Result<(Bytes, state::BodyReservation)> {
     let limit = limits.map_or(u64::MAX, |limits| limits.body.get());
     let announced = body::Body::size_hint(&body).lower();
     if announced > limit {
@@ -238,7 +242,7 @@
     table: &directory::RouteTable,
     parts: &request::Parts,
     head: &protocol::CallHead,
-) -> Result<Rc<directory::RouteRule>, answers::CallAnswer> {
+) -> Result<Rc<directory::RouteRule>> {
     let host = parts
         .headers
         .get(header::HOST)
@@ -256,7 +260,7 @@
     table: &directory::RouteTable,
     route: &directory::RouteRule,
     head: &protocol::CallHead,
-) -> Result<Option<Rc<directory::OrganisationRule>>, answers::CallAnswer> {
+) -> Result<Option<Rc<directory::OrganisationRule>>> {
     let organisation = head
         .key
         .as_deref()
@@ -270,7 +274,8 @@
             .version(table.version().get())
             .status(StatusCode::UNAUTHORIZED.as_u16());
         state.record(&record);
-        return Err(answers::text(StatusCode::UNAUTHORIZED, "unknown key"));
+        let answer = answers::text(StatusCode::UNAUTHORIZED, "unknown key");
+        return Err(Box::new(answer));
     }
     Ok(organisation)
 }
@@ -346,7 +351,7 @@
     head: &protocol::CallHead,
     reason: dispatch::RefusalReason,
     retry_after: Duration,
-) -> answers::CallAnswer {
+) -> Box<answers::CallAnswer> {
     state.metrics.record_refusal(reason.label());
     let record = telemetry::DecisionRecord::new(telemetry::RecordKind::Refused)
         .request(&head.request)
@@ -354,10 +359,10 @@
         .version(state.routes_version().get())
         .retry_after(retry_after);
     state.record(&record);
-    answers::refusal(&dispatch::CallRefusal {
+    Box::new(answers::refusal(&dispatch::CallRefusal {
         reason,
         retry_after,
-    })
+    }))
 }
 
 /// Rejects an improper request; its connection is closed unless it was read whole.
@@ -366,7 +371,7 @@
     head: &protocol::CallHead,
     parts: &request::Parts,
     status: StatusCode,
-) -> answers::CallAnswer {
+) -> Box<answers::CallAnswer> {
     let reason = status.canonical_reason().unwrap_or_default();
     let record = telemetry::DecisionRecord::new(telemetry::RecordKind::Rejected)
         .request(&head.request)
@@ -378,5 +383,5 @@
     if status != StatusCode::NOT_FOUND {
         answers::close_after(&mut answer);
     }
-    answer
+    Box::new(answer)
 }
--- a/crates/relay/src/shell/server.rs
+++ b/crates/relay/src/shell/server.rs
@@ -107,20 +107,15 @@
 
     let mut connection = std::pin::pin!(connection);
     let mut phase = state.phase.subscribe();
-    loop {
-        tokio::select! {
-            // An error is the caller's: it left, or sent what is no request.
-            _ = connection.as_mut() => return,
-            changed = phase.wait_for(|phase| *phase == StopPhase::Closing) => {
-                if changed.is_err() {
-                    return;
-                }
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.as_mut().await;
-                return;
-            }
-        }
+    let is_closing = phase.wait_for(|phase| *phase == StopPhase::Closing);
+    tokio::select! {
+        // An error is the caller's: it left, or sent what is no request.
+        _ = connection.as_mut() => return,
+        // The sender is part of the state, which this task holds.
+        _ = is_closing => {}
     }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.as_mut().await;
 }
 
 /// Counts a connection while it is open.
@@ -150,7 +145,7 @@
                 plain::serve(&state, call).await
             }
         },
-        Err(answer) => answer,
+        Err(answer) => *answer,
     };
     if state.is_stopping() {
         answers::close_after(&mut answer);
