--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -50,11 +50,18 @@
         /// The document.
         document: path::PathBuf,
     },
+    /// Show one request's records out of log files of relays.
+    Trace {
+        /// The caller's id of its request.
+        request: Box<str>,
+        /// The log files.
+        files: Vec<path::PathBuf>,
+    },
 }
 
 /// Returns the parser of the command line.
 pub fn parse() -> bpaf::OptionParser<CtlCommand> {
-    bpaf::construct!([status(), explain(), dry_run(), check()])
+    bpaf::construct!([status(), explain(), dry_run(), check(), trace()])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Asks gateways what they know and why, and checks documents; changes nothing")
@@ -98,6 +105,19 @@
         .command("check")
 }
 
+fn trace() -> impl Parser<CtlCommand> {
+    let request = bpaf::positional::<String>("ID")
+        .help("The caller's id of its request")
+        .map(String::into_boxed_str);
+    let files = bpaf::positional::<path::PathBuf>("FILE")
+        .help("Log file of a relay")
+        .some("name at least one log file");
+    bpaf::construct!(CtlCommand::Trace { request, files })
+        .to_options()
+        .descr("Shows what happened to a request, and to the targets that it used")
+        .command("trace")
+}
+
 fn gateway_options() -> impl Parser<GatewayOptions> {
     let gateway = bpaf::long("gateway")
         .help("IP number and port of a gateway's administration API")
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod run;
 pub mod show;
 mod table;
+pub mod trace;
--- a/crates/ctl/src/run/mod.rs
+++ b/crates/ctl/src/run/mod.rs
@@ -14,6 +14,7 @@
 use crate::client;
 use crate::command;
 use crate::show;
+use crate::trace;
 
 /// Exit status for input with findings.
 pub const FINDINGS_STATUS: u8 = 2;
@@ -61,6 +62,7 @@
             run_dry_run(&options, section, &file).await
         }
         command::CtlCommand::Check { json, document } => run_check(json, &document),
+        command::CtlCommand::Trace { request, files } => run_trace(&request, &files),
     }
 }
 
@@ -115,6 +117,19 @@
     Ok(output(json, &checked.findings, shown, status))
 }
 
+fn run_trace(request: &str, files: &[path::PathBuf]) -> Result<CommandOutput> {
+    let texts = files
+        .iter()
+        .map(|file| read_file(file))
+        .collect::<Result<Vec<_>>>()?;
+    let text = trace::trace(request, &texts);
+    let status = match text.is_empty() {
+        true => FINDINGS_STATUS,
+        false => 0,
+    };
+    Ok(CommandOutput { text, status })
+}
+
 fn read_file(file: &path::Path) -> Result<String> {
     fs::read_to_string(file).map_err(|error| RunError::File(file.into(), error))
 }
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod place;
 mod queue;
 mod reducer;
+mod targets;
 
 pub use budget::RetryBounds;
 pub use budget::RetryBudget;
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -19,12 +19,12 @@
 use super::LoadCount;
 use super::PeerLoad;
 use super::RefusalReason;
-use super::TargetDoubt;
 use super::calls;
 use super::copies;
 use super::load;
 use super::place;
 use super::queue;
+use super::targets;
 use crate::directory;
 
 /// Shortest time after which a caller is told to come back.
@@ -45,20 +45,11 @@
     pub quarantine: Box<dyn quarantine::QuarantinePolicy>,
 }
 
-/// A target that may be used, or that still runs calls of this process.
-#[derive(Debug)]
-struct TargetEntry {
-    record: Rc<directory::TargetRecord>,
-    is_leaving: bool,
-    doubt: TargetDoubt,
-    prompts: load::PromptRate,
-}
-
 /// Decides for all calls of one process.
 pub struct Dispatcher {
     settings: DispatchSettings,
-    targets: BTreeMap<ids::TargetName, TargetEntry>,
-    placed: BTreeMap<ids::CallId, calls::PlacedCall>,
+    pub(super) targets: BTreeMap<ids::TargetName, targets::TargetEntry>,
+    pub(super) placed: BTreeMap<ids::CallId, calls::PlacedCall>,
     waiting: queue::WaitingCalls,
     peers: load::PeerLoads,
     changed: BTreeSet<ids::TargetName>,
@@ -343,7 +334,8 @@
         demand: &CallDemand,
     ) -> Option<Rc<directory::TargetRecord>> {
         let loads = self.own_loads(now);
-        let candidates = candidates(&self.targets, &self.peers, &loads, now, &demand.service);
+        let candidates =
+            targets::candidates(&self.targets, &self.peers, &loads, now, &demand.service);
         let fresh: Vec<_> = candidates
             .into_iter()
             .filter(|candidate| !demand.tried.contains(&candidate.record.key.name))
@@ -363,7 +355,7 @@
             return None;
         }
         let service = &placed.demand.service;
-        let candidates = candidates(&self.targets, &self.peers, &loads, now, service);
+        let candidates = targets::candidates(&self.targets, &self.peers, &loads, now, service);
         placed.copy = copies::choose_copy(&placed.demand, &placed.target, &candidates);
         if let Some(copy) = &placed.copy {
             self.changed.insert(copy.key.name.clone());
@@ -380,7 +372,7 @@
         let loads = self.own_loads(now);
         let placed = self.placed.get_mut(&call)?;
         let service = &placed.demand.service;
-        let mut candidates = candidates(&self.targets, &self.peers, &loads, now, service);
+        let mut candidates = targets::candidates(&self.targets, &self.peers, &loads, now, service);
         candidates.retain(|candidate| !tried.contains(&candidate.record.key.name));
         let tokens = placed.used();
         placed.copy = copies::choose_shelter(&placed.demand, tokens, &placed.target, &candidates);
@@ -420,67 +412,6 @@
         }
     }
 
-    fn change_target(
-        &mut self,
-        change: directory::TargetChange,
-        effects: &mut Vec<DispatchEffect>,
-    ) {
-        match change {
-            directory::TargetChange::Usable(record) => {
-                let name = record.key.name.clone();
-                match self.targets.get_mut(&name) {
-                    Some(entry) if entry.record.key == record.key => {
-                        entry.record = record;
-                        entry.is_leaving = false;
-                    }
-                    Some(_) | None => {
-                        let entry = TargetEntry {
-                            record,
-                            is_leaving: false,
-                            doubt: TargetDoubt::default(),
-                            prompts: load::PromptRate::default(),
-                        };
-                        self.targets.insert(name, entry);
-                    }
-                }
-            }
-            directory::TargetChange::Leaving(key) => {
-                if let Some(entry) = self.targets.get_mut(&key.name)
-                    && entry.record.key == key
-                {
-                    entry.is_leaving = true;
-                }
-                self.leave(&key, effects);
-            }
-            directory::TargetChange::Gone(key) => {
-                if self
-                    .targets
-                    .get(&key.name)
-                    .is_some_and(|entry| entry.record.key == key)
-                {
-                    self.targets.remove(&key.name);
-                }
-                self.leave(&key, effects);
-            }
-        }
-    }
-
-    /// Tells the streams that run or have their copy at a target that it leaves.
-    fn leave(&mut self, key: &directory::TargetKey, effects: &mut Vec<DispatchEffect>) {
-        for (call, placed) in &mut self.placed {
-            if placed.demand.engine.is_none() {
-                continue;
-            }
-            if placed.copy.as_ref().is_some_and(|copy| copy.key == *key) {
-                placed.copy = None;
-                effects.push(DispatchEffect::DropCopy { call: *call });
-            }
-            if placed.target.key == *key {
-                effects.push(DispatchEffect::Evacuate { call: *call });
-            }
-        }
-    }
-
     fn own_loads(&self, now: time::Timestamp) -> BTreeMap<ids::TargetName, LoadCount> {
         let mut loads: BTreeMap<ids::TargetName, LoadCount> = BTreeMap::new();
         for placed in self.placed.values() {
@@ -498,28 +429,3 @@
         loads
     }
 }
-
-/// Returns the targets of a service that take work, with the load of all processes.
-fn candidates<'a>(
-    targets: &'a BTreeMap<ids::TargetName, TargetEntry>,
-    peers: &load::PeerLoads,
-    own: &BTreeMap<ids::TargetName, LoadCount>,
-    now: time::Timestamp,
-    service: &ids::ServiceName,
-) -> Vec<place::CandidateTarget<'a>> {
-    targets
-        .iter()
-        .filter(|(_, entry)| {
-            entry.record.service == *service && !entry.is_leaving && !entry.doubt.is_paused(now)
-        })
-        .map(|(name, entry)| {
-            let mut load = peers.sum(name);
-            load += own.get(name).copied().unwrap_or_default();
-            place::CandidateTarget {
-                record: &entry.record,
-                load,
-                doubt: &entry.doubt,
-            }
-        })
-        .collect()
-}
--- /dev/null
+++ b/crates/relay/src/dispatch/targets.rs
@@ -0,0 +1,112 @@
+//! Targets that may be used, and what their leaving means for the calls there.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use kingcupfall_core::ids;
+use kingcupfall_core::time;
+
+use super::DispatchEffect;
+use super::Dispatcher;
+use super::LoadCount;
+use super::TargetDoubt;
+use super::load;
+use super::place;
+use crate::directory;
+
+/// A target that may be used, or that still runs calls of this process.
+#[derive(Debug)]
+pub(super) struct TargetEntry {
+    pub(super) record: Rc<directory::TargetRecord>,
+    pub(super) is_leaving: bool,
+    pub(super) doubt: TargetDoubt,
+    pub(super) prompts: load::PromptRate,
+}
+
+impl Dispatcher {
+    pub(super) fn change_target(
+        &mut self,
+        change: directory::TargetChange,
+        effects: &mut Vec<DispatchEffect>,
+    ) {
+        match change {
+            directory::TargetChange::Usable(record) => {
+                let name = record.key.name.clone();
+                match self.targets.get_mut(&name) {
+                    Some(entry) if entry.record.key == record.key => {
+                        entry.record = record;
+                        entry.is_leaving = false;
+                    }
+                    Some(_) | None => {
+                        let entry = TargetEntry {
+                            record,
+                            is_leaving: false,
+                            doubt: TargetDoubt::default(),
+                            prompts: load::PromptRate::default(),
+                        };
+                        self.targets.insert(name, entry);
+                    }
+                }
+            }
+            directory::TargetChange::Leaving(key) => {
+                if let Some(entry) = self.targets.get_mut(&key.name)
+                    && entry.record.key == key
+                {
+                    entry.is_leaving = true;
+                }
+                self.leave(&key, effects);
+            }
+            directory::TargetChange::Gone(key) => {
+                if self
+                    .targets
+                    .get(&key.name)
+                    .is_some_and(|entry| entry.record.key == key)
+                {
+                    self.targets.remove(&key.name);
+                }
+                self.leave(&key, effects);
+            }
+        }
+    }
+
+    /// Tells the streams that run or have their copy at a target that it leaves.
+    fn leave(&mut self, key: &directory::TargetKey, effects: &mut Vec<DispatchEffect>) {
+        for (call, placed) in &mut self.placed {
+            if placed.demand.engine.is_none() {
+                continue;
+            }
+            if placed.copy.as_ref().is_some_and(|copy| copy.key == *key) {
+                placed.copy = None;
+                effects.push(DispatchEffect::DropCopy { call: *call });
+            }
+            if placed.target.key == *key {
+                effects.push(DispatchEffect::Evacuate { call: *call });
+            }
+        }
+    }
+}
+
+/// Returns the targets of a service that take work, with the load of all processes.
+pub(super) fn candidates<'a>(
+    targets: &'a BTreeMap<ids::TargetName, TargetEntry>,
+    peers: &load::PeerLoads,
+    own: &BTreeMap<ids::TargetName, LoadCount>,
+    now: time::Timestamp,
+    service: &ids::ServiceName,
+) -> Vec<place::CandidateTarget<'a>> {
+    targets
+        .iter()
+        .filter(|(_, entry)| {
+            entry.record.service == *service && !entry.is_leaving && !entry.doubt.is_paused(now)
+        })
+        .map(|(name, entry)| {
+            let mut load = peers.sum(name);
+            load += own.get(name).copied().unwrap_or_default();
+            place::CandidateTarget {
+                record: &entry.record,
+                load,
+                doubt: &entry.doubt,
+            }
+        })
+        .collect()
+}
--- a/crates/relay/src/shell/peers.rs
+++ b/crates/relay/src/shell/peers.rs
@@ -15,10 +15,7 @@
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
 use kingcupfall_link::codec;
-use kingcupfall_policy::quarantine;
 use rand::Rng;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task;
@@ -27,6 +24,7 @@
 
 use super::client;
 use super::directory as shell_directory;
+use super::messages;
 use super::state::RelayState;
 use crate::directory;
 use crate::dispatch;
@@ -63,75 +61,6 @@
 /// Pulses after which an address that nobody answers at is forgotten, unless it is a seed.
 const FORGET_FAILURES: u32 = 20;
 
-/// What a process tells its peers.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub enum PeerMessage {
-    /// Regular state.
-    #[serde(rename = "p")]
-    Pulse(Box<PeerPulse>),
-    /// What a process has at some targets.
-    #[serde(rename = "l")]
-    Loads {
-        /// Its VM.
-        #[serde(rename = "v")]
-        vm: ids::VmName,
-        /// Its load there.
-        #[serde(rename = "l")]
-        loads: Vec<dispatch::PeerLoad>,
-    },
-    /// Targets that leave.
-    #[serde(rename = "g")]
-    Departures(Vec<(directory::TargetKey, directory::TargetDeparture)>),
-    /// Routes, as they were published.
-    #[serde(rename = "r")]
-    Routes(#[serde(with = "serde_with::As::<serde_with::Bytes>")] Vec<u8>),
-    /// All targets.
-    #[serde(rename = "t")]
-    Targets {
-        /// State of the directory that showed them.
-        #[serde(rename = "r")]
-        revision: directory::DirectoryRevision,
-        /// The targets.
-        #[serde(rename = "t")]
-        targets: Vec<directory::TargetRecord>,
-    },
-}
-
-/// Regular state of a process.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct PeerPulse {
-    /// Its VM.
-    #[serde(rename = "v")]
-    pub vm: ids::VmName,
-    /// Where it takes links.
-    #[serde(rename = "a")]
-    pub address: net::SocketAddr,
-    /// Start of its life.
-    #[serde(rename = "s")]
-    pub started_ms: u64,
-    /// Addresses of processes that it is linked to.
-    #[serde(rename = "m")]
-    pub members: Vec<net::SocketAddr>,
-    /// Version of its routes.
-    #[serde(rename = "c")]
-    pub routes: directory::TableVersion,
-    /// State of the directory that it knows.
-    #[serde(rename = "d")]
-    pub directory: directory::DirectoryRevision,
-    /// What it has at each target.
-    #[serde(rename = "l")]
-    pub loads: Vec<dispatch::PeerLoad>,
-    /// Targets that it knows to leave, newest first.
-    #[serde(rename = "g")]
-    pub departures: Vec<(directory::TargetKey, directory::TargetDeparture)>,
-    /// Requests that crash targets.
-    #[serde(rename = "q")]
-    pub suspects: Vec<quarantine::SuspectRecord>,
-    /// Whether it stops.
-    #[serde(rename = "x")]
-    pub is_stopping: bool,
-}
-
 /// Addresses at which peers may be.
 #[derive(Debug, Default)]
 struct AddressBook {
@@ -348,7 +277,7 @@
 }
 
 fn take(state: &RelayState, book: &SharedBook, progress: &mut LinkProgress, bytes: &[u8]) {
-    let message = match codec::decode::<PeerMessage>(bytes) {
+    let message = match codec::decode::<messages::PeerMessage>(bytes) {
         Ok(message) => message,
         Err(error) => {
             log::warn!("a peer sent what is no message: {error}");
@@ -356,15 +285,15 @@
         }
     };
     match message {
-        PeerMessage::Pulse(pulse) => take_pulse(state, book, progress, *pulse),
-        PeerMessage::Loads { vm, loads } => {
+        messages::PeerMessage::Pulse(pulse) => take_pulse(state, book, progress, *pulse),
+        messages::PeerMessage::Loads { vm, loads } => {
             state.submit(dispatch::DispatchEvent::PeerChanged { peer: vm, loads });
         }
-        PeerMessage::Departures(departures) => {
+        messages::PeerMessage::Departures(departures) => {
             let changes = state.targets.borrow_mut().depart(&departures);
             shell_directory::apply(state, changes, shell_directory::PEER_SOURCE);
         }
-        PeerMessage::Routes(text) => match (state.decode_routes)(&text) {
+        messages::PeerMessage::Routes(text) => match (state.decode_routes)(&text) {
             Some(table) => {
                 shell_directory::take_routes(
                     state,
@@ -375,7 +304,7 @@
             }
             None => log::warn!("a peer sent routes that can't be read"),
         },
-        PeerMessage::Targets { revision, targets } => {
+        messages::PeerMessage::Targets { revision, targets } => {
             let changes = state
                 .targets
                 .borrow_mut()
@@ -389,7 +318,7 @@
     state: &RelayState,
     book: &SharedBook,
     progress: &mut LinkProgress,
-    pulse: PeerPulse,
+    pulse: messages::PeerPulse,
 ) {
     if progress.vm.is_none() {
         meet(state, book, progress, &pulse);
@@ -419,7 +348,12 @@
     });
 }
 
-fn meet(state: &RelayState, book: &SharedBook, progress: &mut LinkProgress, pulse: &PeerPulse) {
+fn meet(
+    state: &RelayState,
+    book: &SharedBook,
+    progress: &mut LinkProgress,
+    pulse: &messages::PeerPulse,
+) {
     progress.vm = Some(pulse.vm.clone());
     progress.address = Some(pulse.address);
     let mut book = book.borrow_mut();
@@ -453,7 +387,7 @@
     book: &SharedBook,
     progress: &mut LinkProgress,
 ) -> Vec<Vec<u8>> {
-    let mut messages = vec![PeerMessage::Pulse(Box::new(pulse(state, book)))];
+    let mut messages = vec![messages::PeerMessage::Pulse(Box::new(pulse(state, book)))];
     let now = state.now();
     let is_due = |since: Option<time::Timestamp>| {
         since.is_some_and(|since| now.since(since) >= CATCH_UP_AFTER)
@@ -463,12 +397,12 @@
         && routes.table.version() > progress.routes_given
     {
         progress.routes_given = routes.table.version();
-        messages.push(PeerMessage::Routes(routes.text.to_vec()));
+        messages.push(messages::PeerMessage::Routes(routes.text.to_vec()));
     }
     let targets = state.targets.borrow();
     if is_due(progress.targets_behind) && targets.revision() > progress.targets_given {
         progress.targets_given = targets.revision();
-        messages.push(PeerMessage::Targets {
+        messages.push(messages::PeerMessage::Targets {
             revision: targets.revision(),
             targets: targets.records().map(|record| (**record).clone()).collect(),
         });
@@ -486,7 +420,7 @@
         .collect()
 }
 
-fn pulse(state: &RelayState, book: &SharedBook) -> PeerPulse {
+fn pulse(state: &RelayState, book: &SharedBook) -> messages::PeerPulse {
     let settings = state.settings.borrow();
     let targets = state.targets.borrow();
     let departures = targets
@@ -496,7 +430,7 @@
         .collect();
     let (loads, suspects) =
         state.dispatcher(|dispatcher, now| (dispatcher.loads(now), dispatcher.suspects(now)));
-    PeerPulse {
+    messages::PeerPulse {
         vm: settings.vm.clone(),
         address: settings.peers,
         started_ms: state.started_ms,
--- a/crates/relay/src/shell/plain.rs
+++ b/crates/relay/src/shell/plain.rs
@@ -21,11 +21,11 @@
 use crate::telemetry;
 
 /// Most targets that are asked when each says that it did not run the request.
-const MOST_SHEDS: u32 = 3;
+pub(super) const MOST_SHEDS: u32 = 3;
 
 /// Most targets that are tried when none can be reached. Nothing was sent, so that no bound of
 /// the route applies.
-const MOST_UNREACHABLE: u32 = 4;
+pub(super) const MOST_UNREACHABLE: u32 = 4;
 
 /// Share of the time left that an attempt may take when another one may follow.
 const FIRST_ATTEMPT_SHARE: f64 = 0.45;
@@ -53,6 +53,7 @@
 /// What follows an attempt.
 enum NextStep {
     Again,
+    Refuse(dispatch::RefusalReason),
     Answer(answers::CallAnswer, &'static str),
 }
 
@@ -70,7 +71,7 @@
             }
             Err(_) => {
                 call.guard.settle("unknown");
-                return answers::text(StatusCode::BAD_GATEWAY, "no answer of a target");
+                return unknown(state, &call.demand);
             }
         };
         let started = state.now();
@@ -79,6 +80,10 @@
         call.demand.tried.push(target.key.name.clone());
         match next_step(state, &mut call, &mut counts, outcome) {
             NextStep::Again => {}
+            NextStep::Refuse(reason) => {
+                let refusal = untried(&call.demand, reason);
+                return refuse(state, &mut call, &refusal);
+            }
             NextStep::Answer(answer, label) => {
                 call.guard.settle(label);
                 return answer;
@@ -296,25 +301,21 @@
             if counts.sheds < MOST_SHEDS && state.take_retry(&call.demand.service) {
                 return NextStep::Again;
             }
-            give_up(counts, call, dispatch::RefusalReason::Shed)
+            give_up(counts, dispatch::RefusalReason::Shed)
         }
         AttemptOutcome::Unreachable => {
             counts.unreachable += 1;
             if counts.unreachable < MOST_UNREACHABLE {
                 return NextStep::Again;
             }
-            give_up(counts, call, dispatch::RefusalReason::NoTarget)
+            give_up(counts, dispatch::RefusalReason::NoTarget)
         }
         AttemptOutcome::Unknown(_) => {
             counts.may_have_run += 1;
             if is_idempotent && may_run_again(state, call, counts) {
                 return NextStep::Again;
             }
-            let status = match state.now() >= call.demand.deadline {
-                true => StatusCode::GATEWAY_TIMEOUT,
-                false => StatusCode::BAD_GATEWAY,
-            };
-            NextStep::Answer(answers::text(status, "no answer of the target"), "unknown")
+            NextStep::Answer(unknown(state, &call.demand), "unknown")
         }
     }
 }
@@ -326,20 +327,34 @@
 }
 
 /// Ends a call without an answer: refused if no target may have run it.
-fn give_up(
-    counts: &AttemptCounts,
-    call: &intake::AcceptedCall,
-    reason: dispatch::RefusalReason,
-) -> NextStep {
-    if counts.may_have_run > 0 {
-        let answer = answers::text(StatusCode::BAD_GATEWAY, "no answer of a target");
-        return NextStep::Answer(answer, "unknown");
+fn give_up(counts: &AttemptCounts, reason: dispatch::RefusalReason) -> NextStep {
+    match counts.may_have_run {
+        0 => NextStep::Refuse(reason),
+        _ => {
+            let answer = answers::text(StatusCode::BAD_GATEWAY, "no answer of the target");
+            NextStep::Answer(answer, "unknown")
+        }
     }
-    let refusal = dispatch::CallRefusal {
-        reason,
-        retry_after: call.demand.target_latency / 2,
+}
+
+/// Returns the answer to a call that a target may have run.
+pub(super) fn unknown(state: &RelayState, demand: &dispatch::CallDemand) -> answers::CallAnswer {
+    let status = match state.now() >= demand.deadline {
+        true => StatusCode::GATEWAY_TIMEOUT,
+        false => StatusCode::BAD_GATEWAY,
     };
-    NextStep::Answer(answers::refusal(&refusal), "refused")
+    answers::text(status, "no answer of the target")
+}
+
+/// Returns the refusal of a call that no target took.
+pub(super) fn untried(
+    demand: &dispatch::CallDemand,
+    reason: dispatch::RefusalReason,
+) -> dispatch::CallRefusal {
+    dispatch::CallRefusal {
+        reason,
+        retry_after: demand.target_latency / 2,
+    }
 }
 
 /// Returns a target's whole answer to the caller.
--- a/crates/relay/src/shell/pump.rs
+++ b/crates/relay/src/shell/pump.rs
@@ -7,12 +7,12 @@
 
 use http_body_util::BodyExt;
 use hyper::body;
-use kingcupfall_core::ids;
 use kingcupfall_core::time;
 use tokio::sync::mpsc;
 
 use super::answers;
 use super::client;
+use super::evacuation;
 use super::intake;
 use super::moves;
 use super::plain;
@@ -30,35 +30,22 @@
 /// Longest time in which a target must begin to go on with a stream.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Targets that are asked to shelter a stream before the first of them is asked again.
-const MOST_SHELTERS: usize = 4;
-
-/// Time until a stream without a shelter looks for one again; streams end and give room.
-const SHELTER_RETRY: Duration = Duration::from_millis(120);
-
 /// Urgency of a stream that goes on at another target.
 const RESUMED_URGENCY: u8 = 0;
 
-type PendingMove = Pin<Box<dyn Future<Output = moves::MoveReport>>>;
-
-/// Why a stream's target is being left.
-#[derive(Debug)]
-struct StreamEvacuation {
-    tried: Vec<ids::TargetName>,
-    retry_at: time::Timestamp,
-}
+pub(super) type PendingMove = Pin<Box<dyn Future<Output = moves::MoveReport>>>;
 
 /// A copy of the stream's memory at another target.
 #[derive(Debug, Clone)]
-struct MemoryCopy {
-    holder: Rc<directory::TargetRecord>,
-    named_at: std::net::SocketAddr,
-    handle: Box<str>,
+pub(super) struct MemoryCopy {
+    pub(super) holder: Rc<directory::TargetRecord>,
+    pub(super) named_at: std::net::SocketAddr,
+    pub(super) handle: Box<str>,
 }
 
 /// How a stream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum PumpEnd {
+pub(super) enum PumpEnd {
     Completed,
     CallerLeft,
     TimedOut,
@@ -78,21 +65,21 @@
 
 /// One stream on its way.
 pub(super) struct StreamPump {
-    state: Rc<RelayState>,
-    call: Box<intake::AcceptedCall>,
-    target: Rc<directory::TargetRecord>,
-    backup: Option<Rc<directory::TargetRecord>>,
-    upstream: client::OpenAnswer,
-    sender: mpsc::Sender<answers::StreamPart>,
-    parser: protocol::EventParser,
-    last_event: Option<u64>,
-    events: u64,
-    heard_at: time::Timestamp,
-    first_event: Option<Duration>,
-    longest_pause: Duration,
-    opened_at: time::Timestamp,
-    evacuation: Option<StreamEvacuation>,
-    pending: Option<PendingMove>,
+    pub(super) state: Rc<RelayState>,
+    pub(super) call: Box<intake::AcceptedCall>,
+    pub(super) target: Rc<directory::TargetRecord>,
+    pub(super) backup: Option<Rc<directory::TargetRecord>>,
+    pub(super) upstream: client::OpenAnswer,
+    pub(super) sender: mpsc::Sender<answers::StreamPart>,
+    pub(super) parser: protocol::EventParser,
+    pub(super) last_event: Option<u64>,
+    pub(super) events: u64,
+    pub(super) heard_at: time::Timestamp,
+    pub(super) first_event: Option<Duration>,
+    pub(super) longest_pause: Duration,
+    pub(super) opened_at: time::Timestamp,
+    pub(super) evacuation: Option<evacuation::StreamEvacuation>,
+    pub(super) pending: Option<PendingMove>,
 }
 
 impl StreamPump {
@@ -270,100 +257,6 @@
         }
     }
 
-    /// Begins to bring the stream away from a target that leaves.
-    async fn evacuate(&mut self) -> Option<PumpEnd> {
-        if self.evacuation.is_some() {
-            return None;
-        }
-        self.evacuation = Some(StreamEvacuation {
-            tried: Vec::new(),
-            retry_at: self.state.now(),
-        });
-        if let Some(copy) = self.backup_copy()
-            && self.events > 0
-            && self.resume(copy, "left in time").await
-        {
-            return None;
-        }
-        self.seek_shelter();
-        None
-    }
-
-    /// Begins to move the stream's memory to a target with room.
-    fn seek_shelter(&mut self) {
-        let can_move = self
-            .call
-            .demand
-            .engine
-            .as_ref()
-            .is_some_and(|engine| engine.can_move);
-        let now = self.state.now();
-        let Some(evacuation) = &mut self.evacuation else {
-            return;
-        };
-        evacuation.retry_at = now + SHELTER_RETRY;
-        // What waits or is being read can't be moved; it is once it has begun.
-        if !can_move || self.events == 0 {
-            return;
-        }
-        if evacuation.tried.len() >= MOST_SHELTERS {
-            evacuation.tried.clear();
-        }
-        let wish = dispatch::DispatchEvent::ShelterWanted {
-            call: self.call.call,
-            tried: evacuation.tried.clone(),
-        };
-        let shelter = self
-            .state
-            .ask(self.call.call, wish)
-            .into_iter()
-            .find_map(|effect| match effect {
-                dispatch::DispatchEffect::Shelter { target, .. } => target,
-                _ => None,
-            });
-        match shelter {
-            Some(target) => self.start_move(target),
-            None => self.note_move("no shelter"),
-        }
-    }
-
-    fn start_move(&mut self, target: Rc<directory::TargetRecord>) {
-        let request = self.call.head.request.clone();
-        let source = Rc::clone(&self.target);
-        let state = Rc::clone(&self.state);
-        self.pending = Some(Box::pin(moves::run(state, request, source, target)));
-    }
-
-    /// Goes on at the target that has the memory now. What the source has generated meanwhile is
-    /// less than a chunk of a prompt, so that reading it again is quicker than a last move, which
-    /// would stop the stream while it waits behind the moves of others.
-    async fn take_move(&mut self, report: moves::MoveReport) -> Option<PumpEnd> {
-        match report.answer {
-            Some(protocol::MoveAnswer::Copied { handle }) => {
-                let copy = MemoryCopy {
-                    holder: report.target,
-                    named_at: self.target.address,
-                    handle,
-                };
-                self.state.metrics.record_move_time(report.took);
-                if !self.resume(copy, "moved in time").await {
-                    self.seek_shelter();
-                }
-            }
-            Some(protocol::MoveAnswer::Refused) => {
-                self.note_move("no room at the shelter");
-                if let Some(evacuation) = &mut self.evacuation {
-                    evacuation.tried.push(report.target.key.name.clone());
-                }
-                self.seek_shelter();
-            }
-            Some(protocol::MoveAnswer::Busy | protocol::MoveAnswer::Unknown) | None => {
-                self.note_move("the source does not move it");
-            }
-        }
-        None
-    }
-
     /// Goes on from a copy, now that the target generates no more.
     async fn recover(&mut self, cause: &str) -> Option<PumpEnd> {
         if let Some(copy) = self.backup_copy()
@@ -385,7 +278,7 @@
     }
 
     /// Sends the request to the target with a copy, and reads on from there; says whether it does.
-    async fn resume(&mut self, copy: MemoryCopy, cause: &str) -> bool {
+    pub(super) async fn resume(&mut self, copy: MemoryCopy, cause: &str) -> bool {
         let moved = dispatch::DispatchEvent::Moved {
             call: self.call.call,
             target: Rc::clone(&copy.holder),
@@ -466,7 +359,7 @@
     }
 
     /// Returns the copy that the target keeps up to date; it is named by the caller's request.
-    fn backup_copy(&self) -> Option<MemoryCopy> {
+    pub(super) fn backup_copy(&self) -> Option<MemoryCopy> {
         let holder = self.backup.as_ref()?;
         Some(MemoryCopy {
             holder: Rc::clone(holder),
@@ -475,7 +368,7 @@
         })
     }
 
-    fn note_move(&self, outcome: &str) {
+    pub(super) fn note_move(&self, outcome: &str) {
         let record = stream::move_record(
             &self.call,
             telemetry::RecordKind::MoveFailed,
--- a/crates/relay/src/shell/stream.rs
+++ b/crates/relay/src/shell/stream.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use http::Response;
-use http::StatusCode;
 use tokio::sync::mpsc;
 use tokio::task;
 
@@ -21,12 +20,6 @@
 /// Parts that wait for a caller that reads slowly; then its target is held back.
 const PART_LIMIT: usize = 64;
 
-/// Most targets that are asked when each says that it did not run the request.
-const MOST_SHEDS: u32 = 3;
-
-/// Most targets that are tried when none can be reached.
-const MOST_UNREACHABLE: u32 = 4;
-
 /// Rank from which on requests of a stream are given urgencies; more urgent ones are for streams
 /// that go on at another target.
 const FIRST_URGENCY: u8 = 3;
@@ -66,14 +59,14 @@
         let reason = match outcome {
             plain::AttemptOutcome::NotRun => {
                 sheds += 1;
-                if sheds < MOST_SHEDS && state.take_retry(&call.demand.service) {
+                if sheds < plain::MOST_SHEDS && state.take_retry(&call.demand.service) {
                     continue;
                 }
                 dispatch::RefusalReason::Shed
             }
             plain::AttemptOutcome::Unreachable => {
                 unreachable += 1;
-                if unreachable < MOST_UNREACHABLE {
+                if unreachable < plain::MOST_UNREACHABLE {
                     continue;
                 }
                 dispatch::RefusalReason::NoTarget
@@ -84,17 +77,10 @@
             }
             plain::AttemptOutcome::Unknown(_) => {
                 call.guard.settle("unknown");
-                let status = match state.now() >= call.demand.deadline {
-                    true => StatusCode::GATEWAY_TIMEOUT,
-                    false => StatusCode::BAD_GATEWAY,
-                };
-                return answers::text(status, "no answer of the target");
+                return plain::unknown(state, &call.demand);
             }
         };
-        let refusal = dispatch::CallRefusal {
-            reason,
-            retry_after: call.demand.target_latency / 2,
-        };
+        let refusal = plain::untried(&call.demand, reason);
         return plain::refuse(state, &mut call, &refusal);
     }
 }
