--- a/crates/settings/src/agent/platform.rs
+++ b/crates/settings/src/agent/platform.rs
@@ -11,20 +11,16 @@
     pub configuration_service: net::SocketAddr,
     /// VM list.
     pub vm_list: net::SocketAddr,
-    /// Weight store.
-    pub weight_store: net::SocketAddr,
 }
 
 impl reader::TableValue for AgentPlatform {
     fn read(reader: &mut reader::TableReader<'_, '_, '_>) -> Option<Self> {
         let configuration_service = reader.required_address("configuration_service");
         let vm_list = reader.required_address("vm_list");
-        let weight_store = reader.required_address("weight_store");
 
         Some(Self {
             configuration_service: configuration_service?,
             vm_list: vm_list?,
-            weight_store: weight_store?,
         })
     }
 }
