Stop a stream's former target at most 250 ms after the next one was asked

Now the former target is told to stop 250 ms after the request at the latest, and at once where the stream is gone on with because the target fell silent. Ruled out: stopping the former one before the request goes out, which loses the stream whenever the copy turns out to be of no use.

--- a/crates/relay/src/shell/evacuation.rs
+++ b/crates/relay/src/shell/evacuation.rs
@@ -48,6 +48,14 @@
         {
             return None;
         }
+        self.stay_or_recover().await
+    }
+
+    /// Looks for another shelter while the target still runs the stream, or goes on as after a loss.
+    async fn stay_or_recover(&mut self) -> Option<pump::PumpEnd> {
+        if self.upstream.is_none() {
+            return self.recover("the next target did not answer").await;
+        }
         self.seek_shelter();
         None
     }
@@ -111,7 +119,7 @@
                 };
                 self.state.metrics.record_move_time(report.took);
                 if !self.resume(copy, "moved in time").await {
-                    self.seek_shelter();
+                    return self.stay_or_recover().await;
                 }
             }
             Some(protocol::MoveAnswer::Refused) => {
--- a/crates/relay/src/shell/pump.rs
+++ b/crates/relay/src/shell/pump.rs
@@ -5,7 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Request;
 use http_body_util::BodyExt;
+use http_body_util::Full;
 use hyper::body;
 use kingcupfall_core::time;
 use tokio::sync::mpsc;
@@ -30,6 +33,10 @@
 /// Longest time in which a target must begin to go on with a stream.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Longest time for which a target may still run a stream that another one was asked to go on with.
+/// The platform takes 400 ms for two runs; the end of a connection takes some ms to be noticed.
+const OVERLAP_LIMIT: Duration = Duration::from_millis(250);
+
 /// Urgency of a stream that goes on at another target.
 const RESUMED_URGENCY: u8 = 0;
 
@@ -54,7 +61,7 @@
 
 /// What happened to a stream.
 enum PumpStep {
-    Frame(Option<Result<body::Frame<bytes::Bytes>, hyper::Error>>),
+    Frame(Option<Result<body::Frame<Bytes>, hyper::Error>>),
     Notice(Option<dispatch::DispatchEffect>),
     Moved(moves::MoveReport),
     CallerLeft,
@@ -69,7 +76,8 @@
     pub(super) call: Box<intake::AcceptedCall>,
     pub(super) target: Rc<directory::TargetRecord>,
     pub(super) backup: Option<Rc<directory::TargetRecord>>,
-    pub(super) upstream: client::OpenAnswer,
+    /// The answer of the target; `None` once the target was told to stop.
+    pub(super) upstream: Option<client::OpenAnswer>,
     pub(super) sender: mpsc::Sender<answers::StreamPart>,
     pub(super) parser: protocol::EventParser,
     pub(super) last_event: Option<u64>,
@@ -96,7 +104,7 @@
             call,
             target: placement.target,
             backup: placement.copy_to,
-            upstream,
+            upstream: Some(upstream),
             sender,
             parser: protocol::EventParser::default(),
             last_event: None,
@@ -131,6 +139,12 @@
             Some(evacuation) if self.pending.is_none() => self.state.instant(evacuation.retry_at),
             Some(_) | None => deadline,
         };
+        let frame = async {
+            match &mut self.upstream {
+                Some(upstream) => upstream.body.frame().await,
+                None => std::future::pending().await,
+            }
+        };
         let pending = async {
             match &mut self.pending {
                 Some(pending) => pending.await,
@@ -141,7 +155,7 @@
             biased;
             notice = self.call.inbox.recv() => PumpStep::Notice(notice),
             report = pending => PumpStep::Moved(report),
-            frame = self.upstream.body.frame() => PumpStep::Frame(frame),
+            frame = frame => PumpStep::Frame(frame),
             () = self.sender.closed() => PumpStep::CallerLeft,
             () = tokio::time::sleep_until(deadline) => PumpStep::DeadlinePassed,
             () = tokio::time::sleep_until(silent_at) => PumpStep::Silent,
@@ -169,7 +183,7 @@
         }
     }
 
-    async fn take_frame(&mut self, frame: body::Frame<bytes::Bytes>) -> Option<PumpEnd> {
+    async fn take_frame(&mut self, frame: body::Frame<Bytes>) -> Option<PumpEnd> {
         let Ok(bytes) = frame.into_data() else {
             // Trailers carry nothing that a caller is owed.
             return None;
@@ -258,7 +272,9 @@
     }
 
     /// Goes on from a copy, now that the target generates no more.
-    async fn recover(&mut self, cause: &str) -> Option<PumpEnd> {
+    pub(super) async fn recover(&mut self, cause: &str) -> Option<PumpEnd> {
+        // A target that fell silent may still be at work.
+        self.upstream = None;
         if let Some(copy) = self.backup_copy()
             && self.resume(copy, cause).await
         {
@@ -291,7 +307,8 @@
                 dispatch::DispatchEffect::Place { placement, .. } => placement.copy_to,
                 _ => None,
             });
-        let Some(upstream) = self.open_resumed(&copy, next_copy.as_ref()).await else {
+        let request = self.resumed_request(&copy, next_copy.as_ref());
+        let Some(upstream) = self.open_resumed(&copy, request).await else {
             let back = dispatch::DispatchEvent::MoveFailed {
                 call: self.call.call,
                 target: Rc::clone(&self.target),
@@ -319,15 +336,16 @@
         self.pending = None;
         self.evacuation = None;
         self.parser = protocol::EventParser::default();
-        self.upstream = upstream;
+        self.upstream = Some(upstream);
         true
     }
 
-    async fn open_resumed(
+    /// Makes the request with which a stream goes on from a copy.
+    fn resumed_request(
         &self,
         copy: &MemoryCopy,
         next_copy: Option<&Rc<directory::TargetRecord>>,
-    ) -> Option<client::OpenAnswer> {
+    ) -> Request<Full<Bytes>> {
         let resumption = protocol::StreamResumption {
             holder: copy.named_at,
             handle: copy.handle.clone(),
@@ -341,9 +359,23 @@
             copy_to: next_copy.map(|copy| copy.address),
             resumption: Some(&resumption),
         };
-        let request = plain::forwarded(&self.state, &self.call, &head);
-        let sent = client::send(copy.holder.address, request);
-        let answer = match tokio::time::timeout(RESUME_TIMEOUT, sent).await {
+        plain::forwarded(&self.state, &self.call, &head)
+    }
+
+    /// Sends the request. The former target is told to stop when the answer begins, and at the
+    /// latest after [`OVERLAP_LIMIT`]: the next one may be at work though it says nothing.
+    async fn open_resumed(
+        &mut self,
+        copy: &MemoryCopy,
+        request: Request<Full<Bytes>>,
+    ) -> Option<client::OpenAnswer> {
+        let mut sent = Box::pin(client::send(copy.holder.address, request));
+        let mut outcome = tokio::time::timeout(OVERLAP_LIMIT, sent.as_mut()).await;
+        if outcome.is_err() {
+            self.upstream = None;
+            outcome = tokio::time::timeout(RESUME_TIMEOUT, sent).await;
+        }
+        let answer = match outcome {
             Ok(Ok(answer)) => answer,
             Ok(Err(error)) => {
                 log::debug!("resuming {}: {error}", self.call.head.request);
