Let streams and plain calls share what follows an attempt; remove what nobody reads

The loop of a stream's call repeated the counting of refusals and of unreachable targets beside the one of plain calls; both now call the same step.

--- a/crates/relay/src/directory/routes.rs
+++ b/crates/relay/src/directory/routes.rs
@@ -109,8 +109,6 @@
 pub struct ServiceRule {
     /// Its name.
     pub name: ids::ServiceName,
-    /// Connections that one target accepts from all callers together.
-    pub connections: u32,
     /// Set for services of model engines.
     pub engine: Option<EngineRule>,
 }
--- a/crates/relay/src/dispatch/queue.rs
+++ b/crates/relay/src/dispatch/queue.rs
@@ -58,6 +58,10 @@
             .collect()
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.calls.len()
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.calls.is_empty()
     }
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -174,18 +174,9 @@
             .record_crash(now, fingerprint, attempt);
     }
 
-    /// Notes that a request completed.
-    pub fn record_completion(
-        &mut self,
-        now: time::Timestamp,
-        fingerprint: work::RequestFingerprint,
-    ) {
-        self.settings.quarantine.record_completion(now, fingerprint);
-    }
-
     /// Returns the numbers of waiting and placed calls.
     pub fn counts(&self) -> (usize, usize) {
-        (self.waiting.in_order().len(), self.placed.len())
+        (self.waiting.len(), self.placed.len())
     }
 
     fn arrive(
--- a/crates/relay/src/shell/messages.rs
+++ b/crates/relay/src/shell/messages.rs
@@ -53,9 +53,6 @@
     /// Where it takes links.
     #[serde(rename = "a")]
     pub address: net::SocketAddr,
-    /// Start of its life.
-    #[serde(rename = "s")]
-    pub started_ms: u64,
     /// Addresses of processes that it is linked to.
     #[serde(rename = "m")]
     pub members: Vec<net::SocketAddr>,
@@ -74,7 +71,4 @@
     /// Requests that crash targets.
     #[serde(rename = "q")]
     pub suspects: Vec<quarantine::SuspectRecord>,
-    /// Whether it stops.
-    #[serde(rename = "x")]
-    pub is_stopping: bool,
 }
--- a/crates/relay/src/shell/peers.rs
+++ b/crates/relay/src/shell/peers.rs
@@ -433,7 +433,6 @@
     messages::PeerPulse {
         vm: settings.vm.clone(),
         address: settings.peers,
-        started_ms: state.started_ms,
         members: book
             .borrow()
             .linked
@@ -446,6 +445,5 @@
         loads,
         departures,
         suspects,
-        is_stopping: state.is_stopping(),
     }
 }
--- a/crates/relay/src/shell/plain.rs
+++ b/crates/relay/src/shell/plain.rs
@@ -21,11 +21,11 @@
 use crate::telemetry;
 
 /// Most targets that are asked when each says that it did not run the request.
-pub(super) const MOST_SHEDS: u32 = 3;
+const MOST_SHEDS: u32 = 3;
 
 /// Most targets that are tried when none can be reached. Nothing was sent, so that no bound of
 /// the route applies.
-pub(super) const MOST_UNREACHABLE: u32 = 4;
+const MOST_UNREACHABLE: u32 = 4;
 
 /// Share of the time left that an attempt may take when another one may follow.
 const FIRST_ATTEMPT_SHARE: f64 = 0.45;
@@ -44,7 +44,7 @@
 
 /// Attempts so far.
 #[derive(Debug, Default)]
-struct AttemptCounts {
+pub(super) struct AttemptCounts {
     may_have_run: u32,
     sheds: u32,
     unreachable: u32,
@@ -77,17 +77,33 @@
         let started = state.now();
         let outcome = attempt(state, &call, &target, &counts).await;
         report(state, &call, &target, &outcome, started);
-        call.demand.tried.push(target.key.name.clone());
-        match next_step(state, &mut call, &mut counts, outcome) {
-            NextStep::Again => {}
-            NextStep::Refuse(reason) => {
-                let refusal = untried(&call.demand, reason);
-                return refuse(state, &mut call, &refusal);
-            }
-            NextStep::Answer(answer, label) => {
-                call.guard.settle(label);
-                return answer;
-            }
+        if let Some(answer) = conclude(state, &mut call, &mut counts, &target, outcome) {
+            return answer;
+        }
+    }
+}
+
+/// Returns the answer with which an attempt ends the call, unless another target is tried.
+pub(super) fn conclude(
+    state: &RelayState,
+    call: &mut intake::AcceptedCall,
+    counts: &mut AttemptCounts,
+    target: &directory::TargetRecord,
+    outcome: AttemptOutcome,
+) -> Option<answers::CallAnswer> {
+    call.demand.tried.push(target.key.name.clone());
+    match next_step(state, call, counts, outcome) {
+        NextStep::Again => None,
+        NextStep::Refuse(reason) => {
+            let refusal = dispatch::CallRefusal {
+                reason,
+                retry_after: call.demand.target_latency / 2,
+            };
+            Some(refuse(state, call, &refusal))
+        }
+        NextStep::Answer(answer, label) => {
+            call.guard.settle(label);
+            Some(answer)
         }
     }
 }
@@ -267,7 +283,7 @@
 }
 
 /// Holds the loss of a connection against the request that was under way on it.
-pub(super) fn record_crash(state: &RelayState, call: &intake::AcceptedCall) {
+fn record_crash(state: &RelayState, call: &intake::AcceptedCall) {
     let attempt = ids::AttemptId::from_u128(
         (u128::from(state.started_ms) << 64) | u128::from(call.call.get()),
     );
@@ -277,7 +293,7 @@
 
 fn next_step(
     state: &RelayState,
-    call: &mut intake::AcceptedCall,
+    call: &intake::AcceptedCall,
     counts: &mut AttemptCounts,
     outcome: AttemptOutcome,
 ) -> NextStep {
@@ -338,7 +354,7 @@
 }
 
 /// Returns the answer to a call that a target may have run.
-pub(super) fn unknown(state: &RelayState, demand: &dispatch::CallDemand) -> answers::CallAnswer {
+fn unknown(state: &RelayState, demand: &dispatch::CallDemand) -> answers::CallAnswer {
     let status = match state.now() >= demand.deadline {
         true => StatusCode::GATEWAY_TIMEOUT,
         false => StatusCode::BAD_GATEWAY,
@@ -346,23 +362,8 @@
     answers::text(status, "no answer of the target")
 }
 
-/// Returns the refusal of a call that no target took.
-pub(super) fn untried(
-    demand: &dispatch::CallDemand,
-    reason: dispatch::RefusalReason,
-) -> dispatch::CallRefusal {
-    dispatch::CallRefusal {
-        reason,
-        retry_after: demand.target_latency / 2,
-    }
-}
-
 /// Returns a target's whole answer to the caller.
-pub(super) fn whole(
-    state: &RelayState,
-    parts: response::Parts,
-    body: Bytes,
-) -> answers::CallAnswer {
+fn whole(state: &RelayState, parts: response::Parts, body: Bytes) -> answers::CallAnswer {
     let mut answer = Response::new(answers::AnswerBody::Whole(Full::new(body)));
     *answer.status_mut() = parts.status;
     *answer.headers_mut() = state.protocol.answer_headers(&parts.headers);
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -56,7 +56,7 @@
     pub decode_routes: RouteDecoder,
     /// Decision records.
     pub log: telemetry::LogStream,
-    /// Start of this process, in Unix milliseconds, by which peers tell its lives apart.
+    /// Start of this process, in Unix milliseconds; part of the ids of attempts, which peers compare.
     pub started_ms: u64,
     /// Seed of all random choices.
     pub seed: u64,
--- a/crates/relay/src/shell/stream.rs
+++ b/crates/relay/src/shell/stream.rs
@@ -40,8 +40,7 @@
     state: &Rc<RelayState>,
     mut call: Box<intake::AcceptedCall>,
 ) -> answers::CallAnswer {
-    let mut sheds = 0;
-    let mut unreachable = 0;
+    let mut counts = plain::AttemptCounts::default();
     loop {
         let placement = match plain::place(state, &mut call).await {
             Ok(placement) => placement,
@@ -54,39 +53,14 @@
             OpenOutcome::Ended(outcome) => outcome,
         };
         plain::report(state, &call, &target, &outcome, started);
-        call.demand.tried.push(target.key.name.clone());
-
-        let reason = match outcome {
-            plain::AttemptOutcome::NotRun => {
-                sheds += 1;
-                if sheds < plain::MOST_SHEDS && state.take_retry(&call.demand.service) {
-                    continue;
-                }
-                dispatch::RefusalReason::Shed
-            }
-            plain::AttemptOutcome::Unreachable => {
-                unreachable += 1;
-                if unreachable < plain::MOST_UNREACHABLE {
-                    continue;
-                }
-                dispatch::RefusalReason::NoTarget
-            }
-            plain::AttemptOutcome::Answered(parts, body, _) => {
-                call.guard.settle("target_failure");
-                return plain::whole(state, parts, body);
-            }
-            plain::AttemptOutcome::Unknown(_) => {
-                call.guard.settle("unknown");
-                return plain::unknown(state, &call.demand);
-            }
-        };
-        let refusal = plain::untried(&call.demand, reason);
-        return plain::refuse(state, &mut call, &refusal);
+        if let Some(answer) = plain::conclude(state, &mut call, &mut counts, &target, outcome) {
+            return answer;
+        }
     }
 }
 
 /// Returns how urgent a request is among those of its target.
-pub(super) fn urgency(rank: u8) -> u8 {
+fn urgency(rank: u8) -> u8 {
     rank.saturating_add(FIRST_URGENCY).min(LAST_URGENCY)
 }
 
