Add a fault soak of the relay

Nothing ran the real program as processes under faults from outside.

kingcupfall-bench soak starts relays on loopback between stand-ins of the store, the targets and the clients.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod scenario;
 pub mod simulation;
 pub mod slopes;
+pub mod soak;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -16,6 +16,7 @@
 use kingcupfall_bench::scenario;
 use kingcupfall_bench::simulation;
 use kingcupfall_bench::slopes;
+use kingcupfall_bench::soak;
 
 /// Result of a command.
 type Result<T> = result::Result<T, Box<dyn error::Error>>;
@@ -38,6 +39,8 @@
     Latency(latency::LatencyArguments),
     /// Costs as the fleet grows.
     Slopes(slopes::SlopeArguments),
+    /// Real relays under faults.
+    Soak(soak::SoakCommand),
 }
 
 /// Arguments of `run`.
@@ -55,6 +58,7 @@
         BenchCommand::Run(arguments) => run(&arguments),
         BenchCommand::Latency(arguments) => latency::run(&arguments).map_err(Into::into),
         BenchCommand::Slopes(arguments) => slopes::run(&arguments),
+        BenchCommand::Soak(command) => soak::run(&command),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -69,8 +73,9 @@
     let run = run_arguments();
     let latency = latency_arguments();
     let slopes = slopes_arguments();
+    let soak = soak_arguments();
 
-    bpaf::construct!([run, latency, slopes])
+    bpaf::construct!([run, latency, slopes, soak])
         .to_options()
         .descr(
             "Measures the decisions of kingcupfall in simulated time, and its delay over sockets",
@@ -149,6 +154,14 @@
         .map(BenchCommand::Slopes)
 }
 
+fn soak_arguments() -> impl Parser<BenchCommand> {
+    soak::arguments()
+        .to_options()
+        .descr("Runs relays on loopback under faults, and checks what must hold")
+        .command("soak")
+        .map(BenchCommand::Soak)
+}
+
 fn run(arguments: &RunArguments) -> Result<()> {
     let scenario = scenario::Scenario::load(&arguments.scenario)?;
     let sets = match arguments.policy.as_str() {
