--- a/crates/relay/src/directory/mod.rs
+++ b/crates/relay/src/directory/mod.rs
@@ -15,6 +15,7 @@
 pub use routes::TableVersion;
 pub use table::TargetChange;
 pub use table::TargetDeparture;
+pub use table::TargetDifference;
 pub use table::TargetTable;
 pub use target::DirectoryRevision;
 pub use target::TargetKey;
--- a/crates/relay/src/directory/table.rs
+++ b/crates/relay/src/directory/table.rs
@@ -56,12 +56,33 @@
     pub is_final: bool,
 }
 
+/// What a table knows and an older one lacks.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TargetDifference {
+    /// State of the directory from which it counts; `None` when it holds everything.
+    #[serde(rename = "s")]
+    pub since: Option<DirectoryRevision>,
+    /// State of the directory up to which it counts.
+    #[serde(rename = "r")]
+    pub revision: DirectoryRevision,
+    /// Records that are new or changed.
+    #[serde(rename = "w")]
+    pub written: Vec<TargetRecord>,
+    /// Records that were removed.
+    #[serde(rename = "g")]
+    pub removed: Vec<(ids::TargetName, DirectoryRevision)>,
+}
+
 /// Targets by name. It never takes back that a life of a target leaves.
 #[derive(Debug, Default)]
 pub struct TargetTable {
     entries: BTreeMap<ids::TargetName, TargetEntry>,
     departures: BTreeMap<TargetKey, TargetDeparture>,
     departure_order: VecDeque<TargetKey>,
+    /// Number of departures that were ever remembered.
+    departure_count: u64,
+    /// Newest departure that is no longer remembered.
+    forgotten: DirectoryRevision,
     revision: DirectoryRevision,
     is_lost: bool,
     regained_at: Option<time::Timestamp>,
@@ -78,12 +99,60 @@
         self.entries.values().map(|entry| &entry.record)
     }
 
-    /// Returns the lives that are known to leave, newest first.
-    pub fn departures(&self) -> impl Iterator<Item = (&TargetKey, TargetDeparture)> {
-        self.departure_order
-            .iter()
-            .rev()
-            .filter_map(|key| Some((key, *self.departures.get(key)?)))
+    /// Returns the number of departures that were ever remembered.
+    pub const fn departure_count(&self) -> u64 {
+        self.departure_count
+    }
+
+    /// Returns the lives that are known to leave, newest first, but for the first `count` ones
+    /// that were remembered.
+    pub fn departures_after(&self, count: u64) -> Vec<(TargetKey, TargetDeparture)> {
+        let new = self.departure_count.saturating_sub(count);
+        let newest = self.departure_order.iter().rev();
+        newest
+            .take(usize::try_from(new).unwrap_or(usize::MAX))
+            .filter_map(|key| Some((key.clone(), *self.departures.get(key)?)))
+            .collect()
+    }
+
+    /// Returns what a table that stands for `since` lacks.
+    pub fn difference(&self, since: DirectoryRevision) -> TargetDifference {
+        let is_whole = since <= self.forgotten;
+        let since = (!is_whole).then_some(since);
+        let is_new = |revision: DirectoryRevision| since.is_none_or(|since| revision > since);
+        let removed = self.departures.iter().filter(|(key, departure)| {
+            // Where another life has the name, its record tells of the end of this one.
+            since.is_some() && is_new(departure.revision) && !self.entries.contains_key(&key.name)
+        });
+        TargetDifference {
+            since,
+            revision: self.revision,
+            written: self
+                .records()
+                .filter(|record| is_new(record.revision))
+                .map(|record| (**record).clone())
+                .collect(),
+            removed: removed
+                .map(|(key, departure)| (key.name.clone(), departure.revision))
+                .collect(),
+        }
+    }
+
+    /// Takes what another table knows and this one lacks.
+    pub fn catch_up(
+        &mut self,
+        now: time::Timestamp,
+        difference: TargetDifference,
+    ) -> Vec<TargetChange> {
+        let Some(since) = difference.since else {
+            return self.list(now, difference.revision, difference.written);
+        };
+        if since > self.revision || difference.revision < self.revision {
+            return Vec::new();
+        }
+        let changes = self.change(now, difference.written, difference.removed);
+        self.revision = self.revision.max(difference.revision);
+        changes
     }
 
     /// Returns how a life left, if it did.
@@ -300,10 +369,12 @@
         self.departures.insert(key.clone(), departure);
         self.departure_order.retain(|known| known != key);
         self.departure_order.push_back(key.clone());
+        self.departure_count += 1;
         if self.departure_order.len() > DEPARTURE_LIMIT
             && let Some(oldest) = self.departure_order.pop_front()
+            && let Some(departure) = self.departures.remove(&oldest)
         {
-            self.departures.remove(&oldest);
+            self.forgotten = self.forgotten.max(departure.revision);
         }
         true
     }
--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -8,6 +8,7 @@
 use super::CallDemand;
 use super::PeerLoad;
 use crate::directory;
+use crate::membership;
 
 /// How an attempt of a call at a target ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -108,6 +109,11 @@
         /// The peer.
         peer: ids::VmName,
     },
+    /// The part of the fleet that shares targets with this process is another one.
+    Resized {
+        /// Depth of cells at the present size.
+        depth: membership::CellDepth,
+    },
     /// Time has passed; comes several times within the shortest target latency.
     Tick,
 }
--- a/crates/relay/src/dispatch/load.rs
+++ b/crates/relay/src/dispatch/load.rs
@@ -83,10 +83,6 @@
         self.peers.remove(peer);
     }
 
-    pub(super) fn len(&self) -> usize {
-        self.peers.len()
-    }
-
     pub(super) fn sum(&self, target: &ids::TargetName) -> LoadCount {
         let mut sum = LoadCount::default();
         for load in self.peers.values().filter_map(|loads| loads.get(target)) {
@@ -98,18 +94,18 @@
 
 /// Prompt tokens sent to a target in a second, over the last few seconds.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct PromptRate {
+struct PromptRate {
     tokens: f64,
     at: time::Timestamp,
 }
 
 impl PromptRate {
-    pub(super) fn add(&mut self, now: time::Timestamp, tokens: u64) {
+    fn add(&mut self, now: time::Timestamp, tokens: u64) {
         self.tokens = self.remaining(now) + tokens as f64;
         self.at = now;
     }
 
-    pub(super) fn per_second(&self, now: time::Timestamp) -> u64 {
+    fn per_second(&self, now: time::Timestamp) -> u64 {
         (self.remaining(now) / RATE_SPAN.as_secs_f64()) as u64
     }
 
@@ -118,3 +114,32 @@
         self.tokens * (-age).exp()
     }
 }
+
+/// Rates of prompts at the targets that got some of late.
+#[derive(Debug, Default)]
+pub(super) struct PromptRates {
+    rates: BTreeMap<ids::TargetName, PromptRate>,
+}
+
+impl PromptRates {
+    pub(super) fn add(&mut self, now: time::Timestamp, target: &ids::TargetName, tokens: u64) {
+        let rate = self.rates.entry(target.clone()).or_default();
+        rate.add(now, tokens);
+    }
+
+    /// Returns the rates that are not zero.
+    pub(super) fn per_second(
+        &self,
+        now: time::Timestamp,
+    ) -> impl Iterator<Item = (&ids::TargetName, u64)> {
+        let rates = self.rates.iter();
+        rates
+            .map(move |(name, rate)| (name, rate.per_second(now)))
+            .filter(|(_, rate)| *rate > 0)
+    }
+
+    /// Forgets targets that got none for long.
+    pub(super) fn forget(&mut self, now: time::Timestamp) {
+        self.rates.retain(|_, rate| rate.per_second(now) > 0);
+    }
+}
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -26,6 +26,7 @@
 use super::queue;
 use super::targets;
 use crate::directory;
+use crate::membership;
 
 /// Shortest time after which a caller is told to come back.
 const LEAST_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -41,6 +42,8 @@
 pub struct DispatchSettings {
     /// Availability zone of this process.
     pub zone: ids::ZoneName,
+    /// Place of this process among the cells of the fleet.
+    pub position: membership::CellPosition,
     /// Holds requests that crash targets.
     pub quarantine: Box<dyn quarantine::QuarantinePolicy>,
 }
@@ -51,6 +54,8 @@
     pub(super) targets: BTreeMap<ids::TargetName, targets::TargetEntry>,
     pub(super) placed: BTreeMap<ids::CallId, calls::PlacedCall>,
     waiting: queue::WaitingCalls,
+    prompts: load::PromptRates,
+    depth: membership::CellDepth,
     peers: load::PeerLoads,
     changed: BTreeSet<ids::TargetName>,
 }
@@ -63,6 +68,8 @@
             targets: BTreeMap::new(),
             placed: BTreeMap::new(),
             waiting: queue::WaitingCalls::default(),
+            prompts: load::PromptRates::default(),
+            depth: membership::CellDepth::default(),
             peers: load::PeerLoads::default(),
             changed: BTreeSet::new(),
         }
@@ -115,7 +122,9 @@
             DispatchEvent::PeerLoads { peer, loads } => self.peers.put(peer, loads),
             DispatchEvent::PeerChanged { peer, loads } => self.peers.update(&peer, loads),
             DispatchEvent::PeerLost { peer } => self.peers.remove(&peer),
+            DispatchEvent::Resized { depth } => self.depth = depth,
             DispatchEvent::Tick => {
+                self.prompts.forget(now);
                 self.serve_waiting(now, &mut effects);
                 self.refuse_overdue(now, &mut effects);
             }
@@ -123,11 +132,6 @@
         effects
     }
 
-    /// Returns the number of processes whose loads are known, this one included.
-    pub fn processes(&self) -> usize {
-        self.peers.len() + 1
-    }
-
     /// Returns what this process has at targets where that changed in a way that peers should
     /// know at once, so that they do not all send their next stream to the same target.
     pub fn take_changed(&mut self, now: time::Timestamp) -> Vec<PeerLoad> {
@@ -307,10 +311,8 @@
                 events: 0,
             };
             self.placed.insert(call, placed);
-            if let Some(entry) = self.targets.get_mut(&target.key.name) {
-                entry.prompts.add(now, prompt_tokens);
-            }
             if prompt_tokens > 0 {
+                self.prompts.add(now, &target.key.name, prompt_tokens);
                 self.changed.insert(target.key.name.clone());
             }
             let copy_to = self.assign_copy(now, call);
@@ -325,8 +327,7 @@
         demand: &CallDemand,
     ) -> Option<Rc<directory::TargetRecord>> {
         let loads = self.own_loads(now);
-        let candidates =
-            targets::candidates(&self.targets, &self.peers, &loads, now, &demand.service);
+        let candidates = self.candidates(now, &loads, &demand.service);
         let fresh: Vec<_> = candidates
             .into_iter()
             .filter(|candidate| !demand.tried.contains(&candidate.record.key.name))
@@ -341,17 +342,13 @@
         call: ids::CallId,
     ) -> Option<Rc<directory::TargetRecord>> {
         let loads = self.own_loads(now);
-        let placed = self.placed.get_mut(&call)?;
+        let placed = self.placed.get(&call)?;
         if !copies::is_worth_copy(&placed.demand) {
             return None;
         }
-        let service = &placed.demand.service;
-        let candidates = targets::candidates(&self.targets, &self.peers, &loads, now, service);
-        placed.copy = copies::choose_copy(&placed.demand, &placed.target, &candidates);
-        if let Some(copy) = &placed.copy {
-            self.changed.insert(copy.key.name.clone());
-        }
-        placed.copy.clone()
+        let candidates = self.candidates(now, &loads, &placed.demand.service);
+        let copy = copies::choose_copy(&placed.demand, &placed.target, &candidates);
+        self.keep_copy(call, copy)
     }
 
     fn shelter(
@@ -361,16 +358,25 @@
         tried: &[ids::TargetName],
     ) -> Option<Rc<directory::TargetRecord>> {
         let loads = self.own_loads(now);
-        let placed = self.placed.get_mut(&call)?;
-        let service = &placed.demand.service;
-        let mut candidates = targets::candidates(&self.targets, &self.peers, &loads, now, service);
+        let placed = self.placed.get(&call)?;
+        let mut candidates = self.candidates(now, &loads, &placed.demand.service);
         candidates.retain(|candidate| !tried.contains(&candidate.record.key.name));
         let tokens = placed.used();
-        placed.copy = copies::choose_shelter(&placed.demand, tokens, &placed.target, &candidates);
-        if let Some(copy) = &placed.copy {
+        let copy = copies::choose_shelter(&placed.demand, tokens, &placed.target, &candidates);
+        self.keep_copy(call, copy)
+    }
+
+    /// Counts a call's copy at its target.
+    fn keep_copy(
+        &mut self,
+        call: ids::CallId,
+        copy: Option<Rc<directory::TargetRecord>>,
+    ) -> Option<Rc<directory::TargetRecord>> {
+        if let Some(copy) = &copy {
             self.changed.insert(copy.key.name.clone());
         }
-        placed.copy.clone()
+        self.placed.get_mut(&call)?.copy.clone_from(&copy);
+        copy
     }
 
     /// Makes another target the one that runs the call, and chooses the next copy.
@@ -403,6 +409,30 @@
         }
     }
 
+    /// Returns the targets of a service that take work, with the load of all processes.
+    fn candidates(
+        &self,
+        now: time::Timestamp,
+        loads: &BTreeMap<ids::TargetName, LoadCount>,
+        service: &ids::ServiceName,
+    ) -> Vec<place::CandidateTarget<'_>> {
+        let is_near = |entry: &targets::TargetEntry| {
+            self.depth.is_same(self.settings.position, entry.position)
+        };
+        targets::usable(&self.targets, now, service, is_near)
+            .into_iter()
+            .map(|(name, entry)| {
+                let mut load = self.peers.sum(name);
+                load += loads.get(name).copied().unwrap_or_default();
+                place::CandidateTarget {
+                    record: &entry.record,
+                    load,
+                    doubt: &entry.doubt,
+                }
+            })
+            .collect()
+    }
+
     fn own_loads(&self, now: time::Timestamp) -> BTreeMap<ids::TargetName, LoadCount> {
         let mut loads: BTreeMap<ids::TargetName, LoadCount> = BTreeMap::new();
         for placed in self.placed.values() {
@@ -411,11 +441,8 @@
                 *loads.entry(copy.key.name.clone()).or_default() += placed.copy_load();
             }
         }
-        for (name, entry) in &self.targets {
-            let rate = entry.prompts.per_second(now);
-            if rate > 0 {
-                loads.entry(name.clone()).or_default().prompt_rate += rate;
-            }
+        for (name, rate) in self.prompts.per_second(now) {
+            loads.entry(name.clone()).or_default().prompt_rate += rate;
         }
         loads
     }
--- a/crates/relay/src/dispatch/targets.rs
+++ b/crates/relay/src/dispatch/targets.rs
@@ -8,11 +8,13 @@
 
 use super::DispatchEffect;
 use super::Dispatcher;
-use super::LoadCount;
 use super::TargetDoubt;
-use super::load;
-use super::place;
 use crate::directory;
+use crate::membership;
+
+/// Targets of a service that a cell must have for its processes to use no others: one that leaves
+/// and one in doubt still leave a choice.
+const LEAST_TARGETS: usize = 4;
 
 /// A target that may be used, or that still runs calls of this process.
 #[derive(Debug)]
@@ -20,7 +22,8 @@
     pub(super) record: Rc<directory::TargetRecord>,
     pub(super) is_leaving: bool,
     pub(super) doubt: TargetDoubt,
-    pub(super) prompts: load::PromptRate,
+    /// Place of the target among the cells of the fleet.
+    pub(super) position: membership::CellPosition,
 }
 
 impl Dispatcher {
@@ -42,7 +45,7 @@
                             record,
                             is_leaving: false,
                             doubt: TargetDoubt::default(),
-                            prompts: load::PromptRate::default(),
+                            position: membership::CellPosition::of(&name),
                         };
                         self.targets.insert(name, entry);
                     }
@@ -86,27 +89,27 @@
     }
 }
 
-/// Returns the targets of a service that take work, with the load of all processes.
-pub(super) fn candidates<'a>(
+/// Returns the targets of a service that take work: those of the own cell, whose whole load is
+/// known, or all of them where the cell has too few.
+pub(super) fn usable<'a>(
     targets: &'a BTreeMap<ids::TargetName, TargetEntry>,
-    peers: &load::PeerLoads,
-    own: &BTreeMap<ids::TargetName, LoadCount>,
     now: time::Timestamp,
     service: &ids::ServiceName,
-) -> Vec<place::CandidateTarget<'a>> {
-    targets
+    is_near: impl Fn(&TargetEntry) -> bool,
+) -> Vec<(&'a ids::TargetName, &'a TargetEntry)> {
+    let usable: Vec<_> = targets
         .iter()
         .filter(|(_, entry)| {
             entry.record.service == *service && !entry.is_leaving && !entry.doubt.is_paused(now)
         })
-        .map(|(name, entry)| {
-            let mut load = peers.sum(name);
-            load += own.get(name).copied().unwrap_or_default();
-            place::CandidateTarget {
-                record: &entry.record,
-                load,
-                doubt: &entry.doubt,
-            }
-        })
-        .collect()
+        .collect();
+    let near: Vec<_> = usable
+        .iter()
+        .copied()
+        .filter(|(_, entry)| is_near(entry))
+        .collect();
+    match near.len() < LEAST_TARGETS {
+        true => usable,
+        false => near,
+    }
 }
--- a/crates/relay/src/shell/directory.rs
+++ b/crates/relay/src/shell/directory.rs
@@ -6,6 +6,7 @@
 use kingcupfall_core::ids;
 use tokio::sync::mpsc;
 
+use super::state;
 use super::state::RelayState;
 use crate::directory;
 use crate::dispatch;
@@ -153,6 +154,7 @@
             .collect()
     };
     if !departures.is_empty() {
-        state.tell_peers(&super::PeerMessage::Departures(departures));
+        let message = super::PeerMessage::Departures(departures);
+        state.tell_peers(state::NewsScope::All, &message);
     }
 }
--- a/crates/relay/src/shell/messages.rs
+++ b/crates/relay/src/shell/messages.rs
@@ -9,6 +9,7 @@
 
 use crate::directory;
 use crate::dispatch;
+use crate::membership;
 
 /// What a process tells its peers.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -32,16 +33,12 @@
     /// Routes, as they were published.
     #[serde(rename = "r")]
     Routes(#[serde(with = "serde_with::As::<serde_with::Bytes>")] Vec<u8>),
-    /// All targets.
+    /// Targets that changed.
     #[serde(rename = "t")]
-    Targets {
-        /// State of the directory that showed them.
-        #[serde(rename = "r")]
-        revision: directory::DirectoryRevision,
-        /// The targets.
-        #[serde(rename = "t")]
-        targets: Vec<directory::TargetRecord>,
-    },
+    Targets(directory::TargetDifference),
+    /// Asks for what is newer than this.
+    #[serde(rename = "w")]
+    Wanted(membership::KnownState),
 }
 
 /// Regular state of a process.
@@ -53,19 +50,16 @@
     /// Where it takes links.
     #[serde(rename = "a")]
     pub address: net::SocketAddr,
-    /// Addresses of processes that it is linked to.
+    /// Some of the processes that it has heard of.
     #[serde(rename = "m")]
-    pub members: Vec<net::SocketAddr>,
-    /// Version of its routes.
-    #[serde(rename = "c")]
-    pub routes: directory::TableVersion,
-    /// State of the directory that it knows.
-    #[serde(rename = "d")]
-    pub directory: directory::DirectoryRevision,
-    /// What it has at each target.
+    pub members: Vec<membership::MemberHint>,
+    /// How new its knowledge is.
+    #[serde(rename = "k")]
+    pub known: membership::KnownState,
+    /// What it has at each target, for a peer of its cell.
     #[serde(rename = "l")]
     pub loads: Vec<dispatch::PeerLoad>,
-    /// Targets that it knows to leave, newest first.
+    /// Targets that it knows to leave and has not told on this link, newest first.
     #[serde(rename = "g")]
     pub departures: Vec<(directory::TargetKey, directory::TargetDeparture)>,
     /// Requests that crash targets.
--- a/crates/relay/src/shell/peers.rs
+++ b/crates/relay/src/shell/peers.rs
@@ -1,8 +1,8 @@
 //! Links to other processes of the same kind.
 //!
-//! Each link carries pulses both ways: what the sender has at each target, which targets it knows
-//! to leave, and how new its knowledge is. A peer that falls behind, because the platform's
-//! directory does not answer it, is handed the routes and the targets.
+//! Each link carries pulses both ways: what the sender has at each target, which processes and
+//! leaving targets it knows, and how new its knowledge is. A process that falls behind, because
+//! the platform's directory does not answer it, asks one of its peers for what it lacks.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -25,9 +25,10 @@
 use super::client;
 use super::directory as shell_directory;
 use super::messages;
+use super::state;
 use super::state::RelayState;
-use crate::directory;
 use crate::dispatch;
+use crate::membership;
 use crate::telemetry;
 
 /// Shortest time between pulses on a link.
@@ -42,44 +43,51 @@
 /// Silence after which a link is closed: three pulses at the longest interval.
 const LINK_TIMEOUT: Duration = Duration::from_millis(2_400);
 
-/// Time between attempts to link to a known address.
+/// Time between attempts to link to known addresses.
 const DIAL_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Most links that a process opens; with more peers it hears of a sample of their load.
-const MOST_DIALLED: usize = 40;
+/// Links below which a process goes back to its seeds: one of them may be about to break.
+const LEAST_LINKS: usize = 3;
 
-/// Most addresses that a pulse names.
-const MOST_MEMBERS: usize = 24;
+/// Time after which a process asks a seed again even so: parts of a fleet that were cut off from
+/// each other find back through it.
+const SEED_INTERVAL: Duration = Duration::from_secs(30);
 
-/// Most lives of targets that a pulse names as leaving: those of some ten seconds.
-const MOST_DEPARTURES: usize = 32;
+/// Time for which a link that is not needed is kept: several pulses, which name other processes.
+const UNNEEDED_TIME: Duration = Duration::from_secs(5);
 
-/// Time for which a peer may be behind before it is handed what it lacks; until then it most
-/// likely reads the directory itself.
-const CATCH_UP_AFTER: Duration = Duration::from_millis(400);
+/// Most processes that a pulse names.
+const MOST_HINTS: usize = 24;
 
-/// Pulses after which an address that nobody answers at is forgotten, unless it is a seed.
-const FORGET_FAILURES: u32 = 20;
+/// Most lives of targets that a pulse names as leaving: those of some ten seconds.
+const MOST_DEPARTURES: usize = 32;
 
-/// Addresses at which peers may be.
+/// Links of this process, by the address of the other end.
 #[derive(Debug, Default)]
-struct AddressBook {
-    failures: BTreeMap<net::SocketAddr, u32>,
+struct LinkBook {
     linked: BTreeMap<net::SocketAddr, usize>,
     dialled: BTreeSet<net::SocketAddr>,
+    wanted: BTreeSet<net::SocketAddr>,
+    seeds_due: time::Timestamp,
 }
 
-type SharedBook = Rc<std::cell::RefCell<AddressBook>>;
+type SharedBook = Rc<std::cell::RefCell<LinkBook>>;
 
-/// Since when the other end of a link is behind, and what it was handed.
+/// Which end opened a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LinkOrigin {
+    Own,
+    Peer,
+}
+
+/// What is known of the other end of a link, and what it was told.
 #[derive(Debug, Default)]
 struct LinkProgress {
     vm: Option<ids::VmName>,
     address: Option<net::SocketAddr>,
-    routes_behind: Option<time::Timestamp>,
-    targets_behind: Option<time::Timestamp>,
-    routes_given: directory::TableVersion,
-    targets_given: directory::DirectoryRevision,
+    is_near: bool,
+    departures_told: u64,
+    unneeded_since: Option<time::Timestamp>,
 }
 
 /// Takes links of peers, and opens links to those that are known.
@@ -108,7 +116,7 @@
                 socket.map_err(std::io::Error::other)
             };
             match tokio::time::timeout(LINK_TIMEOUT, upgraded).await {
-                Ok(Ok(socket)) => run_link(&state, &book, socket).await,
+                Ok(Ok(socket)) => run_link(&state, &book, socket, LinkOrigin::Peer).await,
                 Ok(Err(error)) => log::debug!("a peer's link was not opened: {error}"),
                 Err(_) => log::debug!("a peer's link was not opened in time"),
             }
@@ -117,24 +125,15 @@
 }
 
 async fn dial(state: Rc<RelayState>, book: SharedBook) {
-    let own = state.settings.borrow().peers;
     loop {
-        let seeds = state.settings.borrow().seeds.clone();
-        for address in choose_addresses(&book, &seeds, own) {
+        for address in choose_addresses(&state, &book) {
             book.borrow_mut().dialled.insert(address);
             let state = Rc::clone(&state);
             let book = Rc::clone(&book);
             task::spawn_local(async move {
                 match open(address).await {
-                    Ok(socket) => {
-                        book.borrow_mut().failures.insert(address, 0);
-                        run_link(&state, &book, socket).await;
-                    }
-                    Err(error) => {
-                        log::debug!("no link to {address}: {error}");
-                        let mut book = book.borrow_mut();
-                        *book.failures.entry(address).or_default() += 1;
-                    }
+                    Ok(socket) => run_link(&state, &book, socket, LinkOrigin::Own).await,
+                    Err(error) => log::debug!("no link to {address}: {error}"),
                 }
                 book.borrow_mut().dialled.remove(&address);
             });
@@ -145,28 +144,27 @@
     }
 }
 
-/// Returns addresses to link to: seeds and members without a link.
-fn choose_addresses(
-    book: &SharedBook,
-    seeds: &[net::SocketAddr],
-    own: net::SocketAddr,
-) -> Vec<net::SocketAddr> {
+/// Returns wanted addresses without a link.
+fn choose_addresses(state: &RelayState, book: &SharedBook) -> Vec<net::SocketAddr> {
+    let now = state.now();
+    let (mut wanted, depth) = {
+        let mut members = state.members.borrow_mut();
+        members.forget(now);
+        (members.wanted(), members.depth())
+    };
+    state.submit(dispatch::DispatchEvent::Resized { depth });
+
     let mut book = book.borrow_mut();
-    for seed in seeds {
-        book.failures.entry(*seed).or_default();
+    let settings = state.settings.borrow();
+    if book.linked.len() < LEAST_LINKS || now >= book.seeds_due {
+        book.seeds_due = now + SEED_INTERVAL;
+        let seeds = settings.seeds.iter().copied();
+        wanted.extend(seeds.filter(|seed| *seed != settings.peers));
     }
-    book.failures
-        .retain(|address, failures| *failures < FORGET_FAILURES || seeds.contains(address));
-    let free = MOST_DIALLED.saturating_sub(book.dialled.len());
-    book.failures
-        .keys()
-        .filter(|address| {
-            **address != own
-                && !book.dialled.contains(*address)
-                && !book.linked.contains_key(*address)
-        })
-        .take(free)
-        .copied()
+    book.wanted = wanted;
+    let wanted = book.wanted.iter().copied();
+    wanted
+        .filter(|address| !book.dialled.contains(address) && !book.linked.contains_key(address))
         .collect()
 }
 
@@ -181,32 +179,33 @@
     }
 }
 
-/// Sends and takes pulses until the link breaks or falls silent.
-async fn run_link(state: &Rc<RelayState>, book: &SharedBook, socket: WebSocketStream<TcpStream>) {
+/// Sends and takes pulses until the link breaks, falls silent or is not needed any more.
+async fn run_link(
+    state: &Rc<RelayState>,
+    book: &SharedBook,
+    socket: WebSocketStream<TcpStream>,
+    origin: LinkOrigin,
+) {
     let (mut sink, mut stream) = socket.split();
     let mut progress = LinkProgress::default();
     let mut next_pulse = tokio::time::Instant::now();
     let mut heard_at = state.now();
     let mut news = state.news.subscribe();
     let cause = loop {
-        tokio::select! {
-            bytes = news.recv() => {
-                // Where news were left out, the next pulse tells the whole state.
-                let Ok(bytes) = bytes else {
-                    continue;
-                };
-                let sent = sink.send(tungstenite::Message::Binary(bytes));
-                match tokio::time::timeout(LINK_TIMEOUT, sent).await {
-                    Ok(Ok(())) => {}
-                    Ok(Err(_)) | Err(_) => break "not sent",
+        let due = tokio::select! {
+            news = news.recv() => match news {
+                Ok(news) if news.scope == state::NewsScope::All || progress.is_near => {
+                    vec![news.bytes]
                 }
-            }
+                // Where news were left out, the next pulse tells the whole state.
+                Ok(_) | Err(_) => continue,
+            },
             message = stream.next() => match message {
                 Some(Ok(tungstenite::Message::Binary(bytes))) => {
                     heard_at = state.now();
-                    take(state, book, &mut progress, &bytes);
+                    encode(&take(state, book, &mut progress, &bytes))
                 }
-                Some(Ok(_)) => {}
+                Some(Ok(_)) => continue,
                 Some(Err(_)) | None => break "closed",
             },
             () = tokio::time::sleep_until(next_pulse) => {
@@ -214,18 +213,44 @@
                 if state.now().since(heard_at) > LINK_TIMEOUT {
                     break "silent";
                 }
-                let messages = due_messages(state, book, &mut progress);
-                let sent = send_all(&mut sink, messages);
-                match tokio::time::timeout(LINK_TIMEOUT, sent).await {
-                    Ok(true) => {}
-                    Ok(false) | Err(_) => break "not sent",
+                if origin == LinkOrigin::Own && is_unneeded(state, book, &mut progress) {
+                    break "not needed";
                 }
+                let pulse = pulse(state, &mut progress);
+                encode(&[messages::PeerMessage::Pulse(Box::new(pulse))])
             }
+        };
+        match tokio::time::timeout(LINK_TIMEOUT, send_all(&mut sink, due)).await {
+            Ok(true) => {}
+            Ok(false) | Err(_) => break "not sent",
         }
     };
     lose(state, book, &progress, cause);
 }
 
+/// Says whether a link that this process opened can go: another one leads to the same process, or
+/// that process is not wanted any more.
+fn is_unneeded(state: &RelayState, book: &SharedBook, progress: &mut LinkProgress) -> bool {
+    let Some(address) = progress.address else {
+        return false;
+    };
+    let book = book.borrow();
+    let is_double = book.linked.get(&address).is_some_and(|links| *links > 1)
+        // Of two links that were opened at once, the one from the lower address stays.
+        && state.settings.borrow().peers > address;
+    if is_double {
+        return true;
+    }
+    let now = state.now();
+    progress.unneeded_since = match book.wanted.contains(&address) {
+        true => None,
+        false => Some(progress.unneeded_since.unwrap_or(now)),
+    };
+    progress
+        .unneeded_since
+        .is_some_and(|since| now.since(since) >= UNNEEDED_TIME)
+}
+
 /// Returns the time between pulses: with more links each carries fewer, so that the bytes of all
 /// stay bounded. Placements and departures are told at once anyway.
 fn pulse_interval(state: &RelayState) -> Duration {
@@ -233,19 +258,35 @@
     PULSE_INTERVAL * u32::try_from(times).unwrap_or(1)
 }
 
-async fn send_all<S>(sink: &mut S, messages: Vec<Vec<u8>>) -> bool
+async fn send_all<S>(sink: &mut S, messages: Vec<bytes::Bytes>) -> bool
 where
     S: SinkExt<tungstenite::Message> + Unpin,
 {
     for bytes in messages {
-        let message = tungstenite::Message::Binary(bytes.into());
-        if sink.send(message).await.is_err() {
+        if sink
+            .send(tungstenite::Message::Binary(bytes))
+            .await
+            .is_err()
+        {
             return false;
         }
     }
     true
 }
 
+fn encode(messages: &[messages::PeerMessage]) -> Vec<bytes::Bytes> {
+    let encoded = messages.iter().map(codec::encode);
+    encoded
+        .filter_map(|bytes| match bytes {
+            Ok(bytes) => Some(bytes.into()),
+            Err(error) => {
+                log::error!("a message to a peer can't be written: {error}");
+                None
+            }
+        })
+        .collect()
+}
+
 fn lose(state: &RelayState, book: &SharedBook, progress: &LinkProgress, cause: &str) {
     if let Some(address) = progress.address {
         let mut book = book.borrow_mut();
@@ -276,16 +317,25 @@
     state.submit(dispatch::DispatchEvent::PeerLost { peer: vm.clone() });
 }
 
-fn take(state: &RelayState, book: &SharedBook, progress: &mut LinkProgress, bytes: &[u8]) {
+/// Takes a message; returns what is to be sent back.
+fn take(
+    state: &RelayState,
+    book: &SharedBook,
+    progress: &mut LinkProgress,
+    bytes: &[u8],
+) -> Vec<messages::PeerMessage> {
     let message = match codec::decode::<messages::PeerMessage>(bytes) {
         Ok(message) => message,
         Err(error) => {
             log::warn!("a peer sent what is no message: {error}");
-            return;
+            return Vec::new();
         }
     };
     match message {
-        messages::PeerMessage::Pulse(pulse) => take_pulse(state, book, progress, *pulse),
+        messages::PeerMessage::Pulse(pulse) => {
+            return take_pulse(state, book, progress, *pulse);
+        }
+        messages::PeerMessage::Wanted(known) => return newer_than(state, known),
         messages::PeerMessage::Loads { vm, loads } => {
             state.submit(dispatch::DispatchEvent::PeerChanged { peer: vm, loads });
         }
@@ -304,14 +354,13 @@
             }
             None => log::warn!("a peer sent routes that can't be read"),
         },
-        messages::PeerMessage::Targets { revision, targets } => {
-            let changes = state
-                .targets
-                .borrow_mut()
-                .list(state.now(), revision, targets);
+        messages::PeerMessage::Targets(difference) => {
+            let now = state.now();
+            let changes = state.targets.borrow_mut().catch_up(now, difference);
             shell_directory::apply(state, changes, shell_directory::PEER_SOURCE);
         }
     }
+    Vec::new()
 }
 
 fn take_pulse(
@@ -319,21 +368,19 @@
     book: &SharedBook,
     progress: &mut LinkProgress,
     pulse: messages::PeerPulse,
-) {
-    if progress.vm.is_none() {
+) -> Vec<messages::PeerMessage> {
+    let now = state.now();
+    let is_first = progress.vm.is_none();
+    if is_first {
         meet(state, book, progress, &pulse);
     }
-    let now = state.now();
-    let is_behind = pulse.routes < state.routes_version();
-    progress.routes_behind = behind_since(progress.routes_behind, is_behind, now);
-    let is_behind = pulse.directory < state.targets.borrow().revision();
-    progress.targets_behind = behind_since(progress.targets_behind, is_behind, now);
-
     {
-        let mut book = book.borrow_mut();
-        for address in pulse.members.iter().take(MOST_MEMBERS) {
-            book.failures.entry(*address).or_default();
+        let mut members = state.members.borrow_mut();
+        members.hear(pulse.address, now);
+        for hint in pulse.members.iter().take(MOST_HINTS) {
+            members.take_hint(now, *hint);
         }
+        progress.is_near = members.is_near(pulse.address);
     }
     let changes = state.targets.borrow_mut().depart(&pulse.departures);
     shell_directory::apply(state, changes, shell_directory::PEER_SOURCE);
@@ -346,6 +393,18 @@
         peer: pulse.vm,
         loads: pulse.loads,
     });
+
+    let own = state.known();
+    let mut replies = Vec::new();
+    if state.catch_up.borrow_mut().note(now, own, pulse.known) {
+        replies.push(messages::PeerMessage::Wanted(own));
+    }
+    if is_first && progress.is_near {
+        // The pulse before told no loads, as it was not known to whom.
+        let pulse = self::pulse(state, progress);
+        replies.push(messages::PeerMessage::Pulse(Box::new(pulse)));
+    }
+    replies
 }
 
 fn meet(
@@ -356,93 +415,52 @@
 ) {
     progress.vm = Some(pulse.vm.clone());
     progress.address = Some(pulse.address);
-    let mut book = book.borrow_mut();
-    *book.linked.entry(pulse.address).or_default() += 1;
-    book.failures.insert(pulse.address, 0);
+    *book.borrow_mut().linked.entry(pulse.address).or_default() += 1;
     let mut peers = state.peers.borrow_mut();
     let links = peers.entry(pulse.vm.clone()).or_default();
     *links += 1;
     if *links == 1 {
         let record = telemetry::DecisionRecord::new(telemetry::RecordKind::PeerSeen)
             .target_text(pulse.vm.as_str())
-            .version(pulse.routes.get());
+            .version(pulse.known.routes.get());
         state.record(&record);
     }
 }
 
-fn behind_since(
-    since: Option<time::Timestamp>,
-    is_behind: bool,
-    now: time::Timestamp,
-) -> Option<time::Timestamp> {
-    match is_behind {
-        true => Some(since.unwrap_or(now)),
-        false => None,
-    }
-}
-
-/// Returns the pulse, and what the other end has lacked for too long.
-fn due_messages(
-    state: &RelayState,
-    book: &SharedBook,
-    progress: &mut LinkProgress,
-) -> Vec<Vec<u8>> {
-    let mut messages = vec![messages::PeerMessage::Pulse(Box::new(pulse(state, book)))];
-    let now = state.now();
-    let is_due = |since: Option<time::Timestamp>| {
-        since.is_some_and(|since| now.since(since) >= CATCH_UP_AFTER)
-    };
-    if is_due(progress.routes_behind)
-        && let Some(routes) = state.routes()
-        && routes.table.version() > progress.routes_given
+/// Returns what this process knows and a peer that knows `known` lacks.
+fn newer_than(state: &RelayState, known: membership::KnownState) -> Vec<messages::PeerMessage> {
+    let mut messages = Vec::new();
+    if let Some(routes) = state.routes()
+        && routes.table.version() > known.routes
     {
-        progress.routes_given = routes.table.version();
         messages.push(messages::PeerMessage::Routes(routes.text.to_vec()));
     }
     let targets = state.targets.borrow();
-    if is_due(progress.targets_behind) && targets.revision() > progress.targets_given {
-        progress.targets_given = targets.revision();
-        messages.push(messages::PeerMessage::Targets {
-            revision: targets.revision(),
-            targets: targets.records().map(|record| (**record).clone()).collect(),
-        });
+    if targets.revision() > known.directory {
+        let difference = targets.difference(known.directory);
+        messages.push(messages::PeerMessage::Targets(difference));
     }
-
-    let encoded = messages.iter().map(codec::encode);
-    encoded
-        .filter_map(|bytes| match bytes {
-            Ok(bytes) => Some(bytes),
-            Err(error) => {
-                log::error!("a message to a peer can't be written: {error}");
-                None
-            }
-        })
-        .collect()
+    messages
 }
 
-fn pulse(state: &RelayState, book: &SharedBook) -> messages::PeerPulse {
+fn pulse(state: &RelayState, progress: &mut LinkProgress) -> messages::PeerPulse {
+    let now = state.now();
     let settings = state.settings.borrow();
     let targets = state.targets.borrow();
-    let departures = targets
-        .departures()
-        .take(MOST_DEPARTURES)
-        .map(|(key, departure)| (key.clone(), departure))
-        .collect();
+    let mut departures = targets.departures_after(progress.departures_told);
+    departures.truncate(MOST_DEPARTURES);
+    progress.departures_told = targets.departure_count();
     let (loads, suspects) =
         state.dispatcher(|dispatcher, now| (dispatcher.loads(now), dispatcher.suspects(now)));
     messages::PeerPulse {
         vm: settings.vm.clone(),
         address: settings.peers,
-        members: book
+        members: state
+            .members
             .borrow()
-            .linked
-            .keys()
-            .take(MOST_MEMBERS)
-            .copied()
-            .collect(),
-        routes: state.routes_version(),
-        directory: targets.revision(),
-        loads,
+            .hints(now, &mut rand::rng(), MOST_HINTS),
+        known: state.known(),
+        loads: if progress.is_near { loads } else { Vec::new() },
         departures,
         suspects,
     }
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -21,6 +21,7 @@
 use super::RelaySettings;
 use crate::directory;
 use crate::dispatch;
+use crate::membership;
 use crate::protocol;
 use crate::telemetry;
 
@@ -41,6 +42,22 @@
     Closing,
 }
 
+/// Links that a message goes to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum NewsScope {
+    /// Those to peers of the same cell.
+    Cell,
+    /// All.
+    All,
+}
+
+/// A message that goes out on many links.
+#[derive(Debug, Clone)]
+pub(super) struct PeerNews {
+    pub(super) scope: NewsScope,
+    pub(super) bytes: Bytes,
+}
+
 /// Decodes the text of routes that a peer hands over.
 pub type RouteDecoder = Box<dyn Fn(&[u8]) -> Option<directory::RouteTable>>;
 
@@ -82,8 +99,10 @@
     pub(super) connections: Cell<usize>,
     pub(super) open_calls: Cell<usize>,
     pub(super) peers: RefCell<BTreeMap<ids::VmName, usize>>,
-    /// Messages that go out on all links at once.
-    pub(super) news: broadcast::Sender<Bytes>,
+    pub(super) members: RefCell<membership::MemberBook>,
+    pub(super) catch_up: RefCell<membership::CatchUp>,
+    /// Messages that go out on many links at once.
+    pub(super) news: broadcast::Sender<PeerNews>,
     routes: RefCell<Option<RoutesInForce>>,
     dispatcher: RefCell<dispatch::Dispatcher>,
     budgets: RefCell<BTreeMap<ids::ServiceName, dispatch::RetryBudget>>,
@@ -99,6 +118,7 @@
     /// Makes the state of a process that knows no route and no target.
     pub fn new(setup: RelaySetup) -> Rc<Self> {
         let (phase, _) = watch::channel(StopPhase::Serving);
+        let members = RefCell::new(membership::MemberBook::new(setup.settings.peers));
         Rc::new(Self {
             settings: RefCell::new(setup.settings),
             protocol: setup.protocol,
@@ -110,6 +130,8 @@
             connections: Cell::new(0),
             open_calls: Cell::new(0),
             peers: RefCell::new(BTreeMap::new()),
+            members,
+            catch_up: RefCell::default(),
             news: broadcast::channel(NEWS_LIMIT).0,
             routes: RefCell::new(None),
             dispatcher: RefCell::new(setup.dispatcher),
@@ -136,7 +158,15 @@
 
     /// Returns the number of processes that tell each other what they know, this one included.
     pub fn processes(&self) -> usize {
-        self.dispatcher.borrow().processes()
+        self.members.borrow().processes()
+    }
+
+    /// Returns how new the knowledge of this process is.
+    pub(super) fn known(&self) -> membership::KnownState {
+        membership::KnownState {
+            routes: self.routes_version(),
+            directory: self.targets.borrow().revision(),
+        }
     }
 
     /// Writes a record.
@@ -257,7 +287,7 @@
     /// Takes one repeated attempt from the budget.
     pub(super) fn take_retry(&self, service: &ids::ServiceName) -> bool {
         let bounds = self.settings.borrow().retries;
-        let processes = self.dispatcher.borrow().processes();
+        let processes = self.processes();
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_default();
         budget.take(self.now(), &bounds, processes)
@@ -303,21 +333,25 @@
     fn tell_changes(&self, now: time::Timestamp) {
         let loads = self.dispatcher.borrow_mut().take_changed(now);
         if !loads.is_empty() {
-            self.tell_peers(&super::PeerMessage::Loads {
+            let message = super::PeerMessage::Loads {
                 vm: self.settings.borrow().vm.clone(),
                 loads,
-            });
+            };
+            self.tell_peers(NewsScope::Cell, &message);
         }
     }
 
-    /// Sends a message on all links to peers.
-    pub(super) fn tell_peers(&self, message: &super::PeerMessage) {
+    /// Sends a message on links to peers.
+    pub(super) fn tell_peers(&self, scope: NewsScope, message: &super::PeerMessage) {
         if self.news.receiver_count() == 0 {
             return;
         }
         match codec::encode(message) {
             // Without a link there is nobody to tell.
-            Ok(bytes) => drop(self.news.send(bytes.into())),
+            Ok(bytes) => {
+                let bytes = bytes.into();
+                drop(self.news.send(PeerNews { scope, bytes }));
+            }
             Err(error) => log::error!("a message to peers can't be written: {error}"),
         }
     }
--- a/crates/relay/tests/directory.rs
+++ b/crates/relay/tests/directory.rs
@@ -142,3 +142,43 @@
     let changes = table.change(START, vec![record("a", 1, 12)], Vec::new());
     assert_eq!(usable(&changes), 0);
 }
+
+/// One of two tables lags behind; what it is handed makes them equal, and holds no more than what
+/// changed.
+#[test]
+fn difference_brings_an_older_table_up_to_date() {
+    let mut old = table();
+    let mut new = table();
+    new.change(START, vec![record("e", 1, 12)], Vec::new());
+    new.change(START, vec![record("b", 2, 13)], Vec::new());
+    let removed = vec![("a".parse().unwrap(), directory::DirectoryRevision::new(14))];
+    new.change(START, Vec::new(), removed);
+    new.change(START, vec![draining("c", 1, 15)], Vec::new());
+
+    let difference = new.difference(old.revision());
+    assert_eq!(difference.written.len(), 3);
+    assert_eq!(difference.removed.len(), 1);
+    let changes = old.catch_up(START, difference);
+    assert_eq!(names(&old), names(&new));
+    assert_eq!(old.revision(), new.revision());
+    assert_eq!(usable(&changes), 2);
+}
+
+#[test]
+fn difference_for_an_empty_table_is_whole() {
+    let new = table();
+    let difference = new.difference(directory::DirectoryRevision::default());
+    assert_eq!(difference.since, None);
+    let mut old = directory::TargetTable::default();
+    assert_eq!(usable(&old.catch_up(START, difference)), 4);
+}
+
+/// What came late must not take back what the table has learnt since.
+#[test]
+fn catch_up_older_difference_changes_nothing() {
+    let mut table = table();
+    let difference = table.difference(directory::DirectoryRevision::new(9));
+    table.change(START, vec![draining("a", 1, 11)], Vec::new());
+    assert!(table.catch_up(START, difference).is_empty());
+    assert_eq!(table.revision(), directory::DirectoryRevision::new(11));
+}
--- a/crates/relay/tests/dispatch.rs
+++ b/crates/relay/tests/dispatch.rs
@@ -10,6 +10,7 @@
 use kingcupfall_policy::quarantine;
 use kingcupfall_relay::directory;
 use kingcupfall_relay::dispatch;
+use kingcupfall_relay::membership;
 use yare::parameterized;
 
 const START: time::Timestamp = time::Timestamp::from_micros(60_000_000);
@@ -20,6 +21,7 @@
 fn dispatcher(engines: &[&str]) -> dispatch::Dispatcher {
     let mut dispatcher = dispatch::Dispatcher::new(dispatch::DispatchSettings {
         zone: "a".parse().unwrap(),
+        position: membership::CellPosition::of(&"relay"),
         quarantine: Box::new(quarantine::SuspectQuarantine::default()),
     });
     let changes = engines
@@ -346,3 +348,33 @@
     assert!(taken > 0);
     assert!(taken as f64 <= bounds.ratio * requests as f64 + bounds.allowance);
 }
+
+/// In a large fleet only the targets of the own cell are used, as only their load is known; where
+/// the cell has too few, all are.
+#[parameterized(
+    enough = { 400, true },
+    too_few = { 8, false },
+)]
+fn choose_in_a_large_fleet_stays_in_the_cell(engines: usize, is_near: bool) {
+    let names: Vec<_> = (0..engines).map(|index| format!("e{index}")).collect();
+    let names: Vec<_> = names.iter().map(|name| &**name).collect();
+    let mut dispatcher = dispatcher(&names);
+    let depth = membership::CellDepth::for_processes(300);
+    dispatcher.handle(START, dispatch::DispatchEvent::Resized { depth });
+
+    let own = membership::CellPosition::of(&"relay");
+    let mut outside = 0;
+    for call in 0..engines {
+        let event = dispatch::DispatchEvent::Arrived {
+            call: ids::CallId::new(call as u64),
+            demand: Box::new(stream(100)),
+        };
+        for effect in dispatcher.handle(START, event) {
+            if let dispatch::DispatchEffect::Place { placement, .. } = effect {
+                let target = membership::CellPosition::of(&placement.target.key.name);
+                outside += usize::from(!depth.is_same(own, target));
+            }
+        }
+    }
+    assert_eq!(outside == 0, is_near);
+}
