--- a/crates/relay/src/shell/intake.rs
+++ b/crates/relay/src/shell/intake.rs
@@ -72,7 +72,8 @@
 pub(super) struct CallGuard {
     state: Rc<RelayState>,
     call: ids::CallId,
-    kind: directory::CallKind,
+    route: Rc<directory::RouteRule>,
+    service: ids::ServiceName,
     request: Box<str>,
     organisation: Box<str>,
     arrived: time::Timestamp,
@@ -84,10 +85,10 @@
     pub(super) fn settle(&mut self, outcome: &'static str) {
         self.is_settled = true;
         let took = self.state.now().since(self.arrived);
-        let kind = self.kind.label();
+        let class = class(&self.route, &self.service);
         self.state
             .metrics
-            .record_call(kind, outcome, &self.organisation, took);
+            .record_call(&class, outcome, &self.organisation, took);
     }
 }
 
@@ -104,6 +105,17 @@
     }
 }
 
+fn class<'a>(
+    route: &'a directory::RouteRule,
+    service: &'a ids::ServiceName,
+) -> telemetry::CallClass<'a> {
+    telemetry::CallClass {
+        kind: route.kind.label(),
+        route: &route.name,
+        service: service.as_str(),
+    }
+}
+
 impl AcceptedCall {
     /// Returns the name of the caller's organisation.
     pub(super) fn organisation_name(&self) -> Option<&str> {
@@ -112,6 +124,11 @@
             .map(|organisation| organisation.name.as_str())
     }
 
+    /// Returns the class that metrics count the call in.
+    pub(super) fn class(&self) -> telemetry::CallClass<'_> {
+        class(&self.route, &self.demand.service)
+    }
+
     /// Returns a record that names the call.
     pub(super) fn record(&self, kind: telemetry::RecordKind) -> telemetry::DecisionRecord {
         let record = telemetry::DecisionRecord::new(kind)
@@ -172,7 +189,8 @@
     let guard = CallGuard {
         state: Rc::clone(state),
         call,
-        kind: route.kind,
+        route: Rc::clone(&route),
+        service: service.clone(),
         request: head.request.clone(),
         organisation: demand.tag.organisation.as_str().into(),
         arrived,
--- a/crates/relay/src/shell/plain.rs
+++ b/crates/relay/src/shell/plain.rs
@@ -150,7 +150,7 @@
     placement: &dispatch::CallPlacement,
 ) {
     let waited = state.now().since(call.demand.arrived);
-    state.metrics.record_wait(call.route.kind.label(), waited);
+    state.metrics.record_wait(&call.class(), waited);
     let copy = placement.copy_to.as_ref().map(|copy| &copy.key.name);
     let record = call
         .record(telemetry::RecordKind::Placed)
--- a/crates/relay/src/shell/pump.rs
+++ b/crates/relay/src/shell/pump.rs
@@ -231,9 +231,9 @@
         let call = self.call.call;
         if self.events == 0 {
             let took = now.since(self.call.demand.arrived);
-            let kind = self.call.route.kind.label();
             self.first_event = Some(took);
-            self.state.metrics.record_first_event(kind, took);
+            let metrics = &self.state.metrics;
+            metrics.record_first_event(&self.call.class(), took);
             self.state.submit(dispatch::DispatchEvent::Started { call });
         } else {
             let pause = now.since(self.heard_at);
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use kingcupfall_core::ids;
@@ -104,6 +105,8 @@
     /// Messages that go out on many links at once.
     pub(super) news: broadcast::Sender<PeerNews>,
     routes: RefCell<Option<RoutesInForce>>,
+    routes_taken_at: Cell<time::Timestamp>,
+    directory_heard_at: Cell<time::Timestamp>,
     dispatcher: RefCell<dispatch::Dispatcher>,
     budgets: RefCell<BTreeMap<ids::ServiceName, dispatch::RetryBudget>>,
     inboxes: RefCell<HashMap<ids::CallId, mpsc::UnboundedSender<dispatch::DispatchEffect>>>,
@@ -134,6 +137,8 @@
             catch_up: RefCell::default(),
             news: broadcast::channel(NEWS_LIMIT).0,
             routes: RefCell::new(None),
+            routes_taken_at: Cell::default(),
+            directory_heard_at: Cell::default(),
             dispatcher: RefCell::new(setup.dispatcher),
             budgets: RefCell::new(BTreeMap::new()),
             inboxes: RefCell::new(HashMap::new()),
@@ -162,7 +167,7 @@
     }
 
     /// Returns how new the knowledge of this process is.
-    pub(super) fn known(&self) -> membership::KnownState {
+    pub fn known(&self) -> membership::KnownState {
         membership::KnownState {
             routes: self.routes_version(),
             directory: self.targets.borrow().revision(),
@@ -207,10 +212,17 @@
             .is_none_or(|known| known.table.version() < table.version());
         if is_newer {
             *routes = Some(RoutesInForce { table, text });
+            self.routes_taken_at.set(self.now());
         }
         is_newer
     }
 
+    /// Notes a call at the platform's directory that was answered, and its time.
+    pub fn note_directory_call(&self, kind: &'static str, took: Duration) {
+        self.directory_heard_at.set(self.now());
+        self.metrics.record_store_time(kind, took);
+    }
+
     /// Says whether callers can be served.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.routes.borrow().is_some()
@@ -315,9 +327,12 @@
     /// Returns the text of the metrics address.
     pub(super) fn metrics_text(&self) -> String {
         let (waiting, placed) = self.dispatcher.borrow().counts();
+        let now = self.now();
         self.metrics.set_state(&telemetry::MetricsState {
             lost_lines: self.log.lost(),
             routes_version: self.routes_version().get(),
+            routes_age: now.since(self.routes_taken_at.get()),
+            directory_age: now.since(self.directory_heard_at.get()),
             targets: self.targets.borrow().records().count(),
             peers: self.peers.borrow().len(),
             waiting,
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and histograms, as Prometheus text.
 
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::time::Duration;
 
@@ -16,7 +18,7 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.18, 0.3, 0.6, 1.0, 1.8, 4.0, 10.0, 20.0, 40.0,
 ];
 
-/// Most organisations and routes with labels of their own; others share one.
+/// Most organisations, and most classes of calls, with labels of their own; others share one.
 const LABEL_LIMIT: usize = 600;
 
 /// Label of what is beyond the limit.
@@ -26,6 +28,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CallLabels {
     kind: &'static str,
+    route: String,
+    service: String,
     outcome: &'static str,
 }
 
@@ -41,10 +45,40 @@
     organisation: String,
 }
 
-/// Label of a kind of call.
+/// Labels of a class of calls.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct KindLabels {
-    kind: &'static str,
+struct ClassLabels {
+    route: String,
+    service: String,
+}
+
+/// Class of a call.
+#[derive(Debug, Clone, Copy)]
+pub struct CallClass<'a> {
+    /// Name of its kind.
+    pub kind: &'static str,
+    /// Name of its route.
+    pub route: &'a str,
+    /// Service that it goes to.
+    pub service: &'a str,
+}
+
+/// Values that have labels of their own.
+#[derive(Debug, Default)]
+struct LabelSet(RefCell<BTreeSet<Box<str>>>);
+
+impl LabelSet {
+    /// Returns the label of a value: its own, or the one that those beyond the limit share.
+    fn label(&self, value: &str) -> String {
+        let mut known = self.0.borrow_mut();
+        if !known.contains(value) {
+            if known.len() >= LABEL_LIMIT {
+                return OTHER_LABEL.to_owned();
+            }
+            known.insert(value.into());
+        }
+        value.to_owned()
+    }
 }
 
 type LatencyFamily<L> = Family<L, Histogram, fn() -> Histogram>;
@@ -57,18 +91,24 @@
     failures: Family<ReasonLabels, Counter>,
     moves: Family<ReasonLabels, Counter>,
     store_calls: Family<ReasonLabels, Counter>,
+    store_times: LatencyFamily<ReasonLabels>,
     durations: LatencyFamily<OrganisationLabels>,
-    waits: LatencyFamily<KindLabels>,
-    first_events: LatencyFamily<KindLabels>,
+    class_durations: LatencyFamily<ClassLabels>,
+    waits: LatencyFamily<ClassLabels>,
+    first_events: LatencyFamily<ClassLabels>,
     pauses: Histogram,
     move_times: Histogram,
     lost_lines: Gauge,
     routes_version: Gauge,
+    routes_age: Gauge,
+    directory_age: Gauge,
     targets: Gauge,
     peers: Gauge,
     waiting: Gauge,
     placed: Gauge,
-    organisations: std::cell::RefCell<std::collections::BTreeSet<Box<str>>>,
+    organisations: LabelSet,
+    routes: LabelSet,
+    services: LabelSet,
 }
 
 impl Default for RelayMetrics {
@@ -87,18 +127,24 @@
             failures: Family::default(),
             moves: Family::default(),
             store_calls: Family::default(),
+            store_times: Family::new_with_constructor(latency_histogram),
             durations: Family::new_with_constructor(latency_histogram),
+            class_durations: Family::new_with_constructor(latency_histogram),
             waits: Family::new_with_constructor(latency_histogram),
             first_events: Family::new_with_constructor(latency_histogram),
             pauses: latency_histogram(),
             move_times: latency_histogram(),
             lost_lines: Gauge::default(),
             routes_version: Gauge::default(),
+            routes_age: Gauge::default(),
+            directory_age: Gauge::default(),
             targets: Gauge::default(),
             peers: Gauge::default(),
             waiting: Gauge::default(),
             placed: Gauge::default(),
-            organisations: std::cell::RefCell::default(),
+            organisations: LabelSet::default(),
+            routes: LabelSet::default(),
+            services: LabelSet::default(),
         };
         metrics.register();
         metrics
@@ -127,11 +173,21 @@
             "Calls at the platform's directory",
             self.store_calls.clone(),
         );
+        registry.register(
+            "store_call_seconds",
+            "Time of calls at the platform's directory, the wait of watches included",
+            self.store_times.clone(),
+        );
         registry.register(
             "call_seconds",
-            "Time from arrival to end",
+            "Time from arrival to end, by organisation",
             self.durations.clone(),
         );
+        registry.register(
+            "class_call_seconds",
+            "Time from arrival to end, by route and service",
+            self.class_durations.clone(),
+        );
         registry.register(
             "wait_seconds",
             "Time from arrival to a place",
@@ -162,6 +218,16 @@
             "Version in force",
             self.routes_version.clone(),
         );
+        registry.register(
+            "routes_age_seconds",
+            "Time since the version in force was taken",
+            self.routes_age.clone(),
+        );
+        registry.register(
+            "directory_age_seconds",
+            "Time since the platform's directory last answered",
+            self.directory_age.clone(),
+        );
         registry.register("targets", "Targets that may be used", self.targets.clone());
         registry.register("peers", "Peers that are linked", self.peers.clone());
         registry.register(
@@ -175,15 +241,23 @@
     /// Counts a call that ended.
     pub fn record_call(
         &self,
-        kind: &'static str,
+        class: &CallClass<'_>,
         outcome: &'static str,
         organisation: &str,
         took: Duration,
     ) {
-        self.calls
-            .get_or_create(&CallLabels { kind, outcome })
-            .inc();
-        let organisation = self.organisation_label(organisation);
+        let ClassLabels { route, service } = self.class_labels(class);
+        let labels = CallLabels {
+            kind: class.kind,
+            route,
+            service,
+            outcome,
+        };
+        self.calls.get_or_create(&labels).inc();
+        self.class_durations
+            .get_or_create(&self.class_labels(class))
+            .observe(took.as_secs_f64());
+        let organisation = self.organisations.label(organisation);
         self.durations
             .get_or_create(&OrganisationLabels { organisation })
             .observe(took.as_secs_f64());
@@ -204,6 +278,13 @@
         self.moves.get_or_create(&ReasonLabels { reason }).inc();
     }
 
+    /// Takes the time of a call at the platform's directory.
+    pub fn record_store_time(&self, reason: &'static str, took: Duration) {
+        self.store_times
+            .get_or_create(&ReasonLabels { reason })
+            .observe(took.as_secs_f64());
+    }
+
     /// Counts a call at the platform's directory.
     pub fn record_store_call(&self, reason: &'static str) {
         self.store_calls
@@ -212,16 +293,16 @@
     }
 
     /// Takes the time that a call waited for a place.
-    pub fn record_wait(&self, kind: &'static str, waited: Duration) {
+    pub fn record_wait(&self, class: &CallClass<'_>, waited: Duration) {
         self.waits
-            .get_or_create(&KindLabels { kind })
+            .get_or_create(&self.class_labels(class))
             .observe(waited.as_secs_f64());
     }
 
     /// Takes the time to a stream's first event.
-    pub fn record_first_event(&self, kind: &'static str, took: Duration) {
+    pub fn record_first_event(&self, class: &CallClass<'_>, took: Duration) {
         self.first_events
-            .get_or_create(&KindLabels { kind })
+            .get_or_create(&self.class_labels(class))
             .observe(took.as_secs_f64());
     }
 
@@ -239,6 +320,9 @@
     pub fn set_state(&self, state: &MetricsState) {
         self.lost_lines.set(signed(state.lost_lines));
         self.routes_version.set(signed(state.routes_version));
+        self.routes_age.set(signed(state.routes_age.as_secs()));
+        self.directory_age
+            .set(signed(state.directory_age.as_secs()));
         self.targets.set(signed(state.targets as u64));
         self.peers.set(signed(state.peers as u64));
         self.waiting.set(signed(state.waiting as u64));
@@ -256,16 +340,11 @@
         Ok(output)
     }
 
-    fn organisation_label(&self, organisation: &str) -> String {
-        let mut known = self.organisations.borrow_mut();
-        if known.contains(organisation) {
-            return organisation.to_owned();
-        }
-        if known.len() >= LABEL_LIMIT {
-            return OTHER_LABEL.to_owned();
+    fn class_labels(&self, class: &CallClass<'_>) -> ClassLabels {
+        ClassLabels {
+            route: self.routes.label(class.route),
+            service: self.services.label(class.service),
         }
-        known.insert(organisation.into());
-        organisation.to_owned()
     }
 }
 
@@ -276,6 +355,10 @@
     pub lost_lines: u64,
     /// Version of the routes in force.
     pub routes_version: u64,
+    /// Time since these routes were taken.
+    pub routes_age: Duration,
+    /// Time since the platform's directory last answered.
+    pub directory_age: Duration,
     /// Targets that may be used.
     pub targets: usize,
     /// Linked peers.
--- a/crates/relay/src/telemetry/mod.rs
+++ b/crates/relay/src/telemetry/mod.rs
@@ -4,6 +4,7 @@
 mod records;
 mod writer;
 
+pub use metrics::CallClass;
 pub use metrics::MetricsState;
 pub use metrics::RelayMetrics;
 pub use records::DecisionRecord;
--- a/crates/relay/tests/telemetry.rs
+++ b/crates/relay/tests/telemetry.rs
@@ -49,3 +49,40 @@
     }
     assert_eq!(log.lost(), 90);
 }
+
+/// A configuration may come with any number of routes; the labels of metrics do not grow with it.
+#[test]
+fn record_call_of_many_routes_shares_a_label_beyond_the_limit() {
+    let metrics = telemetry::RelayMetrics::new();
+    for index in 0..5_000 {
+        let route = format!("route-{index}");
+        let class = telemetry::CallClass {
+            kind: "stream",
+            route: &route,
+            service: "report",
+        };
+        let took = Duration::from_millis(40);
+        metrics.record_call(&class, "completed", "qurum", took);
+        metrics.record_first_event(&class, took);
+    }
+    let text = metrics.encode().unwrap();
+    assert!(text.contains("route=\"other\""));
+    let calls = text
+        .lines()
+        .filter(|line| line.starts_with("kingcupfall_relay_calls_total"));
+    assert_eq!(calls.count(), 601);
+}
+
+#[test]
+fn encode_tells_the_age_of_configuration_and_directory() {
+    let metrics = telemetry::RelayMetrics::new();
+    metrics.set_state(&telemetry::MetricsState {
+        routes_version: 8,
+        routes_age: Duration::from_secs(61),
+        directory_age: Duration::from_secs(3),
+        ..telemetry::MetricsState::default()
+    });
+    let text = metrics.encode().unwrap();
+    assert!(text.contains("kingcupfall_relay_routes_age_seconds 61"));
+    assert!(text.contains("kingcupfall_relay_directory_age_seconds 3"));
+}
