Limit the time for a request's head; drop the warm-up that nobody read

Cause: the limit for heads of the configuration was decoded and not used: a caller could take the idle limit, five times as long, for each head. The HTTP library's limit starts with the end of the request before, so it can't serve for both. A socket of its own now counts from the first byte of a head to its end.

--- a/crates/relay/src/directory/target.rs
+++ b/crates/relay/src/directory/target.rs
@@ -2,13 +2,10 @@
 
 use std::fmt;
 use std::net;
-use std::time::Duration;
 
 use kingcupfall_core::ids;
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
-use serde_with::serde_as;
 
 /// Number of the directory's state; it grows with each change.
 #[derive(
@@ -62,7 +59,6 @@
 }
 
 /// What a target registered about itself.
-#[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TargetRecord {
     /// The life that the record is about.
@@ -83,10 +79,6 @@
     /// Whether it takes new work.
     #[serde(rename = "t")]
     pub state: TargetState,
-    /// How much longer it is slow after its start, when the record was written.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(rename = "w")]
-    pub warm_up: Duration,
     /// State of the directory in which the record was written.
     #[serde(rename = "r")]
     pub revision: DirectoryRevision,
--- a/crates/relay/src/shell/mod.rs
+++ b/crates/relay/src/shell/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod directory;
 mod evacuation;
+mod head_limit;
 mod intake;
 mod messages;
 mod moves;
--- a/crates/relay/src/shell/server.rs
+++ b/crates/relay/src/shell/server.rs
@@ -21,6 +21,7 @@
 use super::ShellError;
 use super::answers;
 use super::client;
+use super::head_limit;
 use super::intake;
 use super::peers;
 use super::plain;
@@ -97,13 +98,25 @@
     let header = limits.map_or(0, |limits| {
         usize::try_from(limits.header.get()).unwrap_or(usize::MAX)
     });
+    let head_time = limits.map_or(DEFAULT_IDLE, |limits| limits.header_timeout);
+    let watch = head_limit::HeadWatch::new();
+    let socket = head_limit::LimitedSocket::new(stream, watch.clone(), head_time);
     let served = Rc::clone(&state);
-    let service = service::service_fn(move |request| answer(Rc::clone(&served), request));
+    let service = service::service_fn(move |request| {
+        let state = Rc::clone(&served);
+        let watch = watch.clone();
+        async move {
+            watch.note_head();
+            let answer = answer(state, request).await;
+            watch.note_answer();
+            answer
+        }
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(header.max(LEAST_HEADER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
 
     let mut connection = std::pin::pin!(connection);
     let mut phase = state.phase.subscribe();
--- a/crates/relay/tests/directory.rs
+++ b/crates/relay/tests/directory.rs
@@ -19,7 +19,6 @@
         zone: "a".parse().unwrap(),
         slots: 6,
         state: directory::TargetState::Ready,
-        warm_up: Duration::ZERO,
         revision: directory::DirectoryRevision::new(revision),
     }
 }
--- a/crates/relay/tests/dispatch.rs
+++ b/crates/relay/tests/dispatch.rs
@@ -42,7 +42,6 @@
         zone: "a".parse().unwrap(),
         slots: 24,
         state: directory::TargetState::Ready,
-        warm_up: Duration::ZERO,
         revision: directory::DirectoryRevision::new(1),
     }
 }
