--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -113,6 +113,8 @@
     Resized {
         /// Depth of cells at the present size.
         depth: membership::CellDepth,
+        /// Processes of the cell, this one included.
+        processes: usize,
     },
     /// Time has passed; comes several times within the shortest target latency.
     Tick,
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -50,12 +50,13 @@
 
 /// Decides for all calls of one process.
 pub struct Dispatcher {
-    settings: DispatchSettings,
+    pub(super) settings: DispatchSettings,
     pub(super) targets: BTreeMap<ids::TargetName, targets::TargetEntry>,
     pub(super) placed: BTreeMap<ids::CallId, calls::PlacedCall>,
     waiting: queue::WaitingCalls,
     prompts: load::PromptRates,
     depth: membership::CellDepth,
+    pub(super) processes: usize,
     peers: load::PeerLoads,
     changed: BTreeSet<ids::TargetName>,
 }
@@ -70,6 +71,7 @@
             waiting: queue::WaitingCalls::default(),
             prompts: load::PromptRates::default(),
             depth: membership::CellDepth::default(),
+            processes: 1,
             peers: load::PeerLoads::default(),
             changed: BTreeSet::new(),
         }
@@ -115,14 +117,17 @@
             }
             DispatchEvent::Targets(changes) => {
                 for change in changes {
-                    self.change_target(change, &mut effects);
+                    self.change_target(now, change, &mut effects);
                 }
                 self.serve_waiting(now, &mut effects);
             }
             DispatchEvent::PeerLoads { peer, loads } => self.peers.put(peer, loads),
             DispatchEvent::PeerChanged { peer, loads } => self.peers.update(&peer, loads),
             DispatchEvent::PeerLost { peer } => self.peers.remove(&peer),
-            DispatchEvent::Resized { depth } => self.depth = depth,
+            DispatchEvent::Resized { depth, processes } => {
+                self.depth = depth;
+                self.processes = processes;
+            }
             DispatchEvent::Tick => {
                 self.prompts.forget(now);
                 self.serve_waiting(now, &mut effects);
--- a/crates/relay/src/membership/book.rs
+++ b/crates/relay/src/membership/book.rs
@@ -96,9 +96,12 @@
         CellDepth::for_processes(self.processes())
     }
 
-    /// Returns the place of this process.
-    pub const fn position(&self) -> CellPosition {
-        self.position
+    /// Returns the number of processes in the cell, this one included.
+    pub fn cell_processes(&self) -> usize {
+        let depth = self.depth();
+        let members = self.members.values();
+        let near = members.filter(|member| depth.is_same(self.position, member.position));
+        near.count() + 1
     }
 
     /// Says whether a process is in the cell of this one.
--- a/crates/relay/src/membership/cell.rs
+++ b/crates/relay/src/membership/cell.rs
@@ -3,6 +3,7 @@
 //! A cell is named by the leading bits of a hash, so that processes agree on it without speaking.
 //! Those that judge the size of the fleet differently have cells of which one contains the other.
 
+use std::fmt;
 use std::fmt::Display;
 
 use xxhash_rust::xxh3;
@@ -18,11 +19,22 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CellPosition(u64);
 
+impl fmt::Display for CellPosition {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
 impl CellPosition {
     /// Returns the place of what has this name.
     pub fn of(name: &impl Display) -> Self {
         Self(xxh3::xxh3_64(name.to_string().as_bytes()))
     }
+
+    /// Returns how far this place is through all places, from zero to one.
+    pub fn fraction(self) -> f64 {
+        self.0 as f64 / u64::MAX as f64
+    }
 }
 
 /// Number of bits that name a cell. Zero bits make one cell of the whole fleet.
--- a/crates/relay/src/shell/peers.rs
+++ b/crates/relay/src/shell/peers.rs
@@ -147,12 +147,12 @@
 /// Returns wanted addresses without a link.
 fn choose_addresses(state: &RelayState, book: &SharedBook) -> Vec<net::SocketAddr> {
     let now = state.now();
-    let (mut wanted, depth) = {
+    let (mut wanted, depth, processes) = {
         let mut members = state.members.borrow_mut();
         members.forget(now);
-        (members.wanted(), members.depth())
+        (members.wanted(), members.depth(), members.cell_processes())
     };
-    state.submit(dispatch::DispatchEvent::Resized { depth });
+    state.submit(dispatch::DispatchEvent::Resized { depth, processes });
 
     let mut book = book.borrow_mut();
     let settings = state.settings.borrow();
--- a/crates/relay/tests/dispatch.rs
+++ b/crates/relay/tests/dispatch.rs
@@ -19,9 +19,13 @@
 const MEMORY_TOKENS: u64 = 21_000;
 
 fn dispatcher(engines: &[&str]) -> dispatch::Dispatcher {
+    dispatcher_of("relay", engines)
+}
+
+fn dispatcher_of(relay: &str, engines: &[&str]) -> dispatch::Dispatcher {
     let mut dispatcher = dispatch::Dispatcher::new(dispatch::DispatchSettings {
         zone: "a".parse().unwrap(),
-        position: membership::CellPosition::of(&"relay"),
+        position: membership::CellPosition::of(&relay),
         quarantine: Box::new(quarantine::SuspectQuarantine::default()),
     });
     let changes = engines
@@ -106,6 +110,10 @@
     })
 }
 
+fn is_placed_at(effect: &dispatch::DispatchEffect, name: &str) -> bool {
+    placed(std::slice::from_ref(effect)).as_deref() == Some(name)
+}
+
 fn refused(effects: &[dispatch::DispatchEffect]) -> Option<dispatch::CallRefusal> {
     effects.iter().find_map(|effect| match effect {
         dispatch::DispatchEffect::Refuse { refusal, .. } => Some(*refusal),
@@ -359,7 +367,13 @@
     let names: Vec<_> = names.iter().map(|name| &**name).collect();
     let mut dispatcher = dispatcher(&names);
     let depth = membership::CellDepth::for_processes(300);
-    dispatcher.handle(START, dispatch::DispatchEvent::Resized { depth });
+    dispatcher.handle(
+        START,
+        dispatch::DispatchEvent::Resized {
+            depth,
+            processes: 37,
+        },
+    );
 
     let own = membership::CellPosition::of(&"relay");
     let mut outside = 0;
@@ -377,3 +391,67 @@
     }
     assert_eq!(outside == 0, is_near);
 }
+
+/// Load: eight processes, each with two prompts that wait for memory, when an engine starts. They
+/// all see it at once. Each tells the others of what it sends there, 5 ms later.
+#[test]
+fn choose_new_engine_is_not_overrun_by_all_processes() {
+    let relays: Vec<_> = (0..8).map(|index| format!("relay-{index}")).collect();
+    let mut dispatchers: Vec<_> = relays
+        .iter()
+        .map(|relay| {
+            let mut dispatcher = dispatcher_of(relay, &["full"]);
+            let resized = dispatch::DispatchEvent::Resized {
+                depth: membership::CellDepth::default(),
+                processes: relays.len(),
+            };
+            dispatcher.handle(START, resized);
+            for call in 0..20 {
+                let demand = dispatch::CallDemand {
+                    target_latency: Duration::from_secs(30),
+                    ..stream(400)
+                };
+                arrive(&mut dispatcher, call, demand);
+            }
+            assert!(dispatcher.counts().0 >= 2);
+            dispatcher
+        })
+        .collect();
+
+    let mut placed = 0;
+    let mut news: Vec<(u64, ids::VmName, Vec<dispatch::PeerLoad>)> = Vec::new();
+    for millis in 0..120_u64 {
+        let now = START + Duration::from_millis(millis);
+        for (index, dispatcher) in dispatchers.iter_mut().enumerate() {
+            for (told_at, peer, loads) in &news {
+                if told_at + 5 == millis && peer.as_str() != relays[index] {
+                    let peer = peer.clone();
+                    let loads = loads.clone();
+                    dispatcher.handle(now, dispatch::DispatchEvent::PeerLoads { peer, loads });
+                }
+            }
+            let event = match millis {
+                0 => dispatch::DispatchEvent::Targets(vec![directory::TargetChange::Usable(
+                    Rc::new(engine("new")),
+                )]),
+                _ => dispatch::DispatchEvent::Tick,
+            };
+            let effects = dispatcher.handle(now, event);
+            let count = effects
+                .iter()
+                .filter(|effect| is_placed_at(effect, "new"))
+                .count();
+            placed += count;
+            if count > 0 {
+                let loads = dispatcher.loads(now);
+                let loads = loads
+                    .into_iter()
+                    .filter(|load| load.target.as_str() == "new");
+                news.push((millis, relays[index].parse().unwrap(), loads.collect()));
+            }
+        }
+    }
+    let most = MEMORY_TOKENS / stream(400).prompt_tokens;
+    assert!(placed as u64 <= most, "{placed}");
+    assert!(placed > 3, "{placed}");
+}
