--- a/crates/relay/src/dispatch/targets.rs
+++ b/crates/relay/src/dispatch/targets.rs
@@ -86,7 +86,8 @@
     fn turn_at(&self, target: &ids::TargetName) -> Duration {
         let own = self.settings.position;
         let order = membership::CellPosition::of(&format!("{own}-{target}"));
-        let range = TURN_TIME * u32::try_from(self.processes - 1).unwrap_or(u32::MAX);
+        let others = self.processes.saturating_sub(1);
+        let range = TURN_TIME * u32::try_from(others).unwrap_or(u32::MAX);
         range.mul_f64(order.fraction())
     }
 
--- a/crates/relay/src/telemetry/records.rs
+++ b/crates/relay/src/telemetry/records.rs
@@ -50,8 +50,6 @@
     AttemptFailed,
     /// A stream goes on at another target.
     Resumed,
-    /// The memory of a stream was copied to another target.
-    Copied,
     /// A stream could not be brought to another target.
     MoveFailed,
     /// A call ended.
@@ -88,7 +86,6 @@
             | Self::PeerSeen
             | Self::Placed
             | Self::Resumed
-            | Self::Copied
             | Self::Ended
             | Self::CallerLeft => false,
         }
