Drop what no decision reads, and pieces that stood twice

Found on reading the whole change again; behaviour stays as it is.

A demand carried the kind and the tag of its call, which nothing read but the name of the organisation; the name and the fingerprint were made twice. A pulse worked out all loads for peers that are not told them, and copied up to 4,096 departures to send 32.

--- a/crates/relay/src/directory/table.rs
+++ b/crates/relay/src/directory/table.rs
@@ -106,13 +106,15 @@
 
     /// Returns the lives that are known to leave, newest first, but for the first `count` ones
     /// that were remembered.
-    pub fn departures_after(&self, count: u64) -> Vec<(TargetKey, TargetDeparture)> {
+    pub fn departures_after(
+        &self,
+        count: u64,
+    ) -> impl Iterator<Item = (TargetKey, TargetDeparture)> {
         let new = self.departure_count.saturating_sub(count);
         let newest = self.departure_order.iter().rev();
         newest
             .take(usize::try_from(new).unwrap_or(usize::MAX))
             .filter_map(|key| Some((key.clone(), *self.departures.get(key)?)))
-            .collect()
     }
 
     /// Returns what a table that stands for `since` lacks.
--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -34,10 +34,6 @@
 pub struct CallDemand {
     /// Service that is to answer.
     pub service: ids::ServiceName,
-    /// What may be repeated.
-    pub kind: directory::CallKind,
-    /// Whose call it is.
-    pub tag: work::CallerTag,
     /// Rank; zero is the most urgent.
     pub rank: u8,
     /// Tokens of the prompt; zero for a plain service.
@@ -95,8 +91,7 @@
 
     fn forecast(&self) -> u64 {
         match &self.demand.engine {
-            Some(engine) => forecast_tokens(&self.demand)
-                .max(self.demand.prompt_tokens + self.events * engine.event_tokens + GROWTH_TOKENS),
+            Some(_) => forecast_tokens(&self.demand).max(self.used() + GROWTH_TOKENS),
             None => 0,
         }
     }
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -252,13 +252,7 @@
             return;
         }
         self.waiting.remove(call);
-        effects.push(DispatchEffect::Refuse {
-            call,
-            refusal: CallRefusal {
-                reason: RefusalReason::Crowded,
-                retry_after: wait.clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER),
-            },
-        });
+        effects.push(refuse_until(call, RefusalReason::Crowded, wait));
     }
 
     fn refuse_overdue(&mut self, now: time::Timestamp, effects: &mut Vec<DispatchEffect>) {
@@ -267,13 +261,7 @@
                 continue;
             };
             let wait = self.expected_wait(now, &demand);
-            effects.push(DispatchEffect::Refuse {
-                call,
-                refusal: CallRefusal {
-                    reason: RefusalReason::WaitedOut,
-                    retry_after: wait.clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER),
-                },
-            });
+            effects.push(refuse_until(call, RefusalReason::WaitedOut, wait));
         }
     }
 
@@ -452,3 +440,14 @@
         loads
     }
 }
+
+/// Refuses a call that could get a place after `wait`.
+fn refuse_until(call: ids::CallId, reason: RefusalReason, wait: Duration) -> DispatchEffect {
+    DispatchEffect::Refuse {
+        call,
+        refusal: CallRefusal {
+            reason,
+            retry_after: wait.clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER),
+        },
+    }
+}
--- a/crates/relay/src/shell/intake.rs
+++ b/crates/relay/src/shell/intake.rs
@@ -16,7 +16,6 @@
 use http_body_util::Limited;
 use hyper::body;
 use kingcupfall_core::ids;
-use kingcupfall_core::measures;
 use kingcupfall_core::time;
 use kingcupfall_core::work;
 use tokio::sync::mpsc;
@@ -41,10 +40,7 @@
 /// Memory that a request takes beside its body.
 const REQUEST_BYTES: u64 = 16 * 1024;
 
-/// Weight of an organisation; the deployments that this process serves give none.
-const EVEN_WEIGHT: u32 = 1;
-
-/// Stand-in for a route or an organisation whose name is no name of ours.
+/// Organisation of requests without a key, in metrics and in what tells requests apart.
 const UNNAMED: &str = "unnamed";
 
 /// A request as it is sent to targets, again if need be.
@@ -75,7 +71,7 @@
     route: Rc<directory::RouteRule>,
     service: ids::ServiceName,
     request: Box<str>,
-    organisation: Box<str>,
+    organisation: ids::OrganisationName,
     arrived: time::Timestamp,
     is_settled: bool,
 }
@@ -88,7 +84,7 @@
         let class = class(&self.route, &self.service);
         self.state
             .metrics
-            .record_call(&class, outcome, &self.organisation, took);
+            .record_call(&class, outcome, self.organisation.as_str(), took);
     }
 }
 
@@ -175,15 +171,13 @@
         let reason = dispatch::RefusalReason::NoTarget;
         return Err(refuse(state, &head, reason, ROUTES_RETRY_AFTER));
     };
-    let demand = demand(
-        table,
-        &route,
-        service,
-        organisation.as_deref(),
-        &head,
-        arrived,
-    );
-    let fingerprint = fingerprint(organisation.as_deref(), &parts, &body);
+    let caller = caller(organisation.as_deref());
+    let rank = organisation
+        .as_ref()
+        .and_then(|organisation| organisation.rank)
+        .unwrap_or(route.rank);
+    let fingerprint = fingerprint(&caller, &parts, &body);
+    let demand = demand(table, &route, service, &head, arrived, rank, fingerprint);
     let (call, inbox) = state.open_call();
     state.count_request(service);
     let guard = CallGuard {
@@ -192,7 +186,7 @@
         route: Rc::clone(&route),
         service: service.clone(),
         request: head.request.clone(),
-        organisation: demand.tag.organisation.as_str().into(),
+        organisation: caller,
         arrived,
         is_settled: false,
     };
@@ -207,10 +201,7 @@
             headers: parts.headers,
             body,
         },
-        demand: dispatch::CallDemand {
-            fingerprint,
-            ..demand
-        },
+        demand,
         route,
         organisation,
         guard,
@@ -302,9 +293,10 @@
     table: &directory::RouteTable,
     route: &directory::RouteRule,
     service: &ids::ServiceName,
-    organisation: Option<&directory::OrganisationRule>,
     head: &protocol::CallHead,
     arrived: time::Timestamp,
+    rank: u8,
+    fingerprint: work::RequestFingerprint,
 ) -> dispatch::CallDemand {
     let engine = match route.kind {
         directory::CallKind::Stream => table
@@ -312,23 +304,10 @@
             .and_then(|service| service.engine.clone()),
         directory::CallKind::Idempotent | directory::CallKind::AtMostOnce => None,
     };
-    let rank = organisation
-        .and_then(|organisation| organisation.rank)
-        .unwrap_or(route.rank);
     let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
 
     dispatch::CallDemand {
         service: service.clone(),
-        kind: route.kind,
-        tag: work::CallerTag {
-            organisation: organisation.map_or_else(
-                || name_or(UNNAMED, UNNAMED),
-                |organisation| organisation.name.clone(),
-            ),
-            class: name_or(&route.name, UNNAMED),
-            priority: measures::Priority::new(u8::MAX - rank),
-            weight: measures::Weight::new(EVEN_WEIGHT),
-        },
         rank,
         prompt_tokens: head.prompt_tokens,
         output_tokens: head.output_tokens,
@@ -336,31 +315,26 @@
         arrived,
         target_latency: route.target_latency,
         deadline: arrived + patience,
-        fingerprint: work::RequestFingerprint::new(0),
+        fingerprint,
         tried: Vec::new(),
     }
 }
 
-/// Takes a name, or the other one where the platform uses characters that ours don't have.
-fn name_or<T: std::str::FromStr>(name: &str, other: &str) -> T
-where
-    T::Err: std::fmt::Debug,
-{
-    name.parse()
-        .unwrap_or_else(|_| other.parse().expect("a constant name is a name"))
+/// Returns the name under which a caller's requests are counted.
+fn caller(organisation: Option<&directory::OrganisationRule>) -> ids::OrganisationName {
+    match organisation {
+        Some(organisation) => organisation.name.clone(),
+        None => UNNAMED.parse().expect("a constant name is a name"),
+    }
 }
 
 fn fingerprint(
-    organisation: Option<&directory::OrganisationRule>,
+    caller: &ids::OrganisationName,
     parts: &request::Parts,
     body: &[u8],
 ) -> work::RequestFingerprint {
-    let organisation = organisation.map_or_else(
-        || name_or(UNNAMED, UNNAMED),
-        |organisation| organisation.name.clone(),
-    );
     let resource = format!("{} {}", parts.method, parts.uri);
-    work::RequestFingerprint::of_request(&organisation, &resource, body)
+    work::RequestFingerprint::of_request(caller, &resource, body)
 }
 
 /// Refuses a request that has reached no target.
--- a/crates/relay/src/shell/peers.rs
+++ b/crates/relay/src/shell/peers.rs
@@ -447,11 +447,13 @@
     let now = state.now();
     let settings = state.settings.borrow();
     let targets = state.targets.borrow();
-    let mut departures = targets.departures_after(progress.departures_told);
-    departures.truncate(MOST_DEPARTURES);
+    let departures = targets.departures_after(progress.departures_told);
+    let departures = departures.take(MOST_DEPARTURES).collect();
     progress.departures_told = targets.departure_count();
-    let (loads, suspects) =
-        state.dispatcher(|dispatcher, now| (dispatcher.loads(now), dispatcher.suspects(now)));
+    let loads = match progress.is_near {
+        true => state.dispatcher(|dispatcher, now| dispatcher.loads(now)),
+        false => Vec::new(),
+    };
     messages::PeerPulse {
         vm: settings.vm.clone(),
         address: settings.peers,
@@ -460,8 +462,8 @@
             .borrow()
             .hints(now, &mut rand::rng(), MOST_HINTS),
         known: state.known(),
-        loads: if progress.is_near { loads } else { Vec::new() },
+        loads,
         departures,
-        suspects,
+        suspects: state.dispatcher(|dispatcher, now| dispatcher.suspects(now)),
     }
 }
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -253,10 +253,7 @@
 
     /// Lets the dispatcher take an event; each call finds what concerns it in its inbox.
     pub(super) fn submit(&self, event: dispatch::DispatchEvent) {
-        let now = self.now();
-        let effects = self.dispatcher.borrow_mut().handle(now, event);
-        self.tell_changes(now);
-        for effect in effects {
+        for effect in self.decide(event) {
             self.deliver(effect);
         }
     }
@@ -267,10 +264,8 @@
         call: ids::CallId,
         event: dispatch::DispatchEvent,
     ) -> Vec<dispatch::DispatchEffect> {
-        let now = self.now();
-        let effects = self.dispatcher.borrow_mut().handle(now, event);
-        self.tell_changes(now);
-        let (own, others): (Vec<_>, Vec<_>) = effects
+        let (own, others): (Vec<_>, Vec<_>) = self
+            .decide(event)
             .into_iter()
             .partition(|effect| effect.call() == call);
         for effect in others {
@@ -279,6 +274,13 @@
         own
     }
 
+    fn decide(&self, event: dispatch::DispatchEvent) -> Vec<dispatch::DispatchEffect> {
+        let now = self.now();
+        let effects = self.dispatcher.borrow_mut().handle(now, event);
+        self.tell_changes(now);
+        effects
+    }
+
     /// Runs a question at the dispatcher.
     pub(super) fn dispatcher<T>(
         &self,
--- a/crates/relay/tests/dispatch.rs
+++ b/crates/relay/tests/dispatch.rs
@@ -53,13 +53,6 @@
 fn stream(output_tokens: u64) -> dispatch::CallDemand {
     dispatch::CallDemand {
         service: "report".parse().unwrap(),
-        kind: directory::CallKind::Stream,
-        tag: work::CallerTag {
-            organisation: "qurum".parse().unwrap(),
-            class: "narrative".parse().unwrap(),
-            priority: measures::Priority::new(1),
-            weight: measures::Weight::new(1),
-        },
         rank: 0,
         prompt_tokens: 3_000,
         output_tokens,
@@ -79,7 +72,6 @@
 
 fn booking() -> dispatch::CallDemand {
     dispatch::CallDemand {
-        kind: directory::CallKind::AtMostOnce,
         prompt_tokens: 0,
         output_tokens: 0,
         engine: None,
