Serve streams that can be on time first, and share what peers leave of the retry budget

The expected wait, that for streams of the same relay to end, was far above what is waited in truth, as all relays compete for room that becomes free anywhere.

Change: refused requests are known by their fingerprint when they come back (pulses tell them to peers); those that can't be on time go behind the others, leave an engine 15 % of its memory for them, and wait up to 2.5 times the target latency instead of being refused after half of it. The expected wait follows the rate at which the relay got places. Ruled out: telling returns by their shorter deadline, as callers' deadlines differ by six seconds from the start.

Retry budget. Pulses now tell requests and repeats; a resumption may go beyond the own part while each process takes, within the time of news, at most an equal part of what all have left. A process that has just started uses a quarter of its part.

--- a/crates/relay/src/dispatch/budget.rs
+++ b/crates/relay/src/dispatch/budget.rs
@@ -1,18 +1,30 @@
-//! This process's share of the attempts that all processes may repeat.
+//! This process's part of the attempts that all processes may repeat.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use kingcupfall_core::ids;
 use kingcupfall_core::time;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// Part of the bounds that calls sent again may use; the rest is left to running streams, whose
 /// loss costs callers more.
 const RETRY_SHARE: f64 = 0.5;
 
 /// Part of the bounds that both kinds may use together; the rest covers windows that are cut
-/// differently, and processes that start again and have forgotten what they used.
+/// differently, and peers whose counts were lost with them.
 const RESUMPTION_SHARE: f64 = 0.8;
 
+/// Part of its own part that a process uses within a window after its start, as it does not know
+/// what the process before it used.
+const STARTED_SHARE: f64 = 0.25;
+
+/// Time until peers have been told of a repeated attempt: the longest interval of pulses, and some
+/// more for the way.
+const NEWS_TIME: Duration = Duration::from_secs(1);
+
 /// What a further arrival of a request at a target is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RepeatKind {
@@ -42,14 +54,28 @@
     pub allowance: f64,
 }
 
+/// What one process had of one service in the last window.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RepeatCount {
+    /// Requests of callers.
+    #[serde(rename = "q")]
+    pub requests: usize,
+    /// Repeated attempts.
+    #[serde(rename = "r")]
+    pub repeats: usize,
+}
+
 /// Counts requests and repeated attempts of one service in a sliding window.
 ///
-/// The ratio is taken of the requests that this process took itself, and the allowance is divided
-/// by the number of processes, so that the sum over all stays inside the bounds without agreement.
+/// Each process may use its part without agreement: the ratio of the requests that it took itself,
+/// and an equal part of the allowance. A resumption may go beyond it while peers tell that they use
+/// less: within the time that news take, each process takes at most an equal part of what all of
+/// them have left.
 #[derive(Debug, Default)]
 pub struct RetryBudget {
     requests: VecDeque<time::Timestamp>,
     repeats: VecDeque<time::Timestamp>,
+    peers: BTreeMap<ids::VmName, RepeatCount>,
 }
 
 impl RetryBudget {
@@ -82,11 +108,55 @@
         processes: usize,
         kind: RepeatKind,
     ) -> bool {
+        let own = self.count(now, bounds);
+        let allowance = bounds.allowance / processes.max(1) as f64;
+        let started = match now.since(time::Timestamp::ZERO) < bounds.window {
+            true => STARTED_SHARE,
+            false => 1.0,
+        };
+        let part = (own.requests as f64 * bounds.ratio + allowance) * kind.share() * started;
+        (own.repeats + 1) as f64 <= part
+            || kind == RepeatKind::Resumption && self.has_shared(now, bounds, processes, own)
+    }
+
+    /// Says whether a resumption is left in this process's part of what nobody has used.
+    fn has_shared(
+        &self,
+        now: time::Timestamp,
+        bounds: &RetryBounds,
+        processes: usize,
+        own: RepeatCount,
+    ) -> bool {
+        let known = self.peers.len() + 1;
+        let requests = own.requests + self.peers.values().map(|peer| peer.requests).sum::<usize>();
+        let repeats = own.repeats + self.peers.values().map(|peer| peer.repeats).sum::<usize>();
+        let allowance = bounds.allowance * known as f64 / processes.max(known) as f64;
+        let shared = (requests as f64 * bounds.ratio + allowance) * RESUMPTION_SHARE;
+
+        let is_untold = |at: &&time::Timestamp| now.since(**at) < NEWS_TIME;
+        let untold = self.repeats.iter().rev().take_while(is_untold).count();
+        let left = shared - (repeats - untold) as f64;
+        (untold + 1) as f64 <= left / known as f64
+    }
+
+    /// Returns what this process had in the last window, as peers are told.
+    pub fn count(&mut self, now: time::Timestamp, bounds: &RetryBounds) -> RepeatCount {
         expire(&mut self.requests, now, bounds.window);
         expire(&mut self.repeats, now, bounds.window);
-        let allowance = bounds.allowance / processes.max(1) as f64;
-        let allowed = (self.requests.len() as f64 * bounds.ratio + allowance) * kind.share();
-        (self.repeats.len() + 1) as f64 <= allowed
+        RepeatCount {
+            requests: self.requests.len(),
+            repeats: self.repeats.len(),
+        }
+    }
+
+    /// Takes what a peer tells.
+    pub fn put_peer(&mut self, peer: &ids::VmName, count: RepeatCount) {
+        self.peers.insert(peer.clone(), count);
+    }
+
+    /// Forgets a peer that is gone.
+    pub fn remove_peer(&mut self, peer: &ids::VmName) {
+        self.peers.remove(peer);
     }
 }
 
--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -44,6 +44,8 @@
     pub engine: Option<Rc<directory::EngineRule>>,
     /// When the caller's request arrived.
     pub arrived: time::Timestamp,
+    /// When the caller asked for the first time; before `arrived` if it was refused then.
+    pub asked_at: time::Timestamp,
     /// Time from arrival within which an answer is on time.
     pub target_latency: Duration,
     /// When the caller's time or the route's is over.
--- a/crates/relay/src/dispatch/claims.rs
+++ b/crates/relay/src/dispatch/claims.rs
@@ -239,6 +239,8 @@
                     placed.placed_at = now;
                     let prompt_tokens = placed.demand.prompt_tokens;
                     self.prompts.add(now, &target.key.name, prompt_tokens);
+                    let service = placed.demand.service.clone();
+                    self.count_start(now, service);
                 }
                 let copy_to = self.assign_copy(now, call);
                 let target = pending.target;
--- a/crates/relay/src/dispatch/load.rs
+++ b/crates/relay/src/dispatch/load.rs
@@ -103,39 +103,40 @@
     }
 }
 
-/// Prompt tokens sent to a target in a second, over the last few seconds.
+/// How much came in a second, of late.
 #[derive(Debug, Clone, Copy, Default)]
-struct PromptRate {
-    tokens: f64,
+pub(super) struct DecayingRate {
+    amount: f64,
     at: time::Timestamp,
 }
 
-impl PromptRate {
-    fn add(&mut self, now: time::Timestamp, tokens: u64) {
-        self.tokens = self.remaining(now) + tokens as f64;
+impl DecayingRate {
+    /// Counts what comes now; `span` is the time over which the rate is taken.
+    pub(super) fn add(&mut self, now: time::Timestamp, span: Duration, amount: f64) {
+        self.amount = self.remaining(now, span) + amount;
         self.at = now;
     }
 
-    fn per_second(&self, now: time::Timestamp) -> u64 {
-        (self.remaining(now) / RATE_SPAN.as_secs_f64()) as u64
+    pub(super) fn per_second(&self, now: time::Timestamp, span: Duration) -> f64 {
+        self.remaining(now, span) / span.as_secs_f64()
     }
 
-    fn remaining(&self, now: time::Timestamp) -> f64 {
-        let age = now.since(self.at).as_secs_f64() / RATE_SPAN.as_secs_f64();
-        self.tokens * (-age).exp()
+    fn remaining(&self, now: time::Timestamp, span: Duration) -> f64 {
+        let age = now.since(self.at).as_secs_f64() / span.as_secs_f64();
+        self.amount * (-age).exp()
     }
 }
 
 /// Rates of prompts at the targets that got some of late.
 #[derive(Debug, Default)]
 pub(super) struct PromptRates {
-    rates: BTreeMap<ids::TargetName, PromptRate>,
+    rates: BTreeMap<ids::TargetName, DecayingRate>,
 }
 
 impl PromptRates {
     pub(super) fn add(&mut self, now: time::Timestamp, target: &ids::TargetName, tokens: u64) {
         let rate = self.rates.entry(target.clone()).or_default();
-        rate.add(now, tokens);
+        rate.add(now, RATE_SPAN, tokens as f64);
     }
 
     /// Returns the rates that are not zero.
@@ -145,12 +146,13 @@
     ) -> impl Iterator<Item = (&ids::TargetName, u64)> {
         let rates = self.rates.iter();
         rates
-            .map(move |(name, rate)| (name, rate.per_second(now)))
+            .map(move |(name, rate)| (name, rate.per_second(now, RATE_SPAN) as u64))
             .filter(|(_, rate)| *rate > 0)
     }
 
     /// Forgets targets that got none for long.
     pub(super) fn forget(&mut self, now: time::Timestamp) {
-        self.rates.retain(|_, rate| rate.per_second(now) > 0);
+        self.rates
+            .retain(|_, rate| rate.per_second(now, RATE_SPAN) >= 1.0);
     }
 }
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 //! One reducer, [`Dispatcher`], takes [`DispatchEvent`]s and answers with [`DispatchEffect`]s. It
 //! answers for the load that this process carries itself, beside what peers tell of theirs.
 
+mod admission;
 mod budget;
 mod calls;
 mod claims;
@@ -14,8 +15,10 @@
 mod place;
 mod queue;
 mod reducer;
+mod returns;
 mod targets;
 
+pub use budget::RepeatCount;
 pub use budget::RepeatKind;
 pub use budget::RetryBounds;
 pub use budget::RetryBudget;
@@ -34,3 +37,4 @@
 pub use load::PeerLoad;
 pub use reducer::DispatchSettings;
 pub use reducer::Dispatcher;
+pub use returns::RefusedRecord;
--- a/crates/relay/src/dispatch/place.rs
+++ b/crates/relay/src/dispatch/place.rs
@@ -10,12 +10,16 @@
 use super::RoomBound;
 use super::TargetDoubt;
 use super::calls;
+use super::queue;
 use crate::directory;
 
 /// Share of an engine's memory that admitted streams may be forecast to need: all of it, as the
 /// forecast holds room for growth already.
 const MEMORY_SHARE: f64 = 1.0;
 
+/// The same for streams that are late already: a stream that can be on time still finds room.
+const LATE_MEMORY_SHARE: f64 = 0.85;
+
 /// Prompt tokens that may wait at an engine, in parts of what it processes within the target
 /// latency; beyond that the first event would be late.
 const BACKLOG_SHARE: f64 = 0.5;
@@ -66,8 +70,8 @@
 
 impl CandidateTarget<'_> {
     /// Says whether the target has room for a call.
-    pub(super) fn has_room(&self, demand: &CallDemand) -> bool {
-        match start_bound(demand, self.record) {
+    pub(super) fn has_room(&self, now: time::Timestamp, demand: &CallDemand) -> bool {
+        match start_bound(now, demand, self.record) {
             Some(bound) => bound.has_room(self.load, calls::start_load(demand)),
             None => self.load.calls < self.record.slots.max(1) * PLAIN_DEPTH,
         }
@@ -125,11 +129,16 @@
 
 /// Returns how full an engine may be once it runs a call; `None` for a plain service.
 pub(super) fn start_bound(
+    now: time::Timestamp,
     demand: &CallDemand,
     record: &directory::TargetRecord,
 ) -> Option<RoomBound> {
     let engine = demand.engine.as_ref()?;
-    let memory = engine.memory.get() as f64 * MEMORY_SHARE;
+    let share = match queue::is_late(now, demand) {
+        true => LATE_MEMORY_SHARE,
+        false => MEMORY_SHARE,
+    };
+    let memory = engine.memory.get() as f64 * share;
     let backlog = demand.target_latency.as_secs_f64() * PREFILL_TOKENS_PER_S * BACKLOG_SHARE;
     Some(RoomBound {
         places: record.slots,
@@ -148,7 +157,7 @@
 ) -> Option<Rc<directory::TargetRecord>> {
     let with_room: Vec<_> = candidates
         .iter()
-        .filter(|candidate| candidate.has_room(demand))
+        .filter(|candidate| candidate.has_room(now, demand))
         .collect();
     let sound: Vec<_> = with_room
         .iter()
--- a/crates/relay/src/dispatch/queue.rs
+++ b/crates/relay/src/dispatch/queue.rs
@@ -12,6 +12,10 @@
 /// an engine processes one in about a fifth of the target latency, and two may be ahead.
 const STREAM_PATIENCE: f64 = 0.55;
 
+/// Multiple of the target latency for which a stream that can't be on time any more may wait:
+/// callers give up after four times that.
+const LATE_PATIENCE: f64 = 2.5;
+
 /// Share of the target latency that a call of a plain service may wait for a place.
 const PLAIN_PATIENCE: f64 = 0.8;
 
@@ -34,18 +38,22 @@
         self.calls.get(&call).map(Box::as_ref)
     }
 
-    /// Returns the number of calls of a service that go before one of this rank.
-    pub(super) fn ahead(&self, service: &ids::ServiceName, rank: u8) -> usize {
+    /// Returns the number of calls of the same service that go before one with this demand, and it.
+    pub(super) fn ahead(&self, now: time::Timestamp, demand: &CallDemand) -> usize {
+        let order = |demand: &CallDemand| (is_late(now, demand), demand.rank);
         self.calls
             .values()
-            .filter(|demand| demand.service == *service && demand.rank <= rank)
+            .filter(|other| other.service == demand.service && order(other) <= order(demand))
             .count()
     }
 
-    /// Returns the calls in the order in which they get places: by rank, then by arrival.
-    pub(super) fn in_order(&self) -> Vec<ids::CallId> {
+    /// Returns the calls in the order in which they get places: those that can be on time before
+    /// the others, then by rank and by arrival.
+    pub(super) fn in_order(&self, now: time::Timestamp) -> Vec<ids::CallId> {
         let mut calls: Vec<_> = self.calls.iter().collect();
-        calls.sort_by_key(|(call, demand)| (demand.rank, demand.arrived, **call));
+        calls.sort_by_key(|(call, demand)| {
+            (is_late(now, demand), demand.rank, demand.arrived, **call)
+        });
         calls.into_iter().map(|(call, _)| *call).collect()
     }
 
@@ -67,10 +75,16 @@
     }
 }
 
+/// Says whether a stream can't be on time any more.
+pub(super) fn is_late(now: time::Timestamp, demand: &CallDemand) -> bool {
+    let on_time = demand.target_latency.mul_f64(STREAM_PATIENCE);
+    demand.engine.is_some() && now.since(demand.asked_at) > on_time
+}
+
 /// Returns for how long after its arrival a call may wait for a place.
 pub(super) fn patience(demand: &CallDemand) -> Duration {
     let share = match demand.engine {
-        Some(_) => STREAM_PATIENCE,
+        Some(_) => LATE_PATIENCE,
         None => PLAIN_PATIENCE,
     };
     demand
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Duration;
 
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
@@ -13,12 +12,11 @@
 use super::AttemptResult;
 use super::CallDemand;
 use super::CallPlacement;
-use super::CallRefusal;
 use super::DispatchEffect;
 use super::DispatchEvent;
 use super::LoadCount;
 use super::PeerLoad;
-use super::RefusalReason;
+use super::RefusedRecord;
 use super::RoomClaim;
 use super::calls;
 use super::claims;
@@ -26,20 +24,11 @@
 use super::load;
 use super::place;
 use super::queue;
+use super::returns;
 use super::targets;
 use crate::directory;
 use crate::membership;
 
-/// Shortest time after which a caller is told to come back.
-const LEAST_RETRY_AFTER: Duration = Duration::from_millis(100);
-
-/// Longest time after which a caller is told to come back; within it reclaimed targets are
-/// replaced.
-const MOST_RETRY_AFTER: Duration = Duration::from_secs(4);
-
-/// Time after which a caller is told to come back when no target is known.
-const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// What the dispatcher is started with.
 pub struct DispatchSettings {
     /// VM of this process.
@@ -58,6 +47,9 @@
     pub(super) targets: BTreeMap<ids::TargetName, targets::TargetEntry>,
     pub(super) placed: BTreeMap<ids::CallId, calls::PlacedCall>,
     pub(super) waiting: queue::WaitingCalls,
+    /// Streams sent to targets, by service.
+    pub(super) starts: BTreeMap<ids::ServiceName, load::DecayingRate>,
+    pub(super) refused: returns::RefusedCalls,
     pub(super) claims: claims::PendingClaims,
     /// Targets that had no room of late, and until when they are left alone.
     pub(super) denials: BTreeMap<ids::TargetName, time::Timestamp>,
@@ -75,6 +67,8 @@
             targets: BTreeMap::new(),
             placed: BTreeMap::new(),
             waiting: queue::WaitingCalls::default(),
+            starts: BTreeMap::new(),
+            refused: returns::RefusedCalls::default(),
             claims: claims::PendingClaims::default(),
             denials: BTreeMap::new(),
             prompts: load::PromptRates::default(),
@@ -143,6 +137,7 @@
             DispatchEvent::Resized(depth) => self.depth = depth,
             DispatchEvent::Tick => {
                 self.prompts.forget(now);
+                self.refused.forget(now);
                 self.expire_claims(now, &mut effects);
                 self.serve_waiting(now, &mut effects);
                 self.refuse_overdue(now, &mut effects);
@@ -197,104 +192,20 @@
             .record_crash(now, fingerprint, attempt);
     }
 
-    /// Returns the numbers of waiting and placed calls.
-    pub fn counts(&self) -> (usize, usize) {
-        (self.waiting.len(), self.placed.len())
-    }
-
-    fn arrive(
-        &mut self,
-        now: time::Timestamp,
-        call: ids::CallId,
-        demand: Box<CallDemand>,
-        effects: &mut Vec<DispatchEffect>,
-    ) {
-        self.claims.remove(call);
-        self.placed.remove(&call);
-        if let Err(refusal) = self.admit(now, &demand) {
-            effects.push(DispatchEffect::Refuse { call, refusal });
-            return;
-        }
-        self.waiting.insert(call, demand);
-        self.serve_waiting(now, effects);
-        self.refuse_hopeless(now, call, effects);
+    /// Returns the requests that this process refused after the first `told` ones, and the number
+    /// of all.
+    pub fn refused_after(&self, now: time::Timestamp, told: u64) -> (Vec<RefusedRecord>, u64) {
+        self.refused.records_after(now, told)
     }
 
-    /// Refuses what no target can serve, whatever the load.
-    fn admit(&mut self, now: time::Timestamp, demand: &CallDemand) -> Result<(), CallRefusal> {
-        let verdict = self.settings.quarantine.judge(now, demand.fingerprint);
-        if let quarantine::SuspectVerdict::Quarantined { until } = verdict {
-            return Err(CallRefusal {
-                reason: RefusalReason::Quarantined,
-                retry_after: until.since(now),
-            });
-        }
-        let is_too_large = demand
-            .engine
-            .as_ref()
-            .is_some_and(|engine| demand.prompt_tokens > engine.memory.get());
-        if is_too_large {
-            return Err(CallRefusal {
-                reason: RefusalReason::TooLarge,
-                retry_after: MOST_RETRY_AFTER,
-            });
-        }
-        let has_target = self
-            .targets
-            .values()
-            .any(|entry| !entry.is_leaving && entry.record.service == demand.service);
-        match has_target {
-            true => Ok(()),
-            false => Err(CallRefusal {
-                reason: RefusalReason::NoTarget,
-                retry_after: NO_TARGET_RETRY_AFTER,
-            }),
-        }
+    /// Takes a request that a peer refused.
+    pub fn merge_refused(&mut self, now: time::Timestamp, record: &RefusedRecord) {
+        self.refused.merge(now, record);
     }
 
-    /// Refuses a call at once when those ahead of it take longer than it can wait.
-    pub(super) fn refuse_hopeless(
-        &mut self,
-        now: time::Timestamp,
-        call: ids::CallId,
-        effects: &mut Vec<DispatchEffect>,
-    ) {
-        let Some(demand) = self.waiting.get(call) else {
-            return;
-        };
-        let wait = self.expected_wait(now, demand);
-        if wait <= queue::patience(demand) {
-            return;
-        }
-        self.waiting.remove(call);
-        effects.push(refuse_until(call, RefusalReason::Crowded, wait));
-    }
-
-    fn refuse_overdue(&mut self, now: time::Timestamp, effects: &mut Vec<DispatchEffect>) {
-        for call in self.waiting.overdue(now) {
-            let Some(demand) = self.waiting.remove(call) else {
-                continue;
-            };
-            let wait = self.expected_wait(now, &demand);
-            effects.push(refuse_until(call, RefusalReason::WaitedOut, wait));
-        }
-    }
-
-    /// Time until a call of this process would get a place. Each process waits for the places that
-    /// its own calls give back, so that all waits together fit what becomes free.
-    fn expected_wait(&self, now: time::Timestamp, demand: &CallDemand) -> Duration {
-        let ahead = self.waiting.ahead(&demand.service, demand.rank).max(1);
-        let mut left: Vec<_> = self
-            .placed
-            .values()
-            .filter(|placed| placed.demand.service == demand.service)
-            .map(|placed| placed.time_left(now))
-            .collect();
-        left.sort();
-        match left.get(ahead - 1) {
-            Some(left) => *left,
-            None => MOST_RETRY_AFTER,
-        }
+    /// Returns the numbers of waiting and placed calls.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.waiting.len(), self.placed.len())
     }
 
     pub(super) fn serve_waiting(
@@ -305,7 +216,7 @@
         if self.waiting.is_empty() {
             return;
         }
-        for call in self.waiting.in_order() {
+        for call in self.waiting.in_order(now) {
             let Some(demand) = self.waiting.get(call).cloned() else {
                 continue;
             };
@@ -314,7 +225,7 @@
             };
             self.waiting.remove(call);
             let load = calls::start_load(&demand);
-            let bound = place::start_bound(&demand, &target);
+            let bound = place::start_bound(now, &demand, &target);
             let placed = calls::PlacedCall {
                 demand: Box::new(demand),
                 target: Rc::clone(&target),
@@ -522,14 +433,3 @@
         loads
     }
 }
-
-/// Refuses a call that could get a place after `wait`.
-fn refuse_until(call: ids::CallId, reason: RefusalReason, wait: Duration) -> DispatchEffect {
-    DispatchEffect::Refuse {
-        call,
-        refusal: CallRefusal {
-            reason,
-            retry_after: wait.clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER),
-        },
-    }
-}
--- a/crates/relay/src/shell/messages.rs
+++ b/crates/relay/src/shell/messages.rs
@@ -72,6 +72,12 @@
     /// Targets that it knows to leave and has not told on this link, newest first.
     #[serde(rename = "g")]
     pub departures: Vec<(directory::TargetKey, directory::TargetDeparture)>,
+    /// Requests that it refused and has not told on this link.
+    #[serde(rename = "r", default)]
+    pub refused: Vec<dispatch::RefusedRecord>,
+    /// Its requests and repeated attempts by service, in the window that bounds these.
+    #[serde(rename = "n", default)]
+    pub repeats: Vec<(ids::ServiceName, dispatch::RepeatCount)>,
     /// Requests that crash targets.
     #[serde(rename = "q")]
     pub suspects: Vec<quarantine::SuspectRecord>,
--- a/crates/relay/src/shell/peers.rs
+++ b/crates/relay/src/shell/peers.rs
@@ -88,6 +88,7 @@
     address: Option<net::SocketAddr>,
     is_near: bool,
     departures_told: u64,
+    refused_told: u64,
     unneeded_since: Option<time::Timestamp>,
     /// The way to this link for messages to the peer, until the peer has said who it is.
     mailbox: Option<mpsc::UnboundedSender<bytes::Bytes>>,
@@ -323,7 +324,7 @@
         .target_text(vm.as_str())
         .outcome(cause);
     state.record(&record);
-    state.submit(dispatch::DispatchEvent::PeerLost { peer: vm.clone() });
+    state.forget_peer(vm);
 }
 
 /// Takes a message; returns what is to be sent back.
@@ -400,7 +401,11 @@
         for suspect in &pulse.suspects {
             dispatcher.merge_suspect(now, suspect);
         }
+        for record in &pulse.refused {
+            dispatcher.merge_refused(now, record);
+        }
     });
+    state.take_repeat_counts(&pulse.vm, &pulse.repeats);
     // Only peers of the cell tell their load, and decide on claims.
     let peer = pulse.vm;
     state.submit(match progress.is_near {
@@ -471,6 +476,9 @@
         true => state.dispatcher(|dispatcher, now| dispatcher.loads(now)),
         false => Vec::new(),
     };
+    let (refused, refused_told) =
+        state.dispatcher(|dispatcher, now| dispatcher.refused_after(now, progress.refused_told));
+    progress.refused_told = refused_told;
     messages::PeerPulse {
         vm: settings.vm.clone(),
         address: settings.peers,
@@ -481,6 +489,8 @@
         known: state.known(),
         loads,
         departures,
+        refused,
+        repeats: state.repeat_counts(),
         suspects: state.dispatcher(|dispatcher, now| dispatcher.suspects(now)),
     }
 }
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -325,6 +325,36 @@
         })
     }
 
+    /// Returns the requests and repeated attempts of this process, as peers are told.
+    pub(super) fn repeat_counts(&self) -> Vec<(ids::ServiceName, dispatch::RepeatCount)> {
+        let now = self.now();
+        let bounds = self.settings.borrow().retries;
+        let mut budgets = self.budgets.borrow_mut();
+        let counts = budgets.iter_mut();
+        counts
+            .map(|(service, budget)| (service.clone(), budget.count(now, &bounds)))
+            .collect()
+    }
+
+    /// Takes those of a peer.
+    pub(super) fn take_repeat_counts(
+        &self,
+        peer: &ids::VmName,
+        counts: &[(ids::ServiceName, dispatch::RepeatCount)],
+    ) {
+        for (service, count) in counts {
+            self.budget(service, |budget, _| budget.put_peer(peer, *count));
+        }
+    }
+
+    /// Forgets what a peer told that is gone.
+    pub(super) fn forget_peer(&self, peer: &ids::VmName) {
+        for budget in self.budgets.borrow_mut().values_mut() {
+            budget.remove_peer(peer);
+        }
+        self.submit(dispatch::DispatchEvent::PeerLost { peer: peer.clone() });
+    }
+
     fn budget<T>(
         &self,
         service: &ids::ServiceName,
--- a/crates/relay/tests/dispatch/fixtures.rs
+++ b/crates/relay/tests/dispatch/fixtures.rs
@@ -68,6 +68,7 @@
             can_copy: true,
         })),
         arrived: START,
+        asked_at: START,
         target_latency: Duration::from_millis(1_800),
         deadline: START + Duration::from_secs(39),
         fingerprint: work::RequestFingerprint::new(7),
