Record when calls wait, the load a placement rests on, and doubt of targets

A call that finds no room at once has a line (queued) with the number that wait; a placement names the calls and tokens that the target was known to have; a target that is left alone for its failures, and its return, have a line each, told by the reducer on its ticks so that a doubt that fades is told too.

Test: a target that fails is told as doubted once and as trusted once.

--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -63,6 +63,8 @@
     pub(super) target: Rc<directory::TargetRecord>,
     pub(super) copy: Option<Rc<directory::TargetRecord>>,
     pub(super) placed_at: time::Timestamp,
+    /// Load of all processes at the target when it was chosen.
+    pub(super) present: LoadCount,
     pub(super) has_started: bool,
     pub(super) events: u64,
 }
--- a/crates/relay/src/dispatch/claims.rs
+++ b/crates/relay/src/dispatch/claims.rs
@@ -243,8 +243,12 @@
                     self.count_start(now, service);
                 }
                 let copy_to = self.assign_copy(now, call);
-                let target = pending.target;
-                let placement = CallPlacement { target, copy_to };
+                let load = self.placed.get(&call).map(|placed| placed.present);
+                let placement = CallPlacement {
+                    target: pending.target,
+                    copy_to,
+                    load: load.unwrap_or_default(),
+                };
                 effects.push(DispatchEffect::Place { call, placement });
             }
             ClaimPurpose::Shelter { .. } => {
--- a/crates/relay/src/dispatch/doubt.rs
+++ b/crates/relay/src/dispatch/doubt.rs
@@ -15,6 +15,9 @@
 /// Longest such pause.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 
+/// Failure rate from which a target is taken only when there is no better one.
+pub(super) const FAILING_RATE: f64 = 0.35;
+
 /// Weight of one attempt in the moving averages.
 const SAMPLE_WEIGHT: f64 = 0.25;
 
@@ -69,6 +72,11 @@
         now < self.paused_until
     }
 
+    /// Says whether a target with better ones beside it is not used.
+    pub fn is_doubted(&self, now: time::Timestamp) -> bool {
+        self.is_paused(now) || self.failure_rate > 0.0 && self.failure_rate(now) >= FAILING_RATE
+    }
+
     fn pause(&mut self, now: time::Timestamp) {
         let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.pauses.min(8));
         self.pauses = self.pauses.saturating_add(1);
--- a/crates/relay/src/dispatch/effect.rs
+++ b/crates/relay/src/dispatch/effect.rs
@@ -7,6 +7,7 @@
 use kingcupfall_core::ids;
 
 use super::ClaimMessage;
+use super::LoadCount;
 use crate::directory;
 
 /// Where a call goes.
@@ -16,6 +17,8 @@
     pub target: Rc<directory::TargetRecord>,
     /// Target that is to hold a copy of its memory.
     pub copy_to: Option<Rc<directory::TargetRecord>>,
+    /// Load that all processes were known to have there when it was chosen, without the call.
+    pub load: LoadCount,
 }
 
 /// Why a call is refused; it was sent to no target that may have run it.
@@ -107,6 +110,15 @@
         /// The target.
         target: Option<Rc<directory::TargetRecord>>,
     },
+    /// A target is doubted, or trusted again.
+    Trust {
+        /// The target.
+        target: ids::TargetName,
+        /// Whether it is trusted.
+        is_trusted: bool,
+        /// Attempts that failed, of a thousand recent ones.
+        failures: u64,
+    },
     /// Send a message to a peer.
     Tell {
         /// The peer.
@@ -117,7 +129,7 @@
 }
 
 impl DispatchEffect {
-    /// Returns the call that the effect is for; `None` when it is for a peer.
+    /// Returns the call that the effect is for, if it is for one.
     pub const fn call(&self) -> Option<ids::CallId> {
         match self {
             Self::Place { call, .. }
@@ -125,7 +137,7 @@
             | Self::Evacuate { call }
             | Self::DropCopy { call }
             | Self::Shelter { call, .. } => Some(*call),
-            Self::Tell { .. } => None,
+            Self::Trust { .. } | Self::Tell { .. } => None,
         }
     }
 }
--- a/crates/relay/src/dispatch/place.rs
+++ b/crates/relay/src/dispatch/place.rs
@@ -48,9 +48,6 @@
 /// are sent there; a further call would wait for two others and be late.
 const PLAIN_DEPTH: u32 = 2;
 
-/// Failure rate from which a target is taken only when there is no better one.
-const FAILING_RATE: f64 = 0.35;
-
 /// Cost of one failed attempt, in multiples of the usual time of an answer.
 const FAILURE_COST: f64 = 4.0;
 
@@ -154,7 +151,7 @@
     zone: &ids::ZoneName,
     demand: &CallDemand,
     candidates: &[CandidateTarget<'_>],
-) -> Option<Rc<directory::TargetRecord>> {
+) -> Option<(Rc<directory::TargetRecord>, LoadCount)> {
     let with_room: Vec<_> = candidates
         .iter()
         .filter(|candidate| candidate.has_room(now, demand))
@@ -162,7 +159,7 @@
     let sound: Vec<_> = with_room
         .iter()
         .copied()
-        .filter(|candidate| candidate.doubt.failure_rate(now) < FAILING_RATE)
+        .filter(|candidate| !candidate.doubt.is_doubted(now))
         .collect();
     let best = if sound.is_empty() { with_room } else { sound };
 
@@ -171,5 +168,5 @@
             let first = first.cost_s(now, zone, demand);
             first.total_cmp(&second.cost_s(now, zone, demand))
         })
-        .map(|candidate| Rc::clone(candidate.record))
+        .map(|candidate| (Rc::clone(candidate.record), candidate.load))
 }
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -136,6 +136,7 @@
             DispatchEvent::PeerLost { peer } => self.peers.remove(&peer),
             DispatchEvent::Resized(depth) => self.depth = depth,
             DispatchEvent::Tick => {
+                self.review_trust(now, &mut effects);
                 self.prompts.forget(now);
                 self.refused.forget(now);
                 self.expire_claims(now, &mut effects);
@@ -203,6 +204,11 @@
         self.refused.merge(now, record);
     }
 
+    /// Says whether a call waits for a target with room.
+    pub fn is_waiting(&self, call: ids::CallId) -> bool {
+        self.waiting.get(call).is_some()
+    }
+
     /// Returns the numbers of waiting and placed calls.
     pub fn counts(&self) -> (usize, usize) {
         (self.waiting.len(), self.placed.len())
@@ -220,7 +226,7 @@
             let Some(demand) = self.waiting.get(call).cloned() else {
                 continue;
             };
-            let Some(target) = self.choose(now, &demand) else {
+            let Some((target, present)) = self.choose(now, &demand) else {
                 continue;
             };
             self.waiting.remove(call);
@@ -231,13 +237,18 @@
                 target: Rc::clone(&target),
                 copy: None,
                 placed_at: now,
+                present,
                 has_started: false,
                 events: 0,
             };
             self.placed.insert(call, placed);
             let Some(bound) = bound else {
                 let copy_to = None;
-                let placement = CallPlacement { target, copy_to };
+                let placement = CallPlacement {
+                    target,
+                    copy_to,
+                    load: present,
+                };
                 effects.push(DispatchEffect::Place { call, placement });
                 continue;
             };
@@ -257,7 +268,7 @@
         &mut self,
         now: time::Timestamp,
         demand: &CallDemand,
-    ) -> Option<Rc<directory::TargetRecord>> {
+    ) -> Option<(Rc<directory::TargetRecord>, LoadCount)> {
         let loads = self.own_loads(now);
         let candidates = self.candidates(now, &loads, &demand.service);
         let fresh: Vec<_> = candidates
@@ -356,7 +367,12 @@
         self.changed.insert(former.key.name.clone());
         self.changed.insert(target.key.name.clone());
         let copy_to = self.assign_copy(now, call);
-        let placement = CallPlacement { target, copy_to };
+        let load = self.peers.sum(&target.key.name);
+        let placement = CallPlacement {
+            target,
+            copy_to,
+            load,
+        };
         effects.push(DispatchEffect::Place { call, placement });
     }
 
--- a/crates/relay/src/dispatch/targets.rs
+++ b/crates/relay/src/dispatch/targets.rs
@@ -22,6 +22,8 @@
     pub(super) record: Rc<directory::TargetRecord>,
     pub(super) is_leaving: bool,
     pub(super) doubt: TargetDoubt,
+    /// Whether it was doubted when that was last looked at.
+    pub(super) was_doubted: bool,
     /// Place of the target among the cells of the fleet.
     pub(super) position: membership::CellPosition,
 }
@@ -45,6 +47,7 @@
                             record,
                             is_leaving: false,
                             doubt: TargetDoubt::default(),
+                            was_doubted: false,
                             position: membership::CellPosition::of(&name),
                         };
                         self.targets.insert(name, entry);
@@ -72,6 +75,21 @@
         }
     }
 
+    /// Tells which targets are doubted now that were not, or the other way round.
+    pub(super) fn review_trust(&mut self, now: time::Timestamp, effects: &mut Vec<DispatchEffect>) {
+        for (name, entry) in &mut self.targets {
+            let is_doubted = entry.doubt.is_doubted(now);
+            if is_doubted != entry.was_doubted {
+                entry.was_doubted = is_doubted;
+                effects.push(DispatchEffect::Trust {
+                    target: name.clone(),
+                    is_trusted: !is_doubted,
+                    failures: (entry.doubt.failure_rate(now) * 1_000.0) as u64,
+                });
+            }
+        }
+    }
+
     /// Tells the streams that run or have their copy at a target that it leaves.
     fn leave(&mut self, key: &directory::TargetKey, effects: &mut Vec<DispatchEffect>) {
         for (call, placed) in &mut self.placed {
--- a/crates/relay/src/shell/plain.rs
+++ b/crates/relay/src/shell/plain.rs
@@ -118,6 +118,7 @@
         demand: Box::new(call.demand.clone()),
     };
     let mut effects = state.ask(call.call, arrival);
+    let mut is_queued = false;
     loop {
         for effect in effects.drain(..) {
             match effect {
@@ -129,9 +130,14 @@
                 dispatch::DispatchEffect::Evacuate { .. }
                 | dispatch::DispatchEffect::DropCopy { .. }
                 | dispatch::DispatchEffect::Shelter { .. }
+                | dispatch::DispatchEffect::Trust { .. }
                 | dispatch::DispatchEffect::Tell { .. } => {}
             }
         }
+        if !is_queued && state.is_waiting(call.call) {
+            is_queued = true;
+            record_queued(state, call);
+        }
         let due = state.instant(call.demand.deadline);
         match tokio::time::timeout_at(due, call.inbox.recv()).await {
             Ok(Some(effect)) => effects.push(effect),
@@ -145,6 +151,16 @@
     }
 }
 
+fn record_queued(state: &RelayState, call: &intake::AcceptedCall) {
+    let (waiting, _) = state.dispatcher(|dispatcher, _| dispatcher.counts());
+    let record = call
+        .record(telemetry::RecordKind::Queued)
+        .outcome(call.demand.service.as_str())
+        .count(waiting as u64)
+        .after(state.now().since(call.demand.arrived));
+    state.record(&record);
+}
+
 fn record_placed(
     state: &RelayState,
     call: &intake::AcceptedCall,
@@ -159,6 +175,7 @@
         .copy(copy)
         .version(placement.target.revision.get())
         .count(call.demand.tried.len() as u64)
+        .load(placement.load.calls, placement.load.forecast)
         .after(waited);
     state.record(&record);
 }
--- a/crates/relay/src/shell/pump.rs
+++ b/crates/relay/src/shell/pump.rs
@@ -272,6 +272,7 @@
             Some(
                 dispatch::DispatchEffect::Place { .. }
                 | dispatch::DispatchEffect::Refuse { .. }
+                | dispatch::DispatchEffect::Trust { .. }
                 | dispatch::DispatchEffect::Tell { .. },
             ) => None,
             None => Some(PumpEnd::Broken),
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -434,6 +434,11 @@
     fn deliver(&self, effect: dispatch::DispatchEffect) {
         let effect = match effect {
             dispatch::DispatchEffect::Tell { peer, message } => return self.tell(&peer, message),
+            dispatch::DispatchEffect::Trust {
+                target,
+                is_trusted,
+                failures,
+            } => return self.record_trust(&target, is_trusted, failures),
             effect => effect,
         };
         let inboxes = self.inboxes.borrow();
@@ -443,6 +448,22 @@
         }
     }
 
+    fn record_trust(&self, target: &ids::TargetName, is_trusted: bool, failures: u64) {
+        let kind = match is_trusted {
+            true => telemetry::RecordKind::TargetTrusted,
+            false => telemetry::RecordKind::TargetDoubted,
+        };
+        let record = telemetry::DecisionRecord::new(kind)
+            .target(target)
+            .count(failures);
+        self.record(&record);
+    }
+
+    /// Says whether a call waits for a target with room.
+    pub(super) fn is_waiting(&self, call: ids::CallId) -> bool {
+        self.dispatcher.borrow().is_waiting(call)
+    }
+
     /// Sends a message to one peer. A claim that is lost with a link is as one without an answer.
     fn tell(&self, peer: &ids::VmName, message: dispatch::ClaimMessage) {
         let vm = self.settings.borrow().vm.clone();
--- a/crates/relay/src/telemetry/records.rs
+++ b/crates/relay/src/telemetry/records.rs
@@ -32,6 +32,10 @@
     TargetGone,
     /// A target's record can't be read.
     TargetRejected,
+    /// A target fails too often or can't be reached, and is left alone while there are others.
+    TargetDoubted,
+    /// It is used like the others again.
+    TargetTrusted,
     /// The platform's directory does not answer.
     DirectoryLost,
     /// It answers again.
@@ -40,6 +44,8 @@
     PeerSeen,
     /// A peer is lost.
     PeerLost,
+    /// A call waits for a target with room.
+    Queued,
     /// A call was sent to a target.
     Placed,
     /// A call was refused before any target could run it.
@@ -71,6 +77,7 @@
             | Self::RoutesRejected
             | Self::TargetRejected
             | Self::ReloadFailed
+            | Self::TargetDoubted
             | Self::DirectoryLost
             | Self::PeerLost
             | Self::Omitted => true,
@@ -83,7 +90,9 @@
             | Self::TargetLeaving
             | Self::TargetGone
             | Self::DirectoryRegained
+            | Self::TargetTrusted
             | Self::PeerSeen
+            | Self::Queued
             | Self::Placed
             | Self::Resumed
             | Self::Ended
@@ -116,6 +125,10 @@
     pub status: Option<u16>,
     /// Number of the attempt, event, target or line that the outcome names.
     pub count: Option<u64>,
+    /// Calls that the target was known to have when it was chosen.
+    pub load_calls: Option<u32>,
+    /// Tokens of its memory that these were expected to need.
+    pub load_tokens: Option<u64>,
     /// Time since the request arrived, or age of what the decision rests on.
     pub after_ms: Option<u64>,
     /// Time after which the caller may come back.
@@ -140,6 +153,8 @@
             version: None,
             status: None,
             count: None,
+            load_calls: None,
+            load_tokens: None,
             after_ms: None,
             retry_after_ms: None,
             first_event_ms: None,
@@ -207,6 +222,13 @@
         self
     }
 
+    /// Sets the load that a target was chosen by.
+    pub const fn load(mut self, calls: u32, tokens: u64) -> Self {
+        self.load_calls = Some(calls);
+        self.load_tokens = Some(tokens);
+        self
+    }
+
     /// Sets the time that has passed.
     pub fn after(mut self, after: Duration) -> Self {
         self.after_ms = Some(millis(after));
--- a/crates/relay/tests/dispatch/claims.rs
+++ b/crates/relay/tests/dispatch/claims.rs
@@ -86,7 +86,8 @@
                 }
                 dispatch::DispatchEffect::Shelter { target: None, .. }
                 | dispatch::DispatchEffect::Evacuate { .. }
-                | dispatch::DispatchEffect::DropCopy { .. } => {}
+                | dispatch::DispatchEffect::DropCopy { .. }
+                | dispatch::DispatchEffect::Trust { .. } => {}
             }
         }
         let loads = self.dispatchers[index].take_changed(self.now);
--- a/crates/relay/tests/dispatch/decisions.rs
+++ b/crates/relay/tests/dispatch/decisions.rs
@@ -335,6 +335,30 @@
     }
 }
 
+/// A target that fails is doubted, and trusted again when its failures have faded; each is told once.
+#[test]
+fn tick_tells_when_a_target_is_doubted_and_trusted() {
+    let mut dispatcher = fixtures::dispatcher(&["one"]);
+    for call in 1..4 {
+        fixtures::arrive(&mut dispatcher, call, fixtures::booking());
+        let released = dispatch::DispatchEvent::Released {
+            call: ids::CallId::new(call),
+            result: dispatch::AttemptResult::Failed,
+        };
+        dispatcher.handle(fixtures::START, released);
+    }
+    let mut told = Vec::new();
+    for second in 0..20 {
+        let now = fixtures::START + Duration::from_secs(second);
+        for effect in dispatcher.handle(now, dispatch::DispatchEvent::Tick) {
+            if let dispatch::DispatchEffect::Trust { is_trusted, .. } = effect {
+                told.push(is_trusted);
+            }
+        }
+    }
+    assert_eq!(told, [false, true]);
+}
+
 #[test]
 fn crash_twice_quarantines_the_request() {
     let mut dispatcher = fixtures::dispatcher(&["one"]);
