--- a/crates/relay/src/dispatch/place.rs
+++ b/crates/relay/src/dispatch/place.rs
@@ -17,8 +17,9 @@
 /// forecast holds room for growth already.
 const MEMORY_SHARE: f64 = 1.0;
 
-/// The same for streams that are late already: a stream that can be on time still finds room.
-const LATE_MEMORY_SHARE: f64 = 0.85;
+/// The same for streams that are late already: those that can be on time still find room, also in a
+/// burst of two or three at an engine.
+const LATE_MEMORY_SHARE: f64 = 0.6;
 
 /// Prompt tokens that may wait at an engine, in parts of what it processes within the target
 /// latency; beyond that the first event would be late.
