Refuse waiting streams when a relay stops, and remember a request from its last refusal

A request that was refused twice was forgotten eight seconds after the first time. Each has a test that failed first.

--- a/crates/relay/src/dispatch/admission.rs
+++ b/crates/relay/src/dispatch/admission.rs
@@ -40,7 +40,7 @@
     ) {
         self.claims.remove(call);
         self.placed.remove(&call);
-        if let Some(asked_at) = self.refused.asked_at(now, demand.fingerprint) {
+        if let Some(asked_at) = self.refused.asked_at(demand.fingerprint) {
             demand.asked_at = demand.asked_at.min(asked_at);
         }
         if let Err(refusal) = self.admit(now, &demand) {
@@ -115,6 +115,17 @@
         }
     }
 
+    /// Sends streams that wait to other processes.
+    pub(super) fn refuse_streams(
+        &mut self,
+        now: time::Timestamp,
+        effects: &mut Vec<DispatchEffect>,
+    ) {
+        for call in self.waiting.streams() {
+            self.refuse(now, call, RefusalReason::Stopping, Duration::ZERO, effects);
+        }
+    }
+
     /// Refuses a waiting call that could get a place after `wait`.
     fn refuse(
         &mut self,
--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -120,6 +120,8 @@
     /// The part of the fleet that shares targets with this process is another one: this deep are
     /// cells at the present size.
     Resized(membership::CellDepth),
+    /// The process stops: streams that wait could not end before it does.
+    Stopping,
     /// Time has passed; comes several times within the shortest target latency.
     Tick,
 }
--- a/crates/relay/src/dispatch/queue.rs
+++ b/crates/relay/src/dispatch/queue.rs
@@ -57,6 +57,15 @@
         calls.into_iter().map(|(call, _)| *call).collect()
     }
 
+    /// Returns the streams.
+    pub(super) fn streams(&self) -> Vec<ids::CallId> {
+        self.calls
+            .iter()
+            .filter(|(_, demand)| demand.engine.is_some())
+            .map(|(call, _)| *call)
+            .collect()
+    }
+
     /// Returns the calls that waited as long as is of use.
     pub(super) fn overdue(&self, now: time::Timestamp) -> Vec<ids::CallId> {
         self.calls
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -135,6 +135,7 @@
             }
             DispatchEvent::PeerLost { peer } => self.peers.remove(&peer),
             DispatchEvent::Resized(depth) => self.depth = depth,
+            DispatchEvent::Stopping => self.refuse_streams(now, &mut effects),
             DispatchEvent::Tick => {
                 self.review_trust(now, &mut effects);
                 self.prompts.forget(now);
--- a/crates/relay/src/dispatch/returns.rs
+++ b/crates/relay/src/dispatch/returns.rs
@@ -35,13 +35,21 @@
     pub age: Duration,
 }
 
+/// What is known of a refused request.
+#[derive(Debug, Clone, Copy)]
+struct KnownRefusal {
+    asked_at: time::Timestamp,
+    /// When it was last refused or told.
+    noted_at: time::Timestamp,
+}
+
 /// Requests that were refused by this process or its peers.
 #[derive(Debug, Default)]
 pub(super) struct RefusedCalls {
-    asked_at: HashMap<work::RequestFingerprint, time::Timestamp>,
-    /// The same in the order in which they came to be known, with that time.
+    known: HashMap<work::RequestFingerprint, KnownRefusal>,
+    /// Those requests with the times at which they were noted, oldest first.
     order: VecDeque<(work::RequestFingerprint, time::Timestamp)>,
-    /// Those of this process, which are told to peers.
+    /// Those of this process, which are told to peers, likewise.
     own: VecDeque<(work::RequestFingerprint, time::Timestamp)>,
     own_count: u64,
 }
@@ -57,7 +65,6 @@
         self.insert(now, fingerprint, asked_at);
         self.own.push_back((fingerprint, now));
         self.own_count += 1;
-        self.forget(now);
     }
 
     /// Takes what a peer tells.
@@ -65,17 +72,14 @@
         let age = u64::try_from(record.age.as_micros()).unwrap_or(u64::MAX);
         let asked_at = time::Timestamp::from_micros(now.as_micros().saturating_sub(age));
         self.insert(now, record.fingerprint, asked_at);
-        self.forget(now);
     }
 
     /// Returns when the caller of a request asked for the first time, if it was refused then.
     pub(super) fn asked_at(
         &self,
-        now: time::Timestamp,
         fingerprint: work::RequestFingerprint,
     ) -> Option<time::Timestamp> {
-        let asked_at = self.asked_at.get(&fingerprint).copied();
-        asked_at.filter(|at| now.since(*at) < REMEMBER_TIME * 2)
+        self.known.get(&fingerprint).map(|known| known.asked_at)
     }
 
     /// Returns the requests that this process refused after the first `told` ones, and the number
@@ -89,10 +93,10 @@
         let skipped = self.own.len().saturating_sub(new);
         let own = self.own.iter().skip(skipped);
         let records = own.filter_map(|(fingerprint, _)| {
-            let asked_at = self.asked_at.get(fingerprint)?;
+            let known = self.known.get(fingerprint)?;
             Some(RefusedRecord {
                 fingerprint: *fingerprint,
-                age: now.since(*asked_at),
+                age: now.since(known.asked_at),
             })
         });
         (records.collect(), self.own_count)
@@ -100,15 +104,19 @@
 
     /// Forgets what was refused long ago.
     pub(super) fn forget(&mut self, now: time::Timestamp) {
-        let is_old = |known: &time::Timestamp| now.since(*known) >= REMEMBER_TIME;
-        while self.order.len() > MOST_RECORDS
-            || self.order.front().is_some_and(|(_, known)| is_old(known))
+        let is_old = |noted_at: time::Timestamp| now.since(noted_at) >= REMEMBER_TIME;
+        while let Some((fingerprint, noted_at)) = self.order.front().copied()
+            && (is_old(noted_at) || self.order.len() > MOST_RECORDS)
         {
-            if let Some((fingerprint, _)) = self.order.pop_front() {
-                self.asked_at.remove(&fingerprint);
+            self.order.pop_front();
+            let is_last = |known: &KnownRefusal| known.noted_at == noted_at;
+            if self.known.get(&fingerprint).is_some_and(is_last) {
+                self.known.remove(&fingerprint);
             }
         }
-        while self.own.front().is_some_and(|(_, known)| is_old(known)) {
+        while let Some((_, noted_at)) = self.own.front()
+            && (is_old(*noted_at) || self.own.len() > MOST_RECORDS)
+        {
             self.own.pop_front();
         }
     }
@@ -119,8 +127,13 @@
         fingerprint: work::RequestFingerprint,
         asked_at: time::Timestamp,
     ) {
-        let known = self.asked_at.entry(fingerprint).or_insert(asked_at);
-        *known = asked_at.min(*known);
+        let known = self.known.entry(fingerprint).or_insert(KnownRefusal {
+            asked_at,
+            noted_at: now,
+        });
+        known.asked_at = asked_at.min(known.asked_at);
+        known.noted_at = now;
         self.order.push_back((fingerprint, now));
+        self.forget(now);
     }
 }
--- a/crates/relay/src/shell/stop.rs
+++ b/crates/relay/src/shell/stop.rs
@@ -5,6 +5,7 @@
 
 use super::state::RelayState;
 use super::state::StopPhase;
+use crate::dispatch;
 use crate::telemetry;
 
 /// Time after the order to stop in which callers may still be sent here: the platform asks for
@@ -26,6 +27,7 @@
     state.record(&record);
 
     state.phase.send_replace(StopPhase::Leaving);
+    state.submit(dispatch::DispatchEvent::Stopping);
     tokio::time::sleep(ROTATION_TIME.min(grace / 2)).await;
     state.phase.send_replace(StopPhase::Closing);
 
--- a/crates/relay/tests/dispatch/decisions.rs
+++ b/crates/relay/tests/dispatch/decisions.rs
@@ -108,6 +108,60 @@
     assert_eq!(refusal.reason, dispatch::RefusalReason::WaitedOut);
 }
 
+/// A stream that waits when the process stops could not end before it does.
+#[test]
+fn stop_refuses_streams_that_wait() {
+    let mut dispatcher = fixtures::dispatcher(&["one"]);
+    for call in 1..=4 {
+        fixtures::arrive(&mut dispatcher, call, fixtures::stream(20));
+    }
+    let effects = dispatcher.handle(fixtures::START, dispatch::DispatchEvent::Stopping);
+    let refusal = fixtures::refused(&effects).unwrap();
+    assert_eq!(refusal.reason, dispatch::RefusalReason::Stopping);
+    assert_eq!(effects.len(), 1);
+    assert_eq!(dispatcher.counts(), (0, 3));
+}
+
+/// A request that is refused twice is known as long after the second time as after the first.
+#[test]
+fn refused_twice_is_remembered_from_the_second_time() {
+    let mut dispatcher = fixtures::dispatcher(&["one"]);
+    let record = dispatch::RefusedRecord {
+        fingerprint: work::RequestFingerprint::new(8),
+        age: Duration::ZERO,
+    };
+    for call in 1..=3 {
+        fixtures::arrive(&mut dispatcher, call, fixtures::stream(20));
+    }
+    for second in [0, 5, 10] {
+        let now = fixtures::START + Duration::from_secs(second);
+        dispatcher.handle(now, dispatch::DispatchEvent::Tick);
+        if second < 10 {
+            dispatcher.merge_refused(now, &record);
+        }
+    }
+    let now = fixtures::START + Duration::from_secs(10);
+    for (call, fingerprint) in [(4, 8), (5, 7)] {
+        let demand = dispatch::CallDemand {
+            arrived: now,
+            asked_at: now,
+            fingerprint: work::RequestFingerprint::new(fingerprint),
+            ..fixtures::stream(20)
+        };
+        let call = ids::CallId::new(call);
+        let demand = Box::new(demand);
+        dispatcher.handle(now, dispatch::DispatchEvent::Arrived { call, demand });
+    }
+    let ended = dispatch::DispatchEvent::Ended {
+        call: ids::CallId::new(1),
+    };
+    let effects = dispatcher.handle(now, ended);
+    assert!(matches!(
+        effects[..],
+        [dispatch::DispatchEffect::Place { call, .. }] if call == ids::CallId::new(5)
+    ));
+}
+
 #[test]
 fn end_gives_the_place_to_the_call_that_waits() {
     let mut dispatcher = fixtures::dispatcher(&["one"]);
