Keep the sums of peers' loads up to date instead of adding them up for each placement

Since peers tell at once what becomes free, each message makes waiting calls look at all targets again, and each look added up the loads of all peers for each target. The sums are now kept with each change. A test plays 2,000 random changes against the plain sum of what each peer told last. Messages and mailboxes of links have plain names.

--- a/crates/relay/src/dispatch/load.rs
+++ b/crates/relay/src/dispatch/load.rs
@@ -50,6 +50,18 @@
     }
 }
 
+impl ops::SubAssign for LoadCount {
+    fn sub_assign(&mut self, other: Self) {
+        self.calls = self.calls.saturating_sub(other.calls);
+        self.copies = self.copies.saturating_sub(other.copies);
+        self.used = self.used.saturating_sub(other.used);
+        self.forecast = self.forecast.saturating_sub(other.forecast);
+        self.backlog = self.backlog.saturating_sub(other.backlog);
+        self.long_streams = self.long_streams.saturating_sub(other.long_streams);
+        self.prompt_rate = self.prompt_rate.saturating_sub(other.prompt_rate);
+    }
+}
+
 /// Load of a peer at one target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerLoad {
@@ -61,28 +73,37 @@
     pub load: LoadCount,
 }
 
-/// Loads of all peers, summed by target.
+/// Loads of all peers, by peer and summed by target.
 #[derive(Debug, Default)]
 pub(super) struct PeerLoads {
     peers: BTreeMap<ids::VmName, BTreeMap<ids::TargetName, LoadCount>>,
+    /// Kept up to date with each change, as every placement reads it for all targets.
+    sums: BTreeMap<ids::TargetName, LoadCount>,
 }
 
 impl PeerLoads {
     pub(super) fn put(&mut self, peer: ids::VmName, loads: Vec<PeerLoad>) {
-        let loads = loads.into_iter().map(|load| (load.target, load.load));
-        self.peers.insert(peer, loads.collect());
+        self.remove(&peer);
+        let told = self.peers.entry(peer).or_default();
+        for load in loads {
+            replace(told, &mut self.sums, load.target, load.load);
+        }
     }
 
     pub(super) fn update(&mut self, peer: &ids::VmName, loads: Vec<PeerLoad>) {
-        if let Some(known) = self.peers.get_mut(peer) {
-            known.extend(loads.into_iter().map(|load| (load.target, load.load)));
+        let Some(told) = self.peers.get_mut(peer) else {
+            return;
+        };
+        for load in loads {
+            replace(told, &mut self.sums, load.target, load.load);
         }
     }
 
     /// Counts what a peer was granted until it tells its load there.
     pub(super) fn add(&mut self, peer: &ids::VmName, target: &ids::TargetName, load: LoadCount) {
-        let loads = self.peers.entry(peer.clone()).or_default();
-        *loads.entry(target.clone()).or_default() += load;
+        let told = self.peers.entry(peer.clone()).or_default();
+        *told.entry(target.clone()).or_default() += load;
+        *self.sums.entry(target.clone()).or_default() += load;
     }
 
     /// Returns the peers that tell their load.
@@ -91,15 +112,38 @@
     }
 
     pub(super) fn remove(&mut self, peer: &ids::VmName) {
-        self.peers.remove(peer);
+        for (target, load) in self.peers.remove(peer).unwrap_or_default() {
+            subtract(&mut self.sums, &target, load);
+        }
     }
 
     pub(super) fn sum(&self, target: &ids::TargetName) -> LoadCount {
-        let mut sum = LoadCount::default();
-        for load in self.peers.values().filter_map(|loads| loads.get(target)) {
-            sum += *load;
+        self.sums.get(target).copied().unwrap_or_default()
+    }
+}
+
+fn replace(
+    told: &mut BTreeMap<ids::TargetName, LoadCount>,
+    sums: &mut BTreeMap<ids::TargetName, LoadCount>,
+    target: ids::TargetName,
+    load: LoadCount,
+) {
+    if let Some(former) = told.insert(target.clone(), load) {
+        subtract(sums, &target, former);
+    }
+    *sums.entry(target).or_default() += load;
+}
+
+fn subtract(
+    sums: &mut BTreeMap<ids::TargetName, LoadCount>,
+    target: &ids::TargetName,
+    load: LoadCount,
+) {
+    if let Some(sum) = sums.get_mut(target) {
+        *sum -= load;
+        if *sum == LoadCount::default() {
+            sums.remove(target);
         }
-        sum
     }
 }
 
--- a/crates/relay/src/shell/peers.rs
+++ b/crates/relay/src/shell/peers.rs
@@ -191,7 +191,7 @@
     origin: LinkOrigin,
 ) {
     let (mut sink, mut stream) = socket.split();
-    let (mailbox, mut letters) = mpsc::unbounded_channel();
+    let (mailbox, mut addressed) = mpsc::unbounded_channel();
     let mut progress = LinkProgress {
         mailbox: Some(mailbox),
         ..LinkProgress::default()
@@ -208,7 +208,7 @@
                 // Where news were left out, the next pulse tells the whole state.
                 Ok(_) | Err(_) => continue,
             },
-            Some(letter) = letters.recv() => vec![letter],
+            Some(bytes) = addressed.recv() => vec![bytes],
             message = stream.next() => match message {
                 Some(Ok(tungstenite::Message::Binary(bytes))) => {
                     heard_at = state.now();
@@ -234,7 +234,8 @@
             Ok(false) | Err(_) => break "not sent",
         }
     };
-    drop(letters);
+    // Closes the mailbox, by which the loss of the last link is noticed.
+    drop(addressed);
     lose(state, book, &progress, cause);
 }
 
--- a/crates/relay/tests/dispatch/claims.rs
+++ b/crates/relay/tests/dispatch/claims.rs
@@ -18,7 +18,7 @@
 const STEP: Duration = Duration::from_millis(1);
 
 /// A message on its way.
-struct Letter {
+struct SentMessage {
     due: time::Timestamp,
     to: usize,
     event: dispatch::DispatchEvent,
@@ -29,7 +29,7 @@
     now: time::Timestamp,
     names: Vec<ids::VmName>,
     dispatchers: Vec<dispatch::Dispatcher>,
-    letters: Vec<Letter>,
+    messages: Vec<SentMessage>,
     /// Processes that say nothing.
     silent: Vec<usize>,
     /// Placements and shelters, by process, call and target.
@@ -47,7 +47,7 @@
                 .map(|name| fixtures::dispatcher_of(name, engines))
                 .collect(),
             names: names.iter().map(|name| name.parse().unwrap()).collect(),
-            letters: Vec::new(),
+            messages: Vec::new(),
             silent: Vec::new(),
             placed: Vec::new(),
             refused: 0,
@@ -82,7 +82,7 @@
                     let to = self.names.iter().position(|name| *name == to).unwrap();
                     let peer = peer.clone();
                     let event = dispatch::DispatchEvent::ClaimHeard { peer, message };
-                    self.letters.push(Letter { due, to, event });
+                    self.messages.push(SentMessage { due, to, event });
                 }
                 dispatch::DispatchEffect::Shelter { target: None, .. }
                 | dispatch::DispatchEffect::Evacuate { .. }
@@ -95,7 +95,7 @@
             let peer = peer.clone();
             let loads = loads.clone();
             let event = dispatch::DispatchEvent::PeerChanged { peer, loads };
-            self.letters.push(Letter { due, to, event });
+            self.messages.push(SentMessage { due, to, event });
         }
     }
 
@@ -110,13 +110,13 @@
         let end = self.now + time;
         while self.now < end {
             self.now = self.now + STEP;
-            let (due, later) = std::mem::take(&mut self.letters)
+            let (due, later) = std::mem::take(&mut self.messages)
                 .into_iter()
-                .partition(|letter| letter.due <= self.now);
-            self.letters = later;
-            for letter in due {
-                if !self.silent.contains(&letter.to) {
-                    self.handle(letter.to, letter.event);
+                .partition(|message| message.due <= self.now);
+            self.messages = later;
+            for message in due {
+                if !self.silent.contains(&message.to) {
+                    self.handle(message.to, message.event);
                 }
             }
             for index in 0..self.names.len() {
--- a/crates/relay/tests/dispatch/decisions.rs
+++ b/crates/relay/tests/dispatch/decisions.rs
@@ -1,11 +1,15 @@
 //! Queueing, refusing, placing and evacuating in one process.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use kingcupfall_core::ids;
 use kingcupfall_core::work;
 use kingcupfall_relay::dispatch;
 use kingcupfall_relay::membership;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs;
 use yare::parameterized;
 
 use crate::fixtures;
@@ -317,6 +321,59 @@
     assert_eq!(first_target != second_target, has_news);
 }
 
+/// Whatever peers tell and change, the load that a placement rests on is the sum of what each told
+/// last.
+#[test]
+fn place_rests_on_the_sum_of_what_peers_told_last() {
+    let mut random = rngs::SmallRng::seed_from_u64(11);
+    let names: Vec<ids::VmName> = (0..5)
+        .map(|index| format!("relay-{index}").parse().unwrap())
+        .collect();
+    let mut dispatcher = fixtures::dispatcher(&["one"]);
+    let mut told: BTreeMap<ids::VmName, u32> = BTreeMap::new();
+    for call in 1..2_000 {
+        let peer = names[random.random_range(0..names.len())].clone();
+        let calls = random.random_range(0..4);
+        let loads = vec![dispatch::PeerLoad {
+            target: "one".parse().unwrap(),
+            load: dispatch::LoadCount {
+                calls,
+                ..dispatch::LoadCount::default()
+            },
+        }];
+        let event = match random.random_range(0..4) {
+            0 => {
+                told.remove(&peer);
+                dispatch::DispatchEvent::PeerLost { peer }
+            }
+            1 => {
+                told.insert(peer.clone(), 0);
+                let loads = Vec::new();
+                dispatch::DispatchEvent::PeerLoads { peer, loads }
+            }
+            2 => {
+                told.insert(peer.clone(), calls);
+                dispatch::DispatchEvent::PeerLoads { peer, loads }
+            }
+            // What a peer changes counts once it has told its whole load.
+            _ => {
+                told.entry(peer.clone()).and_modify(|told| *told = calls);
+                dispatch::DispatchEvent::PeerChanged { peer, loads }
+            }
+        };
+        dispatcher.handle(fixtures::START, event);
+
+        let effects = fixtures::arrive(&mut dispatcher, call, fixtures::booking());
+        let load = effects.iter().find_map(|effect| match effect {
+            dispatch::DispatchEffect::Place { placement, .. } => Some(placement.load.calls),
+            _ => None,
+        });
+        assert_eq!(load, Some(told.values().sum()));
+        let call = ids::CallId::new(call);
+        dispatcher.handle(fixtures::START, dispatch::DispatchEvent::Ended { call });
+    }
+}
+
 #[test]
 fn leave_evacuates_streams_and_drops_copies() {
     let mut dispatcher = fixtures::dispatcher(&["one", "two"]);
