--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -231,40 +231,51 @@
                 continue;
             };
             self.waiting.remove(call);
-            let load = calls::start_load(&demand);
-            let bound = place::start_bound(now, &demand, &target);
-            let placed = calls::PlacedCall {
-                demand: Box::new(demand),
-                target: Rc::clone(&target),
-                copy: None,
-                placed_at: now,
-                present,
-                has_started: false,
-                events: 0,
-            };
-            self.placed.insert(call, placed);
-            let Some(bound) = bound else {
-                let copy_to = None;
-                let placement = CallPlacement {
-                    target,
-                    copy_to,
-                    load: present,
-                };
-                effects.push(DispatchEffect::Place { call, placement });
-                continue;
-            };
-            let target_key = target.key.clone();
-            let claim = RoomClaim {
-                target: target_key,
-                load,
-                bound,
-            };
-            let purpose = claims::ClaimPurpose::Start;
-            let pending = claims::PendingClaim::new(now, target, purpose);
-            self.claim(now, call, claim, pending, effects);
+            self.start(now, call, demand, target, present, effects);
         }
     }
 
+    /// Sends a call to a target that has room by what this process knows: a stream once its arbiter
+    /// agrees, other calls at once.
+    fn start(
+        &mut self,
+        now: time::Timestamp,
+        call: ids::CallId,
+        demand: CallDemand,
+        target: Rc<directory::TargetRecord>,
+        present: LoadCount,
+        effects: &mut Vec<DispatchEffect>,
+    ) {
+        let load = calls::start_load(&demand);
+        let bound = place::start_bound(now, &demand, &target);
+        let placed = calls::PlacedCall {
+            demand: Box::new(demand),
+            target: Rc::clone(&target),
+            copy: None,
+            placed_at: now,
+            present,
+            has_started: false,
+            events: 0,
+        };
+        self.placed.insert(call, placed);
+        let Some(bound) = bound else {
+            let placement = CallPlacement {
+                target,
+                copy_to: None,
+                load: present,
+            };
+            return effects.push(DispatchEffect::Place { call, placement });
+        };
+        let claim = RoomClaim {
+            target: target.key.clone(),
+            load,
+            bound,
+        };
+        let purpose = claims::ClaimPurpose::Start;
+        let pending = claims::PendingClaim::new(now, target, purpose);
+        self.claim(now, call, claim, pending, effects);
+    }
+
     fn choose(
         &mut self,
         now: time::Timestamp,
