--- a/crates/relay/src/dispatch/admission.rs
+++ b/crates/relay/src/dispatch/admission.rs
@@ -110,7 +110,9 @@
             let Some(demand) = self.waiting.get(call) else {
                 continue;
             };
-            let wait = self.expected_wait(now, demand);
+            // A call that got no place for some time has no reason to expect one sooner.
+            let waited = now.since(demand.arrived);
+            let wait = self.expected_wait(now, demand).max(waited);
             self.refuse(now, call, RefusalReason::WaitedOut, wait, effects);
         }
     }
--- a/crates/relay/tests/dispatch/decisions.rs
+++ b/crates/relay/tests/dispatch/decisions.rs
@@ -110,6 +110,8 @@
     let effects = dispatcher.handle(later, dispatch::DispatchEvent::Tick);
     let refusal = fixtures::refused(&effects).unwrap();
     assert_eq!(refusal.reason, dispatch::RefusalReason::WaitedOut);
+    // Nothing says that it would get a place sooner than in the time for which it got none.
+    assert!(refusal.retry_after >= Duration::from_secs(4));
 }
 
 /// A stream that waits when the process stops could not end before it does.
