Judge all waiting calls by one look at the targets

Cause: each message of a peer made each waiting call look at all targets and add up the relay's own load anew; on relays with 0.09 of a core that delays events of streams. Decisions are the same; the filter of targets that were tried already moved to the choice.

--- a/crates/relay/src/dispatch/place.rs
+++ b/crates/relay/src/dispatch/place.rs
@@ -146,7 +146,7 @@
     })
 }
 
-/// Chooses a target with room for a call.
+/// Chooses a target with room for a call that did not try it yet.
 pub(super) fn choose(
     now: time::Timestamp,
     zone: &ids::ZoneName,
@@ -155,6 +155,7 @@
 ) -> Option<(Rc<directory::TargetRecord>, LoadCount)> {
     let with_room: Vec<_> = candidates
         .iter()
+        .filter(|candidate| !demand.tried.contains(&candidate.record.key.name))
         .filter(|candidate| candidate.has_room(now, demand))
         .collect();
     let sound: Vec<_> = with_room
--- a/crates/relay/src/dispatch/queue.rs
+++ b/crates/relay/src/dispatch/queue.rs
@@ -78,10 +78,6 @@
     pub(super) fn len(&self) -> usize {
         self.calls.len()
     }
-
-    pub(super) fn is_empty(&self) -> bool {
-        self.calls.is_empty()
-    }
 }
 
 /// Says whether a stream can't be on time any more.
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -215,24 +215,43 @@
         (self.waiting.len(), self.placed.len())
     }
 
+    /// Starts waiting calls for which there is room.
     pub(super) fn serve_waiting(
         &mut self,
         now: time::Timestamp,
         effects: &mut Vec<DispatchEffect>,
     ) {
-        if self.waiting.is_empty() {
-            return;
+        let order = self.waiting.in_order(now);
+        let mut rest = &order[..];
+        while let Some((index, target, present)) = self.find_start(now, rest) {
+            let call = rest[index];
+            rest = &rest[index + 1..];
+            if let Some(demand) = self.waiting.remove(call) {
+                self.start(now, call, *demand, target, present, effects);
+            }
         }
-        for call in self.waiting.in_order(now) {
-            let Some(demand) = self.waiting.get(call).cloned() else {
-                continue;
-            };
-            let Some((target, present)) = self.choose(now, &demand) else {
-                continue;
-            };
-            self.waiting.remove(call);
-            self.start(now, call, demand, target, present, effects);
+    }
+
+    /// Returns the first of these calls for which a target has room, with the target and its load.
+    /// All of them are judged by one look at the targets, as most find no room.
+    fn find_start(
+        &self,
+        now: time::Timestamp,
+        calls: &[ids::CallId],
+    ) -> Option<(usize, Rc<directory::TargetRecord>, LoadCount)> {
+        if calls.is_empty() {
+            return None;
         }
+        let loads = self.own_loads(now);
+        let mut candidates = BTreeMap::new();
+        calls.iter().enumerate().find_map(|(index, call)| {
+            let demand = self.waiting.get(*call)?;
+            let candidates = candidates
+                .entry(&demand.service)
+                .or_insert_with(|| self.candidates(now, &loads, &demand.service));
+            let (target, present) = place::choose(now, &self.settings.zone, demand, candidates)?;
+            Some((index, target, present))
+        })
     }
 
     /// Sends a call to a target that has room by what this process knows: a stream once its arbiter
@@ -276,20 +295,6 @@
         self.claim(now, call, claim, pending, effects);
     }
 
-    fn choose(
-        &mut self,
-        now: time::Timestamp,
-        demand: &CallDemand,
-    ) -> Option<(Rc<directory::TargetRecord>, LoadCount)> {
-        let loads = self.own_loads(now);
-        let candidates = self.candidates(now, &loads, &demand.service);
-        let fresh: Vec<_> = candidates
-            .into_iter()
-            .filter(|candidate| !demand.tried.contains(&candidate.record.key.name))
-            .collect();
-        place::choose(now, &self.settings.zone, demand, &fresh)
-    }
-
     /// Chooses a target for a copy of a placed call, and counts it there.
     pub(super) fn assign_copy(
         &mut self,
