--- a/crates/relay/src/shell/moves.rs
+++ b/crates/relay/src/shell/moves.rs
@@ -8,6 +8,7 @@
 use tokio::task;
 
 use super::client;
+use super::pump;
 use super::state::RelayState;
 use crate::directory;
 use crate::protocol;
@@ -59,7 +60,7 @@
 }
 
 /// Frees the memory of a move that nothing goes on from, once the move is over.
-pub(super) fn abandon(state: &Rc<RelayState>, pending: super::pump::PendingMove) {
+pub(super) fn abandon(state: &Rc<RelayState>, pending: pump::PendingMove) {
     let state = Rc::clone(state);
     task::spawn_local(async move {
         let report = pending.await;
