Ask in one place whether a target takes work; add up loads only for streams worth a copy

Found on reading the change again; behaviour stays as it is. An arbiter and a process that takes granted room made the same check of a target's life, and each stream that starts added up the relay's loads before it was known whether a copy is wanted at all.

Clippy of the workspace, and the tests of the relay and the platform with its short soaks, pass.

--- a/crates/relay/src/dispatch/claims.rs
+++ b/crates/relay/src/dispatch/claims.rs
@@ -203,13 +203,10 @@
         claim: &RoomClaim,
     ) -> bool {
         let name = &claim.target.name;
-        let is_usable = self
-            .targets
-            .get(name)
-            .is_some_and(|entry| entry.record.key == claim.target && !entry.is_leaving);
         let mut present = self.peers.sum(name);
         present += self.own_loads(now).remove(name).unwrap_or_default();
-        let is_granted = is_usable && claim.bound.has_room(present, claim.load);
+        let is_granted =
+            self.takes_work(&claim.target) && claim.bound.has_room(present, claim.load);
         if is_granted {
             self.peers.add(peer, name, claim.load);
         }
@@ -225,11 +222,7 @@
         effects: &mut Vec<DispatchEffect>,
     ) {
         let target = &pending.target;
-        let is_usable = self
-            .targets
-            .get(&target.key.name)
-            .is_some_and(|entry| entry.record.key == target.key && !entry.is_leaving);
-        if !is_usable {
+        if !self.takes_work(&target.key) {
             return self.claim_elsewhere(now, call, pending, effects);
         }
         self.changed.insert(target.key.name.clone());
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -301,11 +301,11 @@
         now: time::Timestamp,
         call: ids::CallId,
     ) -> Option<Rc<directory::TargetRecord>> {
-        let loads = self.own_loads(now);
         let placed = self.placed.get(&call)?;
         if !copies::is_worth_copy(&placed.demand) {
             return None;
         }
+        let loads = self.own_loads(now);
         let candidates = self.candidates(now, &loads, &placed.demand.service);
         let copy = copies::choose_copy(&placed.demand, &placed.target, &candidates);
         if let Some(copy) = &copy {
--- a/crates/relay/src/dispatch/targets.rs
+++ b/crates/relay/src/dispatch/targets.rs
@@ -75,6 +75,13 @@
         }
     }
 
+    /// Says whether this life of a target takes new work.
+    pub(super) fn takes_work(&self, key: &directory::TargetKey) -> bool {
+        self.targets
+            .get(&key.name)
+            .is_some_and(|entry| entry.record.key == *key && !entry.is_leaving)
+    }
+
     /// Tells which targets are doubted now that were not, or the other way round.
     pub(super) fn review_trust(&mut self, now: time::Timestamp, effects: &mut Vec<DispatchEffect>) {
         for (name, entry) in &mut self.targets {
