Write down crashes of targets, and the fingerprint of failed requests

Failure records now carry the request's fingerprint, a counted crash writes `suspected` or `quarantined`, a quarantine that a peer reports writes its source, and `suspected_crashes_total` counts. What is decided is as before.

--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -181,9 +181,16 @@
         self.settings.quarantine.records(now)
     }
 
-    /// Merges a request that crashed a peer's targets.
-    pub fn merge_suspect(&mut self, now: time::Timestamp, record: &quarantine::SuspectRecord) {
+    /// Merges a request that crashed a peer's targets. Returns whether it is quarantined only since
+    /// then.
+    pub fn merge_suspect(
+        &mut self,
+        now: time::Timestamp,
+        record: &quarantine::SuspectRecord,
+    ) -> bool {
+        let was_quarantined = self.is_quarantined(now, record.fingerprint);
         self.settings.quarantine.merge(now, record);
+        !was_quarantined && self.is_quarantined(now, record.fingerprint)
     }
 
     /// Records that a target crashed while it ran a request.
@@ -198,6 +205,16 @@
             .record_crash(now, fingerprint, attempt);
     }
 
+    /// Returns whether a request is refused because it crashed too many targets.
+    pub fn is_quarantined(
+        &mut self,
+        now: time::Timestamp,
+        fingerprint: work::RequestFingerprint,
+    ) -> bool {
+        let status = self.settings.quarantine.status(now, fingerprint);
+        matches!(status, quarantine::QuarantineStatus::Quarantined { .. })
+    }
+
     /// Returns the requests that this relay refused after the first `reported_count`, and the total
     /// number refused.
     pub fn refused_requests_after(
--- a/crates/relay/src/shell/buffered.rs
+++ b/crates/relay/src/shell/buffered.rs
@@ -198,6 +198,7 @@
     state.metrics.record_refusal(refusal.reason.label());
     let record = call
         .record(telemetry::RecordKind::Refused)
+        .fingerprint(call.demand.fingerprint)
         .outcome(refusal.reason.label())
         .version(state.targets.borrow().revision().get())
         .after(state.now().since(call.demand.arrived_at))
@@ -299,7 +300,7 @@
         result,
     });
     if matches!(result, dispatch::AttemptResult::Broken) {
-        record_crash(state, call);
+        record_crash(state, call, target);
     }
     let Some(label) = label else {
         return;
@@ -307,6 +308,7 @@
     state.metrics.record_attempt_failure(label);
     let record = call
         .record(telemetry::RecordKind::AttemptFailed)
+        .fingerprint(call.demand.fingerprint)
         .target(&target.key.name)
         .version(target.revision.get())
         .outcome(label)
@@ -316,11 +318,24 @@
 
 /// Counts a lost connection as a possible crash of the target, caused by the request that ran on
 /// it.
-fn record_crash(state: &RelayState, call: &intake::AcceptedCall) {
+fn record_crash(state: &RelayState, call: &intake::AcceptedCall, target: &directory::TargetRecord) {
     let attempt_id =
         ids::AttemptId::from_u128((u128::from(state.started_ms) << 64) | u128::from(call.id.get()));
     let fingerprint = call.demand.fingerprint;
-    state.with_dispatcher(|dispatcher, now| dispatcher.record_crash(now, fingerprint, attempt_id));
+    let is_quarantined = state.with_dispatcher(|dispatcher, now| {
+        dispatcher.record_crash(now, fingerprint, attempt_id);
+        dispatcher.is_quarantined(now, fingerprint)
+    });
+    state.metrics.record_suspected_crash();
+    let kind = match is_quarantined {
+        true => telemetry::RecordKind::Quarantined,
+        false => telemetry::RecordKind::Suspected,
+    };
+    let record = call
+        .record(kind)
+        .fingerprint(fingerprint)
+        .target(&target.key.name);
+    state.record(&record);
 }
 
 fn next_step(
--- a/crates/relay/src/shell/forwarder.rs
+++ b/crates/relay/src/shell/forwarder.rs
@@ -485,6 +485,7 @@
         let record = self
             .call
             .record(telemetry::RecordKind::Ended)
+            .fingerprint(self.call.demand.fingerprint)
             .target(&self.target.key.name)
             .outcome(label)
             .count(self.event_count)
--- a/crates/relay/src/shell/peer_links.rs
+++ b/crates/relay/src/shell/peer_links.rs
@@ -419,10 +419,15 @@
         .borrow_mut()
         .apply_departures(&heartbeat.departures);
     directory_events::apply_target_changes(state, changes, directory_events::PEER_SOURCE);
-    state.with_dispatcher(|dispatcher, now| {
-        for suspect in &heartbeat.suspects {
-            dispatcher.merge_suspect(now, suspect);
+    for suspect in &heartbeat.suspects {
+        if state.with_dispatcher(|dispatcher, now| dispatcher.merge_suspect(now, suspect)) {
+            let record = telemetry::DecisionRecord::new(telemetry::RecordKind::Quarantined)
+                .fingerprint(suspect.fingerprint)
+                .outcome(directory_events::PEER_SOURCE);
+            state.record(&record);
         }
+    }
+    state.with_dispatcher(|dispatcher, now| {
         for record in &heartbeat.refused_requests {
             dispatcher.merge_refused_request(now, record);
         }
@@ -526,6 +531,6 @@
         departures,
         refused_requests,
         budget_usages: state.budget_usages(),
-        suspects: state.with_dispatcher(|dispatcher, now| dispatcher.suspects(now)),
+        suspects: state.suspects(),
     }
 }
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -11,6 +11,7 @@
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
 use kingcupfall_link::codec;
+use kingcupfall_policy::quarantine;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -170,6 +171,11 @@
         self.members.borrow().relay_count()
     }
 
+    /// Returns the requests that are suspected of crashing targets, quarantined ones included.
+    pub fn suspects(&self) -> Vec<quarantine::SuspectRecord> {
+        self.with_dispatcher(|dispatcher, now| dispatcher.suspects(now))
+    }
+
     /// Returns the versions of the routes and targets that this relay knows.
     pub fn known_versions(&self) -> membership::KnownVersions {
         membership::KnownVersions {
--- a/crates/relay/src/shell/stream.rs
+++ b/crates/relay/src/shell/stream.rs
@@ -139,5 +139,8 @@
     target: &directory::TargetRecord,
     outcome: &str,
 ) -> telemetry::DecisionRecord {
-    call.record(kind).target(&target.key.name).outcome(outcome)
+    call.record(kind)
+        .fingerprint(call.demand.fingerprint)
+        .target(&target.key.name)
+        .outcome(outcome)
 }
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -90,6 +90,7 @@
     calls: Family<CallLabels, Counter>,
     refusals: Family<ReasonLabels, Counter>,
     attempt_failures: Family<ReasonLabels, Counter>,
+    suspected_crashes: Counter,
     resumptions: Family<ReasonLabels, Counter>,
     directory_calls: Family<ReasonLabels, Counter>,
     directory_call_times: LatencyFamily<ReasonLabels>,
@@ -126,6 +127,7 @@
             calls: Family::default(),
             refusals: Family::default(),
             attempt_failures: Family::default(),
+            suspected_crashes: Counter::default(),
             resumptions: Family::default(),
             directory_calls: Family::default(),
             directory_call_times: Family::new_with_constructor(latency_histogram),
@@ -164,6 +166,11 @@
             "Attempts at targets that failed",
             self.attempt_failures.clone(),
         );
+        registry.register(
+            "suspected_crashes",
+            "Requests that ran at a target when it crashed, one count for each target",
+            self.suspected_crashes.clone(),
+        );
         registry.register(
             "stream_moves",
             "Streams brought to another target",
@@ -280,6 +287,11 @@
             .inc();
     }
 
+    /// Counts a request that is suspected of having crashed a target.
+    pub fn record_suspected_crash(&self) {
+        self.suspected_crashes.inc();
+    }
+
     /// Counts an attempt to resume a stream at another target; `reason` is its outcome.
     pub fn record_resumption(&self, reason: &'static str) {
         self.resumptions
--- a/crates/relay/src/telemetry/records.rs
+++ b/crates/relay/src/telemetry/records.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use kingcupfall_core::ids;
+use kingcupfall_core::work;
 use serde::Serialize;
 use serde_with::skip_serializing_none;
 
@@ -60,6 +61,10 @@
     Rejected,
     /// An attempt at a target ended without success.
     AttemptFailed,
+    /// A request is suspected of having crashed a target that ran it.
+    Suspected,
+    /// A request has crashed too many targets: it is refused from now on.
+    Quarantined,
     /// A stream was resumed at another target.
     Resumed,
     /// A stream could not be migrated to or resumed at another target, or an event of it was lost.
@@ -81,6 +86,8 @@
             Self::Refused
             | Self::Rejected
             | Self::AttemptFailed
+            | Self::Suspected
+            | Self::Quarantined
             | Self::MigrationFailed
             | Self::RoutesRejected
             | Self::TargetRejected
@@ -117,6 +124,8 @@
     pub event: RecordKind,
     /// Id that the caller gave its request.
     pub request: Option<Box<str>>,
+    /// Fingerprint of the request, the same each time that its caller sends it.
+    pub fingerprint: Option<Box<str>>,
     /// Name of the request's route.
     pub route: Option<Box<str>>,
     /// Organisation of the caller.
@@ -155,6 +164,7 @@
         Self {
             event,
             request: None,
+            fingerprint: None,
             route: None,
             organisation: None,
             target: None,
@@ -178,6 +188,12 @@
         self
     }
 
+    /// Sets the fingerprint of the request.
+    pub fn fingerprint(mut self, fingerprint: work::RequestFingerprint) -> Self {
+        self.fingerprint = Some(fingerprint.to_string().into());
+        self
+    }
+
     /// Sets the name of the route.
     pub fn route(mut self, route: &str) -> Self {
         self.route = Some(route.into());
