Quarantine requests by the targets that ended under them

What callers and targets saw: a request under which targets ended was sent to further ones each time that it came again, without an end.

Cause: the relay took one symptom at one place for a crash, the loss of the connection before the head of a response, and counted it once a call. Streams break after the head, where the forwarder recorded nothing; a target that falls silent ends an attempt by its timeout, or the caller leaves first; a lookup that ends two targets in one call counted once; and relays that start in the same millisecond gave crashes the same ids. The class of fault: a condition of the target is inferred from the way in which one kind of caller code happens to notice it.

Now a crash is a fact about a target's incarnation. Any attempt that ends without a successful response, on every kind of route and at every step (first send, running stream, resumption, caller that leaves), is a loss. Losses count once the incarnation is known to have ended without notice: a probe or a call finds that nothing accepts connections, or another incarnation registers. The id of the crash is that of the incarnation, so that it is the same at all relays, and counts once however many calls were lost there. A broken connection to a target that lives, or one that is leaving, no longer makes a request suspect. While it is open whether a request has ended two targets, it waits, also for its resumption. Crashes are sent to peers at once, and calls that already wait are refused.

The tests in relay/tests/dispatch/crashes.rs check the decisions without a network.

--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -16,6 +16,7 @@
 pub use numbers::CallId;
 pub use numbers::LinkId;
 pub use random::AttemptId;
+pub use random::CrashId;
 pub use random::IdError;
 pub use random::Incarnation;
 pub use random::Nonce;
--- a/crates/core/src/ids/random.rs
+++ b/crates/core/src/ids/random.rs
@@ -94,6 +94,10 @@
     /// Id of one attempt to run a call on a target, and of the generation that it runs.
     AttemptId
 }
+random_id! {
+    /// Id of the crash of a target, the same in all processes that report it.
+    CrashId
+}
 random_id! {
     /// Id of one run of a process, drawn at each start.
     Incarnation
@@ -107,6 +111,13 @@
     Nonce
 }
 
+impl CrashId {
+    /// Returns the id of the crash that ended an attempt.
+    pub const fn of_attempt(attempt: AttemptId) -> Self {
+        Self(attempt.0)
+    }
+}
+
 /// Deserializes an id from its text form or its bytes.
 struct IdVisitor;
 
--- a/crates/fleet/src/suspects/mod.rs
+++ b/crates/fleet/src/suspects/mod.rs
@@ -24,7 +24,7 @@
 
 #[derive(Debug)]
 struct SuspectEntry {
-    crashes: [Option<ids::AttemptId>; 2],
+    crashes: [Option<ids::CrashId>; 2],
     expires_at: time::Timestamp,
 }
 
@@ -85,19 +85,16 @@
 /// Merges the crashes of two records. Keeps the two lowest ids, so that the order of arrival does
 /// not matter.
 fn merge_crashes(
-    first: [Option<ids::AttemptId>; 2],
-    second: [Option<ids::AttemptId>; 2],
-) -> [Option<ids::AttemptId>; 2] {
-    let mut crashes: Vec<ids::AttemptId> = first.into_iter().chain(second).flatten().collect();
+    first: [Option<ids::CrashId>; 2],
+    second: [Option<ids::CrashId>; 2],
+) -> [Option<ids::CrashId>; 2] {
+    let mut crashes: Vec<ids::CrashId> = first.into_iter().chain(second).flatten().collect();
     crashes.sort();
     crashes.dedup();
     [crashes.first().copied(), crashes.get(1).copied()]
 }
 
-fn entry_digest(
-    fingerprint: work::RequestFingerprint,
-    crashes: [Option<ids::AttemptId>; 2],
-) -> u64 {
+fn entry_digest(fingerprint: work::RequestFingerprint, crashes: [Option<ids::CrashId>; 2]) -> u64 {
     let mut hasher = xxh3::Xxh3::new();
     hasher.update(fingerprint.to_string().as_bytes());
     for crash in crashes.iter().flatten() {
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -156,7 +156,7 @@
     let mut fleet = settled_fleet(ten_gateway_plan());
     let record = quarantine::SuspectRecord {
         fingerprint: work::RequestFingerprint::new(7),
-        crashes: [Some(ids::AttemptId::from_u128(1)), None],
+        crashes: [Some(ids::CrashId::from_u128(1)), None],
         seconds_left: 600,
     };
     let reporter = fleet.gateways(0)[0];
--- a/crates/fleet/tests/sockets.rs
+++ b/crates/fleet/tests/sockets.rs
@@ -197,7 +197,7 @@
     let second = fleet.gateway("vm-2", "b").await;
     let record = quarantine::SuspectRecord {
         fingerprint: work::RequestFingerprint::new(7),
-        crashes: [Some(ids::AttemptId::from_u128(1)), None],
+        crashes: [Some(ids::CrashId::from_u128(1)), None],
         seconds_left: 600,
     };
     first.handle.propagate_suspects(vec![record]);
--- a/crates/gateway/src/reducer/failures.rs
+++ b/crates/gateway/src/reducer/failures.rs
@@ -135,9 +135,10 @@
             && !state.resumed
         {
             let fingerprint = state.request.fingerprint;
+            let crash = ids::CrashId::of_attempt(report.attempt);
             self.policies
                 .quarantine
-                .record_crash(now, fingerprint, report.attempt);
+                .record_crash(now, fingerprint, crash);
         }
 
         let code = match report.cause {
--- a/crates/gateway/tests/http/sessions.rs
+++ b/crates/gateway/tests/http/sessions.rs
@@ -228,7 +228,7 @@
         &mut self,
         _now: time::Timestamp,
         _fingerprint: work::RequestFingerprint,
-        _attempt: ids::AttemptId,
+        _crash: ids::CrashId,
     ) {
     }
 
@@ -240,6 +240,14 @@
     fn records(&self, _now: time::Timestamp) -> Vec<quarantine::SuspectRecord> {
         Vec::new()
     }
+
+    fn record(
+        &self,
+        _now: time::Timestamp,
+        _fingerprint: work::RequestFingerprint,
+    ) -> Option<quarantine::SuspectRecord> {
+        None
+    }
 }
 
 /// Limit that refuses every call, with a retry after 2.5 s.
--- a/crates/policy/src/quarantine/disabled.rs
+++ b/crates/policy/src/quarantine/disabled.rs
@@ -25,7 +25,7 @@
         &mut self,
         _now: time::Timestamp,
         _fingerprint: work::RequestFingerprint,
-        _attempt: ids::AttemptId,
+        _crash: ids::CrashId,
     ) {
     }
 
@@ -37,4 +37,12 @@
     fn records(&self, _now: time::Timestamp) -> Vec<SuspectRecord> {
         Vec::new()
     }
+
+    fn record(
+        &self,
+        _now: time::Timestamp,
+        _fingerprint: work::RequestFingerprint,
+    ) -> Option<SuspectRecord> {
+        None
+    }
 }
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -31,9 +31,8 @@
 pub struct SuspectRecord {
     /// Fingerprint of the request.
     pub fingerprint: work::RequestFingerprint,
-    /// Attempts that ended with a crash of their target. Each attempt has its own id, so a crash
-    /// that is reported twice counts once.
-    pub crashes: [Option<ids::AttemptId>; 2],
+    /// Crashes of targets that ran the request. A crash that is reported twice counts once.
+    pub crashes: [Option<ids::CrashId>; 2],
     /// Remaining time until the entry expires, in seconds from the time of sending.
     pub seconds_left: u32,
 }
@@ -47,12 +46,12 @@
         fingerprint: work::RequestFingerprint,
     ) -> QuarantineStatus;
 
-    /// Records that a target crashed while it ran `attempt` of the request.
+    /// Records that a target crashed while it ran the request.
     fn record_crash(
         &mut self,
         now: time::Timestamp,
         fingerprint: work::RequestFingerprint,
-        attempt: ids::AttemptId,
+        crash: ids::CrashId,
     );
 
     /// Records that a request completed, which clears a suspicion but not a quarantine.
@@ -63,4 +62,11 @@
 
     /// Returns all entries that have not expired.
     fn records(&self, now: time::Timestamp) -> Vec<SuspectRecord>;
+
+    /// Returns the entry of a request, unless there is none or it has expired.
+    fn record(
+        &self,
+        now: time::Timestamp,
+        fingerprint: work::RequestFingerprint,
+    ) -> Option<SuspectRecord>;
 }
--- a/crates/policy/src/quarantine/suspects.rs
+++ b/crates/policy/src/quarantine/suspects.rs
@@ -24,7 +24,7 @@
 /// Recorded crashes of one request; it is quarantined when both slots are filled.
 #[derive(Debug, Clone, Copy)]
 struct SuspectEntry {
-    crashes: [Option<ids::AttemptId>; 2],
+    crashes: [Option<ids::CrashId>; 2],
     expires_at: time::Timestamp,
 }
 
@@ -33,14 +33,22 @@
         self.crashes.iter().all(Option::is_some)
     }
 
+    fn record(&self, now: time::Timestamp, fingerprint: work::RequestFingerprint) -> SuspectRecord {
+        SuspectRecord {
+            fingerprint,
+            crashes: self.crashes,
+            seconds_left: whole_seconds(self.expires_at.since(now)),
+        }
+    }
+
     /// Adds a crash and returns true if it was new and there was a free slot for it.
-    fn add_crash(&mut self, attempt: ids::AttemptId) -> bool {
-        if self.crashes.contains(&Some(attempt)) {
+    fn add_crash(&mut self, crash: ids::CrashId) -> bool {
+        if self.crashes.contains(&Some(crash)) {
             return false;
         }
         match self.crashes.iter_mut().find(|crash| crash.is_none()) {
             Some(free_slot) => {
-                *free_slot = Some(attempt);
+                *free_slot = Some(crash);
                 true
             }
             None => false,
@@ -132,10 +140,10 @@
         &mut self,
         now: time::Timestamp,
         fingerprint: work::RequestFingerprint,
-        attempt: ids::AttemptId,
+        crash: ids::CrashId,
     ) {
         let entry = self.entry(now, fingerprint);
-        if !entry.add_crash(attempt) {
+        if !entry.add_crash(crash) {
             return;
         }
         entry.expires_at = now + entry_lifetime(entry);
@@ -158,8 +166,8 @@
         }
 
         let entry = self.entry(now, record.fingerprint);
-        for attempt in record.crashes.iter().flatten() {
-            entry.add_crash(*attempt);
+        for crash in record.crashes.iter().flatten() {
+            entry.add_crash(*crash);
         }
         let lifetime = lifetime.min(entry_lifetime(entry));
         entry.expires_at = entry.expires_at.max(now + lifetime);
@@ -169,13 +177,18 @@
         self.entries
             .iter()
             .filter(|(_, entry)| entry.expires_at > now)
-            .map(|(fingerprint, entry)| SuspectRecord {
-                fingerprint: *fingerprint,
-                crashes: entry.crashes,
-                seconds_left: whole_seconds(entry.expires_at.since(now)),
-            })
+            .map(|(fingerprint, entry)| entry.record(now, *fingerprint))
             .collect()
     }
+
+    fn record(
+        &self,
+        now: time::Timestamp,
+        fingerprint: work::RequestFingerprint,
+    ) -> Option<SuspectRecord> {
+        let entry = self.entries.get(&fingerprint)?;
+        (entry.expires_at > now).then(|| entry.record(now, fingerprint))
+    }
 }
 
 fn entry_lifetime(entry: &SuspectEntry) -> Duration {
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -14,7 +14,7 @@
 fn first_crash_makes_request_suspect() {
     let mut policy = quarantine::SuspectQuarantine::default();
 
-    policy.record_crash(NOW, request(1), attempt(1));
+    policy.record_crash(NOW, request(1), crash(1));
 
     assert_eq!(
         policy.status(NOW, request(1)),
@@ -30,8 +30,8 @@
 fn second_crash_quarantines_request() {
     let mut policy = quarantine::SuspectQuarantine::default();
 
-    policy.record_crash(NOW, request(1), attempt(1));
-    policy.record_crash(NOW, request(1), attempt(2));
+    policy.record_crash(NOW, request(1), crash(1));
+    policy.record_crash(NOW, request(1), crash(2));
 
     assert!(is_quarantined(&mut policy, NOW, request(1)));
 }
@@ -40,8 +40,8 @@
 fn crash_reported_twice_counts_once() {
     let mut policy = quarantine::SuspectQuarantine::default();
 
-    policy.record_crash(NOW, request(1), attempt(1));
-    policy.record_crash(NOW, request(1), attempt(1));
+    policy.record_crash(NOW, request(1), crash(1));
+    policy.record_crash(NOW, request(1), crash(1));
 
     assert!(!is_quarantined(&mut policy, NOW, request(1)));
 }
@@ -49,9 +49,9 @@
 #[test]
 fn completion_clears_suspicion_but_not_quarantine() {
     let mut policy = quarantine::SuspectQuarantine::default();
-    policy.record_crash(NOW, request(1), attempt(1));
-    policy.record_crash(NOW, request(2), attempt(2));
-    policy.record_crash(NOW, request(2), attempt(3));
+    policy.record_crash(NOW, request(1), crash(1));
+    policy.record_crash(NOW, request(2), crash(2));
+    policy.record_crash(NOW, request(2), crash(3));
 
     policy.record_completion(NOW, request(1));
     policy.record_completion(NOW, request(2));
@@ -66,9 +66,9 @@
 #[test]
 fn entries_expire_after_their_duration() {
     let mut policy = quarantine::SuspectQuarantine::default();
-    policy.record_crash(NOW, request(1), attempt(1));
-    policy.record_crash(NOW, request(2), attempt(2));
-    policy.record_crash(NOW, request(2), attempt(3));
+    policy.record_crash(NOW, request(1), crash(1));
+    policy.record_crash(NOW, request(2), crash(2));
+    policy.record_crash(NOW, request(2), crash(3));
 
     let after_suspicion = NOW + Duration::from_secs(601);
     let after_quarantine = NOW + Duration::from_secs(1_801);
@@ -85,8 +85,8 @@
 fn merged_records_quarantine_in_any_order() {
     let mut first = quarantine::SuspectQuarantine::default();
     let mut second = quarantine::SuspectQuarantine::default();
-    first.record_crash(NOW, request(1), attempt(1));
-    second.record_crash(NOW, request(1), attempt(2));
+    first.record_crash(NOW, request(1), crash(1));
+    second.record_crash(NOW, request(1), crash(2));
 
     let from_first = first.records(NOW);
     let from_second = second.records(NOW);
@@ -108,7 +108,7 @@
 fn exchanged_records_expire_without_extension() {
     let mut first = quarantine::SuspectQuarantine::default();
     let mut second = quarantine::SuspectQuarantine::default();
-    first.record_crash(NOW, request(1), attempt(1));
+    first.record_crash(NOW, request(1), crash(1));
 
     let mut now = NOW;
     for _ in 0..100 {
@@ -130,11 +130,11 @@
 #[test]
 fn full_table_stays_bounded_and_keeps_quarantines() {
     let mut policy = quarantine::SuspectQuarantine::default();
-    policy.record_crash(NOW, request(0), attempt(1));
-    policy.record_crash(NOW, request(0), attempt(2));
+    policy.record_crash(NOW, request(0), crash(1));
+    policy.record_crash(NOW, request(0), crash(2));
 
     for number in 1..10_000 {
-        policy.record_crash(NOW, request(number), attempt(number + 2));
+        policy.record_crash(NOW, request(number), crash(number + 2));
     }
 
     assert!(policy.len() <= 4_096);
@@ -156,6 +156,6 @@
     work::RequestFingerprint::new(number)
 }
 
-fn attempt(number: u64) -> ids::AttemptId {
-    ids::AttemptId::from_u128(u128::from(number))
+fn crash(number: u64) -> ids::CrashId {
+    ids::CrashId::from_u128(u128::from(number))
 }
--- a/crates/relay/src/dispatch/admission.rs
+++ b/crates/relay/src/dispatch/admission.rs
@@ -85,6 +85,21 @@
         }
     }
 
+    /// Refuses waiting calls whose requests are quarantined.
+    pub(super) fn refuse_quarantined(
+        &mut self,
+        now: time::Timestamp,
+        effects: &mut Vec<DispatchEffect>,
+    ) {
+        for (call, fingerprint) in self.waiting.fingerprints() {
+            let status = self.settings.quarantine.status(now, fingerprint);
+            if let quarantine::QuarantineStatus::Quarantined { until } = status {
+                let reason = RefusalReason::Quarantined;
+                self.refuse(now, call, reason, until.since(now), effects);
+            }
+        }
+    }
+
     /// Refuses a waiting call immediately if the calls ahead of it take longer than it may wait.
     pub(super) fn refuse_infeasible(
         &mut self,
--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -64,6 +64,8 @@
     pub(super) target: Rc<directory::TargetRecord>,
     pub(super) copy_holder: Option<Rc<directory::TargetRecord>>,
     pub(super) placed_at: time::Timestamp,
+    /// When the call was sent, or the last event of its stream was received.
+    pub(super) heard_at: time::Timestamp,
     /// Load of all relays at the target when it was chosen, without this call.
     pub(super) load_at_placement: LoadCount,
     pub(super) has_started: bool,
--- a/crates/relay/src/dispatch/effect.rs
+++ b/crates/relay/src/dispatch/effect.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use kingcupfall_core::ids;
+use kingcupfall_policy::quarantine;
 
 use super::LoadCount;
 use super::ReservationMessage;
@@ -77,6 +78,15 @@
     pub retry_after: Duration,
 }
 
+/// Where suspicions of requests come from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SuspectSource {
+    /// This target crashed while it ran the requests.
+    Crash(ids::TargetName),
+    /// A peer reported them.
+    Peer,
+}
+
 /// An effect for one call, one target or one peer.
 #[derive(Debug, Clone, PartialEq)]
 pub enum DispatchEffect {
@@ -120,6 +130,21 @@
         /// Decayed failure rate of recent attempts, per thousand.
         failures_per_thousand: u64,
     },
+    /// Check after `delay` whether a target accepts connections.
+    Probe {
+        /// Target to probe.
+        target: Rc<directory::TargetRecord>,
+        /// Time until the probe.
+        delay: Duration,
+    },
+    /// Requests became suspect or quarantined: write them to the log, and tell the peers of those
+    /// that this relay found.
+    SuspectsChanged {
+        /// New state of the requests.
+        records: Vec<quarantine::SuspectRecord>,
+        /// Where the suspicions come from.
+        source: SuspectSource,
+    },
     /// Send a reservation message to a peer.
     Send {
         /// Receiving peer.
@@ -138,7 +163,10 @@
             | Self::Migrate { call }
             | Self::DropCopy { call }
             | Self::MigrationTarget { call, .. } => Some(*call),
-            Self::HealthChanged { .. } | Self::Send { .. } => None,
+            Self::HealthChanged { .. }
+            | Self::Probe { .. }
+            | Self::SuspectsChanged { .. }
+            | Self::Send { .. } => None,
         }
     }
 }
--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use kingcupfall_core::ids;
+use kingcupfall_policy::quarantine;
 
 use super::CallDemand;
 use super::PeerLoad;
@@ -88,7 +89,23 @@
         call: ids::CallId,
         /// Previous target, which still runs the stream.
         target: Rc<directory::TargetRecord>,
+        /// How the attempt to resume it at the other target ended.
+        result: AttemptResult,
+    },
+    /// A stream lost its target, or that fell silent; the stream may resume at another one.
+    StreamLost {
+        /// Call of the stream.
+        call: ids::CallId,
+    },
+    /// A probe of a target ended.
+    TargetProbed {
+        /// Incarnation that was probed.
+        target: directory::TargetKey,
+        /// Whether it accepted a connection.
+        is_reachable: bool,
     },
+    /// A peer reported requests that crashed targets.
+    SuspectsReported(Vec<quarantine::SuspectRecord>),
     /// Targets became usable, began to leave or are gone.
     TargetsChanged(Vec<directory::TargetChange>),
     /// A peer reported its load at all targets.
--- a/crates/relay/src/dispatch/queue.rs
+++ b/crates/relay/src/dispatch/queue.rs
@@ -5,6 +5,7 @@
 
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
+use kingcupfall_core::work;
 
 use super::CallDemand;
 
@@ -63,6 +64,14 @@
         calls.into_iter().map(|(call, _)| *call).collect()
     }
 
+    /// Returns all calls with the fingerprints of their requests.
+    pub(super) fn fingerprints(&self) -> Vec<(ids::CallId, work::RequestFingerprint)> {
+        let calls = self.calls.iter();
+        calls
+            .map(|(call, demand)| (*call, demand.fingerprint))
+            .collect()
+    }
+
     /// Returns the waiting streams.
     pub(super) fn streams(&self) -> Vec<ids::CallId> {
         self.calls
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -6,7 +6,6 @@
 
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
-use kingcupfall_core::work;
 use kingcupfall_policy::quarantine;
 
 use super::AttemptResult;
@@ -20,6 +19,7 @@
 use super::ReservationRequest;
 use super::calls;
 use super::copies;
+use super::crashes;
 use super::load;
 use super::placement;
 use super::queue;
@@ -50,6 +50,7 @@
     /// Rates of streams sent to targets, by service.
     pub(super) start_rates: BTreeMap<ids::ServiceName, load::DecayingRate>,
     pub(super) refused_requests: refused::RefusedRequests,
+    pub(super) lost_attempts: crashes::LostAttempts,
     pub(super) reservations: reservations::PendingReservations,
     /// Targets that recently denied a reservation, and the time until which they are not used.
     pub(super) denied_until: BTreeMap<ids::TargetName, time::Timestamp>,
@@ -69,6 +70,7 @@
             waiting: queue::WaitingCalls::default(),
             start_rates: BTreeMap::new(),
             refused_requests: refused::RefusedRequests::default(),
+            lost_attempts: crashes::LostAttempts::default(),
             reservations: reservations::PendingReservations::default(),
             denied_until: BTreeMap::new(),
             prompt_rates: load::PromptRates::default(),
@@ -88,24 +90,23 @@
             DispatchEvent::Started { call } => {
                 if let Some(placed) = self.placed.get_mut(&call) {
                     placed.has_started = true;
+                    placed.heard_at = now;
                     self.changed_targets.insert(placed.target.key.name.clone());
                 }
             }
             DispatchEvent::Progressed { call, events } => {
                 if let Some(placed) = self.placed.get_mut(&call) {
                     placed.events = events;
+                    placed.heard_at = now;
                 }
             }
             DispatchEvent::AttemptEnded { call, result } => {
-                self.end_attempt(now, call, result);
+                self.end_attempt(now, call, result, &mut effects);
                 self.place_waiting(now, &mut effects);
             }
             DispatchEvent::CallEnded { call } => {
                 self.waiting.remove(call);
-                self.reservations.remove(call);
-                if let Some(placed) = self.placed.remove(&call) {
-                    self.record_freed_targets(&placed);
-                }
+                self.end_attempt(now, call, AttemptResult::Cancelled, &mut effects);
                 self.place_waiting(now, &mut effects);
             }
             DispatchEvent::MigrationRequested { call, tried } => {
@@ -114,16 +115,40 @@
             DispatchEvent::Migrated { call, target } => {
                 self.handle_migration(now, call, target, &mut effects);
             }
-            DispatchEvent::MigrationFailed { call, target } => {
+            DispatchEvent::MigrationFailed {
+                call,
+                target,
+                result,
+            } => {
                 self.reservations.remove(call);
                 if let Some(placed) = self.placed.get_mut(&call) {
-                    placed.target = target;
+                    let failed = std::mem::replace(&mut placed.target, target);
                     placed.copy_holder = None;
+                    let fingerprint = placed.demand.fingerprint;
+                    self.assess_result(now, &failed, fingerprint, now, result, &mut effects);
+                }
+            }
+            DispatchEvent::StreamLost { call } => {
+                if let Some(placed) = self.placed.get(&call) {
+                    let target = Rc::clone(&placed.target);
+                    let fingerprint = placed.demand.fingerprint;
+                    let result = AttemptResult::Broken;
+                    self.assess_result(now, &target, fingerprint, now, result, &mut effects);
                 }
             }
+            DispatchEvent::TargetProbed {
+                target,
+                is_reachable,
+            } => {
+                self.handle_probe(now, &target, is_reachable, &mut effects);
+                self.place_waiting(now, &mut effects);
+            }
+            DispatchEvent::SuspectsReported(records) => {
+                self.merge_suspects(now, &records, &mut effects);
+            }
             DispatchEvent::TargetsChanged(changes) => {
                 for change in changes {
-                    self.apply_target_change(change, &mut effects);
+                    self.apply_target_change(now, change, &mut effects);
                 }
                 self.place_waiting(now, &mut effects);
             }
@@ -144,6 +169,7 @@
                 self.report_health_changes(now, &mut effects);
                 self.prompt_rates.remove_idle(now);
                 self.refused_requests.remove_expired(now);
+                self.lost_attempts.remove_expired(now);
                 self.expire_reservations(now, &mut effects);
                 self.place_waiting(now, &mut effects);
                 self.refuse_overdue(now, &mut effects);
@@ -176,45 +202,6 @@
             .collect()
     }
 
-    /// Returns the requests that crashed targets.
-    pub fn suspects(&self, now: time::Timestamp) -> Vec<quarantine::SuspectRecord> {
-        self.settings.quarantine.records(now)
-    }
-
-    /// Merges a request that crashed a peer's targets. Returns whether it is quarantined only since
-    /// then.
-    pub fn merge_suspect(
-        &mut self,
-        now: time::Timestamp,
-        record: &quarantine::SuspectRecord,
-    ) -> bool {
-        let was_quarantined = self.is_quarantined(now, record.fingerprint);
-        self.settings.quarantine.merge(now, record);
-        !was_quarantined && self.is_quarantined(now, record.fingerprint)
-    }
-
-    /// Records that a target crashed while it ran a request.
-    pub fn record_crash(
-        &mut self,
-        now: time::Timestamp,
-        fingerprint: work::RequestFingerprint,
-        attempt: ids::AttemptId,
-    ) {
-        self.settings
-            .quarantine
-            .record_crash(now, fingerprint, attempt);
-    }
-
-    /// Returns whether a request is refused because it crashed too many targets.
-    pub fn is_quarantined(
-        &mut self,
-        now: time::Timestamp,
-        fingerprint: work::RequestFingerprint,
-    ) -> bool {
-        let status = self.settings.quarantine.status(now, fingerprint);
-        matches!(status, quarantine::QuarantineStatus::Quarantined { .. })
-    }
-
     /// Returns the requests that this relay refused after the first `reported_count`, and the total
     /// number refused.
     pub fn refused_requests_after(
@@ -271,6 +258,9 @@
         let mut candidates = BTreeMap::new();
         calls.iter().enumerate().find_map(|(index, call)| {
             let demand = self.waiting.get(*call)?;
+            if self.crash_verdict(now, demand.fingerprint) != crashes::CrashVerdict::MayRun {
+                return None;
+            }
             let candidates = candidates
                 .entry(&demand.service)
                 .or_insert_with(|| self.candidates(now, &loads, &demand.service));
@@ -298,6 +288,7 @@
             target: Rc::clone(&target),
             copy_holder: None,
             placed_at: now,
+            heard_at: now,
             load_at_placement: present_load,
             has_started: false,
             events: 0,
@@ -425,12 +416,25 @@
         effects.push(DispatchEffect::Place { call, placement });
     }
 
-    fn end_attempt(&mut self, now: time::Timestamp, call: ids::CallId, result: AttemptResult) {
+    fn end_attempt(
+        &mut self,
+        now: time::Timestamp,
+        call: ids::CallId,
+        result: AttemptResult,
+        effects: &mut Vec<DispatchEffect>,
+    ) {
+        let purpose = self.reservations.purpose(call);
+        let was_sent = !purpose.is_some_and(reservations::ReservationPurpose::is_start);
         self.reservations.remove(call);
         let Some(placed) = self.placed.remove(&call) else {
             return;
         };
         self.record_freed_targets(&placed);
+        if was_sent {
+            let fingerprint = placed.demand.fingerprint;
+            let heard_at = placed.heard_at;
+            self.assess_result(now, &placed.target, fingerprint, heard_at, result, effects);
+        }
         if let Some(entry) = self.targets.get_mut(&placed.target.key.name)
             && entry.record.key == placed.target.key
         {
--- a/crates/relay/src/dispatch/targets.rs
+++ b/crates/relay/src/dispatch/targets.rs
@@ -31,11 +31,13 @@
 impl Dispatcher {
     pub(super) fn apply_target_change(
         &mut self,
+        now: time::Timestamp,
         change: directory::TargetChange,
         effects: &mut Vec<DispatchEffect>,
     ) {
         match change {
             directory::TargetChange::Usable(record) => {
+                self.handle_registration(now, &record.key, effects);
                 let name = record.key.name.clone();
                 match self.targets.get_mut(&name) {
                     Some(entry) if entry.record.key == record.key => {
--- a/crates/relay/src/shell/buffered.rs
+++ b/crates/relay/src/shell/buffered.rs
@@ -10,7 +10,6 @@
 use http::StatusCode;
 use http::response;
 use http_body_util::Full;
-use kingcupfall_core::ids;
 
 use super::client;
 use super::intake;
@@ -137,6 +136,8 @@
                 | dispatch::DispatchEffect::DropCopy { .. }
                 | dispatch::DispatchEffect::MigrationTarget { .. }
                 | dispatch::DispatchEffect::HealthChanged { .. }
+                | dispatch::DispatchEffect::Probe { .. }
+                | dispatch::DispatchEffect::SuspectsChanged { .. }
                 | dispatch::DispatchEffect::Send { .. } => {}
             }
         }
@@ -299,9 +300,6 @@
         call: call.id,
         result,
     });
-    if matches!(result, dispatch::AttemptResult::Broken) {
-        record_crash(state, call, target);
-    }
     let Some(label) = label else {
         return;
     };
@@ -316,28 +314,6 @@
     state.record(&record);
 }
 
-/// Counts a lost connection as a possible crash of the target, caused by the request that ran on
-/// it.
-fn record_crash(state: &RelayState, call: &intake::AcceptedCall, target: &directory::TargetRecord) {
-    let attempt_id =
-        ids::AttemptId::from_u128((u128::from(state.started_ms) << 64) | u128::from(call.id.get()));
-    let fingerprint = call.demand.fingerprint;
-    let is_quarantined = state.with_dispatcher(|dispatcher, now| {
-        dispatcher.record_crash(now, fingerprint, attempt_id);
-        dispatcher.is_quarantined(now, fingerprint)
-    });
-    state.metrics.record_suspected_crash();
-    let kind = match is_quarantined {
-        true => telemetry::RecordKind::Quarantined,
-        false => telemetry::RecordKind::Suspected,
-    };
-    let record = call
-        .record(kind)
-        .fingerprint(fingerprint)
-        .target(&target.key.name);
-    state.record(&record);
-}
-
 fn next_step(
     state: &RelayState,
     call: &intake::AcceptedCall,
--- a/crates/relay/src/shell/forwarder.rs
+++ b/crates/relay/src/shell/forwarder.rs
@@ -45,6 +45,9 @@
 /// Outcome recorded when the budget of repeated attempts does not allow a resumption.
 pub(super) const NO_REPEAT_LEFT: &str = "no repeated attempt is left";
 
+/// Outcome recorded when a stream may not be resumed, as its request has crashed targets.
+const QUARANTINED: &str = "quarantined";
+
 pub(super) type PendingMigration = Pin<Box<dyn Future<Output = memory_migration::MigrationReport>>>;
 
 /// A copy of the stream's memory at another target.
@@ -283,6 +286,8 @@
                 dispatch::DispatchEffect::Place { .. }
                 | dispatch::DispatchEffect::Refuse { .. }
                 | dispatch::DispatchEffect::HealthChanged { .. }
+                | dispatch::DispatchEffect::Probe { .. }
+                | dispatch::DispatchEffect::SuspectsChanged { .. }
                 | dispatch::DispatchEffect::Send { .. },
             ) => None,
             None => Some(StreamEnd::Broken),
@@ -293,6 +298,9 @@
     pub(super) async fn recover(&mut self, cause: &str) -> Option<StreamEnd> {
         // A target that stopped sending may still be running the stream.
         self.upstream = None;
+        let call = self.call.id;
+        self.state
+            .submit(dispatch::DispatchEvent::StreamLost { call });
         if let Some(copy) = self.current_copy()
             && self.resume(copy, cause).await
         {
@@ -315,6 +323,10 @@
     /// does not allow it or that target does not accept it, the stream stays assigned to its
     /// current target.
     pub(super) async fn resume(&mut self, copy: MemoryCopy, cause: &str) -> bool {
+        if !self.state.may_run(self.call.demand.fingerprint).await {
+            self.record_migration_failure(QUARANTINED);
+            return false;
+        }
         let resumption = dispatch::RepeatKind::Resumption;
         if !self
             .state
@@ -336,16 +348,20 @@
                 _ => None,
             });
         let request = self.resumption_request(&copy, next_holder.as_ref());
-        let Some(upstream) = self.open_resumption(&copy, request).await else {
-            let migration_failed = dispatch::DispatchEvent::MigrationFailed {
-                call: self.call.id,
-                target: Rc::clone(&self.target),
-            };
-            self.state.submit(migration_failed);
-            self.replace_copy_holder(None);
-            self.state.metrics.record_resumption("refused");
-            self.record_migration_failure("the copy is of no use");
-            return false;
+        let upstream = match self.open_resumption(&copy, request).await {
+            Ok(upstream) => upstream,
+            Err(result) => {
+                let migration_failed = dispatch::DispatchEvent::MigrationFailed {
+                    call: self.call.id,
+                    target: Rc::clone(&self.target),
+                    result,
+                };
+                self.state.submit(migration_failed);
+                self.replace_copy_holder(None);
+                self.state.metrics.record_resumption("refused");
+                self.record_migration_failure("the copy is of no use");
+                return false;
+            }
         };
 
         let record = stream::migration_record(
@@ -393,11 +409,15 @@
     /// Sends the resumption. The relay stops the previous target when the response starts, or after
     /// [`MAX_OVERLAP`] if that is earlier: the next target may already be running the stream before
     /// it responds.
+    ///
+    /// # Errors
+    ///
+    /// How the attempt ended if the stream does not resume.
     async fn open_resumption(
         &mut self,
         copy: &MemoryCopy,
         request: Request<Full<Bytes>>,
-    ) -> Option<client::OpenResponse> {
+    ) -> std::result::Result<client::OpenResponse, dispatch::AttemptResult> {
         let mut sent = Box::pin(client::send(copy.holder.address, request));
         let mut outcome = tokio::time::timeout(MAX_OVERLAP, sent.as_mut()).await;
         if outcome.is_err() {
@@ -411,15 +431,26 @@
                     "can't resume stream {} at its copy holder: {error}",
                     self.call.head.request_id
                 );
-                return None;
+                return Err(match error {
+                    client::SendError::Unreachable(_) => dispatch::AttemptResult::Unreachable,
+                    client::SendError::Broken(_) | client::SendError::Incomplete(_) => {
+                        dispatch::AttemptResult::Broken
+                    }
+                    client::SendError::TimedOut => dispatch::AttemptResult::TimedOut,
+                });
             }
-            Err(_) => return None,
+            Err(_) => return Err(dispatch::AttemptResult::TimedOut),
         };
         let class = self
             .state
             .protocol
             .classify_response(&response.parts, &self.call.head.request_id);
-        (class == protocol::ResponseClass::Success).then_some(response)
+        match class {
+            protocol::ResponseClass::Success => Ok(response),
+            protocol::ResponseClass::NotRun => Err(dispatch::AttemptResult::NotRun),
+            protocol::ResponseClass::Failure => Err(dispatch::AttemptResult::Failed),
+            protocol::ResponseClass::Foreign => Err(dispatch::AttemptResult::Broken),
+        }
     }
 
     /// Returns the copy that the current target keeps up to date. Its handle is the caller's
--- a/crates/relay/src/shell/mod.rs
+++ b/crates/relay/src/shell/mod.rs
@@ -16,6 +16,7 @@
 mod stop;
 mod stream;
 mod stream_migration;
+mod suspects;
 
 pub use client::connect;
 pub use directory_events::handle_directory_events;
--- a/crates/relay/src/shell/peer_links.rs
+++ b/crates/relay/src/shell/peer_links.rs
@@ -375,6 +375,9 @@
             let changes = state.targets.borrow_mut().apply_departures(&departures);
             directory_events::apply_target_changes(state, changes, directory_events::PEER_SOURCE);
         }
+        peer_messages::PeerMessage::Suspects(records) => {
+            state.submit(dispatch::DispatchEvent::SuspectsReported(records));
+        }
         peer_messages::PeerMessage::Routes(text) => match (state.decode_routes)(&text) {
             Some(table) => {
                 directory_events::handle_routes(
@@ -419,14 +422,9 @@
         .borrow_mut()
         .apply_departures(&heartbeat.departures);
     directory_events::apply_target_changes(state, changes, directory_events::PEER_SOURCE);
-    for suspect in &heartbeat.suspects {
-        if state.with_dispatcher(|dispatcher, now| dispatcher.merge_suspect(now, suspect)) {
-            let record = telemetry::DecisionRecord::new(telemetry::RecordKind::Quarantined)
-                .fingerprint(suspect.fingerprint)
-                .outcome(directory_events::PEER_SOURCE);
-            state.record(&record);
-        }
-    }
+    state.submit(dispatch::DispatchEvent::SuspectsReported(
+        heartbeat.suspects,
+    ));
     state.with_dispatcher(|dispatcher, now| {
         for record in &heartbeat.refused_requests {
             dispatcher.merge_refused_request(now, record);
--- a/crates/relay/src/shell/peer_messages.rs
+++ b/crates/relay/src/shell/peer_messages.rs
@@ -40,6 +40,9 @@
     /// Incarnations of targets that leave or are gone.
     #[serde(rename = "g")]
     Departures(Vec<(directory::TargetKey, directory::TargetDeparture)>),
+    /// Requests that crashed targets of the sender.
+    #[serde(rename = "s")]
+    Suspects(Vec<quarantine::SuspectRecord>),
     /// Encoded routes, as they were published.
     #[serde(rename = "r")]
     Routes(#[serde(with = "serde_with::As::<serde_with::Bytes>")] Vec<u8>),
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -5,13 +5,13 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::rc::Weak;
 use std::time::Duration;
 
 use bytes::Bytes;
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
 use kingcupfall_link::codec;
-use kingcupfall_policy::quarantine;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -21,6 +21,7 @@
 use tokio::time::Instant;
 
 use super::RelaySettings;
+use super::suspects;
 use crate::directory;
 use crate::dispatch;
 use crate::membership;
@@ -79,8 +80,6 @@
     pub decode_routes: RouteDecoder,
     /// Receives the decision records.
     pub log: telemetry::DecisionLog,
-    /// Start of this relay, in Unix milliseconds. Part of the ids of attempts, which peers compare.
-    pub started_ms: u64,
     /// Seed of all random choices.
     pub seed: u64,
 }
@@ -97,7 +96,6 @@
     pub(super) settings: RefCell<RelaySettings>,
     pub(super) protocol: Box<dyn protocol::WireProtocol>,
     pub(super) decode_routes: RouteDecoder,
-    pub(super) started_ms: u64,
     /// Counters and histograms.
     pub metrics: telemetry::RelayMetrics,
     pub(super) targets: RefCell<directory::TargetTable>,
@@ -119,6 +117,8 @@
     clock_origin: Instant,
     last_call_number: Cell<u64>,
     body_bytes: Cell<u64>,
+    /// Reference to this state itself, for tasks that effects start.
+    own: Weak<Self>,
     rng: RefCell<SmallRng>,
 }
 
@@ -127,11 +127,10 @@
     pub fn new(setup: RelaySetup) -> Rc<Self> {
         let (stop_phase, _) = watch::channel(StopPhase::Serving);
         let members = RefCell::new(membership::MemberTable::new(setup.settings.peer_address));
-        Rc::new(Self {
+        Rc::new_cyclic(|own| Self {
             settings: RefCell::new(setup.settings),
             protocol: setup.protocol,
             decode_routes: setup.decode_routes,
-            started_ms: setup.started_ms,
             metrics: telemetry::RelayMetrics::new(),
             targets: RefCell::new(directory::TargetTable::default()),
             stop_phase,
@@ -151,6 +150,7 @@
             clock_origin: Instant::now(),
             last_call_number: Cell::new(0),
             body_bytes: Cell::new(0),
+            own: Weak::clone(own),
             rng: RefCell::new(SmallRng::seed_from_u64(setup.seed)),
         })
     }
@@ -171,11 +171,6 @@
         self.members.borrow().relay_count()
     }
 
-    /// Returns the requests that are suspected of crashing targets, quarantined ones included.
-    pub fn suspects(&self) -> Vec<quarantine::SuspectRecord> {
-        self.with_dispatcher(|dispatcher, now| dispatcher.suspects(now))
-    }
-
     /// Returns the versions of the routes and targets that this relay knows.
     pub fn known_versions(&self) -> membership::KnownVersions {
         membership::KnownVersions {
@@ -450,6 +445,15 @@
                 is_healthy,
                 failures_per_thousand,
             } => return self.record_target_health(&target, is_healthy, failures_per_thousand),
+            dispatch::DispatchEffect::Probe { target, delay } => {
+                if let Some(state) = self.own.upgrade() {
+                    suspects::probe_later(state, target, delay);
+                }
+                return;
+            }
+            dispatch::DispatchEffect::SuspectsChanged { records, source } => {
+                return suspects::handle_change(self, records, &source);
+            }
             effect => effect,
         };
         let inboxes = self.inboxes.borrow();
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -287,9 +287,9 @@
             .inc();
     }
 
-    /// Counts a request that is suspected of having crashed a target.
-    pub fn record_suspected_crash(&self) {
-        self.suspected_crashes.inc();
+    /// Counts requests that are suspected of having crashed a target.
+    pub fn record_suspected_crashes(&self, count: u64) {
+        self.suspected_crashes.inc_by(count);
     }
 
     /// Counts an attempt to resume a stream at another target; `reason` is its outcome.
--- a/crates/relay/tests/dispatch/decisions.rs
+++ b/crates/relay/tests/dispatch/decisions.rs
@@ -166,6 +166,12 @@
         let demand = Box::new(demand);
         dispatcher.handle(now, dispatch::DispatchEvent::Arrived { call, demand });
     }
+    // Without this event, the target would have been silent and be probed.
+    let progressed = dispatch::DispatchEvent::Progressed {
+        call: ids::CallId::new(1),
+        events: 1,
+    };
+    dispatcher.handle(now, progressed);
     let ended = dispatch::DispatchEvent::CallEnded {
         call: ids::CallId::new(1),
     };
@@ -505,26 +511,6 @@
     assert_eq!(health_changes, [false, true]);
 }
 
-#[test]
-fn second_crash_quarantines_the_request() {
-    let mut dispatcher = fixtures::dispatcher(&["one"]);
-    let fingerprint = work::RequestFingerprint::new(7);
-    for attempt in 1..3 {
-        dispatcher.record_crash(
-            fixtures::START,
-            fingerprint,
-            ids::AttemptId::from_u128(attempt),
-        );
-    }
-    let refusal = fixtures::refusal(&fixtures::arrive(
-        &mut dispatcher,
-        1,
-        fixtures::stream_demand(400),
-    ))
-    .unwrap();
-    assert_eq!(refusal.reason, dispatch::RefusalReason::Quarantined);
-}
-
 /// All relays together stay within the bounds, however the requests are distributed among them.
 #[parameterized(
     one = { 1, dispatch::RepeatKind::Retry },
--- a/crates/relay/tests/dispatch/main.rs
+++ b/crates/relay/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the dispatcher's decisions, without a network.
 
+mod crashes;
 mod decisions;
 mod fixtures;
 mod reservations;
--- a/crates/relay/tests/dispatch/reservations.rs
+++ b/crates/relay/tests/dispatch/reservations.rs
@@ -92,7 +92,9 @@
                 dispatch::DispatchEffect::MigrationTarget { target: None, .. }
                 | dispatch::DispatchEffect::Migrate { .. }
                 | dispatch::DispatchEffect::DropCopy { .. }
-                | dispatch::DispatchEffect::HealthChanged { .. } => {}
+                | dispatch::DispatchEffect::HealthChanged { .. }
+                | dispatch::DispatchEffect::Probe { .. }
+                | dispatch::DispatchEffect::SuspectsChanged { .. } => {}
             }
         }
         let loads = self.dispatchers[index].take_changed_loads(self.now);
