Refuse calls that could outlive a stopping relay

What callers saw: a request sent on a new connection 7.43 to 7.52 s after the relay got SIGTERM was passed on, and the connection closed 42 to 120 ms later without an answer (LOST).

Cause: a stopping relay refused streams and accepted all other calls until it ended, 7.5 s after SIGTERM, however little time was left for them. In a zone with one VM new connections still reach it then.

A stop now has a plan with its end, and a call is accepted only if its deadline lies before that. The refusal says at once, and truly, that the call has not run. Ruled out: connections with a response due are not closed early, and the process does not end before its time (the logs of: placed 7.471 s after stopping, end at 7.5 s).

--- a/crates/relay/src/shell/intake.rs
+++ b/crates/relay/src/shell/intake.rs
@@ -165,11 +165,6 @@
     let table = &routes.table;
     let route = find_route(state, table, &parts, &head)?;
     let organisation = find_organisation(state, table, &route, &head)?;
-    if state.is_stopping() && route.kind == directory::CallKind::Stream {
-        let reason = dispatch::RefusalReason::Stopping;
-        return Err(refuse_request(state, &head, reason, STOP_RETRY_AFTER));
-    }
-
     let Some(service) = route.choose_service(state.random_fraction()) else {
         let reason = dispatch::RefusalReason::NoTarget;
         return Err(refuse_request(state, &head, reason, ROUTES_RETRY_AFTER));
@@ -181,6 +176,11 @@
         .unwrap_or(route.rank);
     let fingerprint = request_fingerprint(&caller_name, &parts, &body);
     let demand = call_demand(table, &route, service, &head, arrived_at, rank, fingerprint);
+    let stop_plan = state.stop_plan.get();
+    if stop_plan.is_some_and(|plan| !plan.accepts(route.kind, demand.deadline)) {
+        let reason = dispatch::RefusalReason::Stopping;
+        return Err(refuse_request(state, &head, reason, STOP_RETRY_AFTER));
+    }
     let (call_id, inbox) = state.open_call();
     state.count_request(service);
     let guard = CallGuard {
--- a/crates/relay/src/shell/mod.rs
+++ b/crates/relay/src/shell/mod.rs
@@ -28,6 +28,7 @@
 pub use state::RelaySetup;
 pub use state::RelayState;
 pub use state::RouteDecoder;
+pub use stop::StopPlan;
 pub use stop::drain;
 
 use std::io;
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -21,6 +21,7 @@
 use tokio::time::Instant;
 
 use super::RelaySettings;
+use super::stop;
 use super::suspects;
 use crate::directory;
 use crate::dispatch;
@@ -100,6 +101,8 @@
     pub metrics: telemetry::RelayMetrics,
     pub(super) targets: RefCell<directory::TargetTable>,
     pub(super) stop_phase: watch::Sender<StopPhase>,
+    /// Set once the process has been requested to stop.
+    pub(super) stop_plan: Cell<Option<stop::StopPlan>>,
     pub(super) open_connections: Cell<usize>,
     pub(super) open_calls: Cell<usize>,
     pub(super) peer_mailboxes: RefCell<PeerMailboxes>,
@@ -134,6 +137,7 @@
             metrics: telemetry::RelayMetrics::new(),
             targets: RefCell::new(directory::TargetTable::default()),
             stop_phase,
+            stop_plan: Cell::new(None),
             open_connections: Cell::new(0),
             open_calls: Cell::new(0),
             peer_mailboxes: RefCell::new(BTreeMap::new()),
--- a/crates/relay/src/shell/stop.rs
+++ b/crates/relay/src/shell/stop.rs
@@ -4,8 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use kingcupfall_core::time;
+
 use super::state::RelayState;
 use super::state::StopPhase;
+use crate::directory;
 use crate::dispatch;
 use crate::telemetry;
 
@@ -19,22 +22,52 @@
 /// Interval between checks for open connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time between the deadline of a call and the end of the drain: its response still has to be
+/// written then.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
+
+/// When a process that was requested to stop closes idle connections, and when it ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopPlan {
+    /// Time from which idle connections are closed.
+    pub closing_at: time::Timestamp,
+    /// Time at which the process ends, whether calls are open or not.
+    pub ends_at: time::Timestamp,
+}
+
+impl StopPlan {
+    /// Plans the stop of a process that is killed `grace` after `now`.
+    pub fn new(now: time::Timestamp, grace: Duration) -> Self {
+        Self {
+            closing_at: now + READINESS_PROPAGATION_TIME.min(grace / 2),
+            ends_at: now + grace.saturating_sub(KILL_MARGIN),
+        }
+    }
+
+    /// Returns whether a call that arrives after the request to stop is still accepted: no stream,
+    /// as its length is unknown, and no call that could be open when the process ends.
+    pub fn accepts(&self, kind: directory::CallKind, deadline: time::Timestamp) -> bool {
+        kind != directory::CallKind::Stream && deadline + RESPONSE_MARGIN <= self.ends_at
+    }
+}
+
 /// Drains the process: open calls finish and idle connections are closed. Returns when the process
 /// may end, at the latest half a second before the platform kills it.
 pub async fn drain(state: &Rc<RelayState>) {
     let started_at = state.now();
     let grace = state.settings.borrow().stop_grace;
+    let plan = StopPlan::new(started_at, grace);
     let record = telemetry::DecisionRecord::new(telemetry::RecordKind::Stopping)
         .count(state.open_calls.get() as u64);
     state.record(&record);
 
+    state.stop_plan.set(Some(plan));
     state.stop_phase.send_replace(StopPhase::Leaving);
     state.submit(dispatch::DispatchEvent::Stopping);
-    tokio::time::sleep(READINESS_PROPAGATION_TIME.min(grace / 2)).await;
+    tokio::time::sleep_until(state.instant(plan.closing_at)).await;
     state.stop_phase.send_replace(StopPhase::Closing);
 
-    let drain_limit = grace.saturating_sub(KILL_MARGIN);
-    while state.open_connections.get() > 0 && state.now().since(started_at) < drain_limit {
+    while state.open_connections.get() > 0 && state.now() < plan.ends_at {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     let record = telemetry::DecisionRecord::new(telemetry::RecordKind::Stopped)
