Clear requests that complete of the crashes before

A request that many callers send is sooner or later running somewhere when a target ends. The relay never cleared a suspicion, so that two such ends within ten minutes would quarantine it for half an hour although it completed many times in between. Where a suspicion is cleared, in the gateway, a peer that had not seen the completion brought it back with its next report.

A completion now clears the crashes before it, and they stay cleared when they are reported again; the table remembers the last eight. A quarantine still stays.

Evidence: request_that_completes_between_two_crashes_is_not_quarantined and completed_request_is_not_suspect_for_the_same_crash_again failed on the code before.

--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -54,7 +54,8 @@
         crash: ids::CrashId,
     );
 
-    /// Records that a request completed, which clears a suspicion but not a quarantine.
+    /// Records that a request completed, which clears a suspicion but not a quarantine. Crashes
+    /// before that no longer count, also if another process reports them later.
     fn record_completion(&mut self, now: time::Timestamp, fingerprint: work::RequestFingerprint);
 
     /// Merges an entry received from another process.
--- a/crates/policy/src/quarantine/suspects.rs
+++ b/crates/policy/src/quarantine/suspects.rs
@@ -1,6 +1,7 @@
 //! Suspicion of a request after one crash, and quarantine after a second.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use kingcupfall_core::ids;
@@ -21,10 +22,17 @@
 /// or, if all entries are quarantined, the quarantine that expires first.
 const MAX_ENTRIES: usize = 4_096;
 
+/// Crashes that an entry remembers although the request has completed since; beyond that, the
+/// oldest are forgotten.
+const MAX_CLEARED_CRASHES: usize = 8;
+
 /// Recorded crashes of one request; it is quarantined when both slots are filled.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct SuspectEntry {
     crashes: [Option<ids::CrashId>; 2],
+    /// Crashes after which the request completed, oldest first: other processes may still report
+    /// them.
+    cleared: VecDeque<ids::CrashId>,
     expires_at: time::Timestamp,
 }
 
@@ -41,9 +49,20 @@
         }
     }
 
+    fn is_suspect(&self) -> bool {
+        self.crashes.iter().any(Option::is_some)
+    }
+
+    fn clear(&mut self) {
+        let crashes = std::mem::take(&mut self.crashes);
+        self.cleared.extend(crashes.into_iter().flatten());
+        let excess = self.cleared.len().saturating_sub(MAX_CLEARED_CRASHES);
+        self.cleared.drain(..excess);
+    }
+
     /// Adds a crash and returns true if it was new and there was a free slot for it.
     fn add_crash(&mut self, crash: ids::CrashId) -> bool {
-        if self.crashes.contains(&Some(crash)) {
+        if self.crashes.contains(&Some(crash)) || self.cleared.contains(&crash) {
             return false;
         }
         match self.crashes.iter_mut().find(|crash| crash.is_none()) {
@@ -106,10 +125,12 @@
         }
         let entry = self.entries.entry(fingerprint).or_insert(SuspectEntry {
             crashes: [None, None],
+            cleared: VecDeque::new(),
             expires_at: now,
         });
         if entry.expires_at <= now {
             entry.crashes = [None, None];
+            entry.cleared.clear();
         }
         entry
     }
@@ -128,11 +149,12 @@
             self.entries.remove(&fingerprint);
             return QuarantineStatus::Clear;
         }
-        match entry.is_quarantined() {
-            true => QuarantineStatus::Quarantined {
+        match (entry.is_quarantined(), entry.is_suspect()) {
+            (true, _) => QuarantineStatus::Quarantined {
                 until: entry.expires_at,
             },
-            false => QuarantineStatus::Suspect,
+            (false, true) => QuarantineStatus::Suspect,
+            (false, false) => QuarantineStatus::Clear,
         }
     }
 
@@ -150,12 +172,10 @@
     }
 
     fn record_completion(&mut self, _now: time::Timestamp, fingerprint: work::RequestFingerprint) {
-        let is_suspect = self
-            .entries
-            .get(&fingerprint)
-            .is_some_and(|entry| !entry.is_quarantined());
-        if is_suspect {
-            self.entries.remove(&fingerprint);
+        if let Some(entry) = self.entries.get_mut(&fingerprint)
+            && !entry.is_quarantined()
+        {
+            entry.clear();
         }
     }
 
@@ -176,7 +196,7 @@
     fn records(&self, now: time::Timestamp) -> Vec<SuspectRecord> {
         self.entries
             .iter()
-            .filter(|(_, entry)| entry.expires_at > now)
+            .filter(|(_, entry)| entry.expires_at > now && entry.is_suspect())
             .map(|(fingerprint, entry)| entry.record(now, *fingerprint))
             .collect()
     }
@@ -187,7 +207,8 @@
         fingerprint: work::RequestFingerprint,
     ) -> Option<SuspectRecord> {
         let entry = self.entries.get(&fingerprint)?;
-        (entry.expires_at > now).then(|| entry.record(now, fingerprint))
+        let is_current = entry.expires_at > now && entry.is_suspect();
+        is_current.then(|| entry.record(now, fingerprint))
     }
 }
 
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -63,6 +63,32 @@
     assert!(is_quarantined(&mut policy, NOW, request(2)));
 }
 
+/// A peer that has not seen the completion reports the crash again with each heartbeat.
+#[test]
+fn completed_request_is_not_suspect_for_the_same_crash_again() {
+    let mut policy = quarantine::SuspectQuarantine::default();
+    let mut peer = quarantine::SuspectQuarantine::default();
+    peer.record_crash(NOW, request(1), crash(1));
+    for record in peer.records(NOW) {
+        policy.merge(NOW, &record);
+    }
+    policy.record_completion(NOW, request(1));
+    for record in peer.records(NOW) {
+        policy.merge(NOW, &record);
+    }
+    assert_eq!(
+        policy.status(NOW, request(1)),
+        quarantine::QuarantineStatus::Clear
+    );
+    assert!(policy.records(NOW).is_empty());
+
+    policy.record_crash(NOW, request(1), crash(2));
+    assert_eq!(
+        policy.status(NOW, request(1)),
+        quarantine::QuarantineStatus::Suspect
+    );
+}
+
 #[test]
 fn entries_expire_after_their_duration() {
     let mut policy = quarantine::SuspectQuarantine::default();
--- a/crates/relay/src/dispatch/crashes.rs
+++ b/crates/relay/src/dispatch/crashes.rs
@@ -255,9 +255,11 @@
         effects: &mut Vec<DispatchEffect>,
     ) {
         match result {
-            AttemptResult::Succeeded { .. } | AttemptResult::NotRun => {
+            AttemptResult::Succeeded { .. } => {
                 self.lost_attempts.record_response(&target.key);
+                self.settings.quarantine.record_completion(now, fingerprint);
             }
+            AttemptResult::NotRun => self.lost_attempts.record_response(&target.key),
             AttemptResult::Failed => {
                 self.lost_attempts.record_response(&target.key);
                 self.record_loss(now, target, fingerprint, LossKind::Unclear, effects);
--- a/crates/relay/tests/dispatch/crashes.rs
+++ b/crates/relay/tests/dispatch/crashes.rs
@@ -161,6 +161,20 @@
     assert_eq!(crash_count(&dispatcher), 1);
 }
 
+/// A request that many callers send is sooner or later running somewhere when a target ends.
+#[test]
+fn request_that_completes_between_two_crashes_is_not_quarantined() {
+    let mut dispatcher = fixtures::dispatcher(TARGETS);
+    let took = Duration::from_secs(1);
+    let completed = Loss::AttemptEnded(dispatch::AttemptResult::Succeeded { took });
+    for call in [1, 3] {
+        let target = lose_target(&mut dispatcher, call, BROKEN);
+        end_probe(&mut dispatcher, START, target, false);
+        lose_target(&mut dispatcher, call + 1, completed);
+    }
+    assert_eq!(crash_count(&dispatcher), 0);
+}
+
 #[test]
 fn second_crash_quarantines_the_request() {
     let mut dispatcher = fixtures::dispatcher(TARGETS);
