Send each suspicion once on a link

Each heartbeat carried all suspected requests for as long as they are kept, ten minutes. Now that all requests at an ended target are suspects, a crash of a busy engine adds some twenty records to every heartbeat on every link. Heartbeats now carry what changed since the last one on the same link, as they do for refused requests; a new link, as to a relay that has just started, begins with all of them.

--- a/crates/gateway/tests/http/sessions.rs
+++ b/crates/gateway/tests/http/sessions.rs
@@ -241,6 +241,14 @@
         Vec::new()
     }
 
+    fn records_after(
+        &self,
+        _now: time::Timestamp,
+        _change_count: u64,
+    ) -> (Vec<quarantine::SuspectRecord>, u64) {
+        (Vec::new(), 0)
+    }
+
     fn record(
         &self,
         _now: time::Timestamp,
--- a/crates/policy/src/quarantine/disabled.rs
+++ b/crates/policy/src/quarantine/disabled.rs
@@ -38,6 +38,14 @@
         Vec::new()
     }
 
+    fn records_after(
+        &self,
+        _now: time::Timestamp,
+        _change_count: u64,
+    ) -> (Vec<SuspectRecord>, u64) {
+        (Vec::new(), 0)
+    }
+
     fn record(
         &self,
         _now: time::Timestamp,
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -64,6 +64,10 @@
     /// Returns all entries that have not expired.
     fn records(&self, now: time::Timestamp) -> Vec<SuspectRecord>;
 
+    /// Returns the entries that changed after the first `change_count` changes and have not expired,
+    /// and the number of all changes.
+    fn records_after(&self, now: time::Timestamp, change_count: u64) -> (Vec<SuspectRecord>, u64);
+
     /// Returns the entry of a request, unless there is none or it has expired.
     fn record(
         &self,
--- a/crates/policy/src/quarantine/suspects.rs
+++ b/crates/policy/src/quarantine/suspects.rs
@@ -34,6 +34,8 @@
     /// them.
     cleared: VecDeque<ids::CrashId>,
     expires_at: time::Timestamp,
+    /// Number of changes of the table up to the last one of this entry.
+    changed_at: u64,
 }
 
 impl SuspectEntry {
@@ -79,6 +81,8 @@
 #[derive(Debug, Default)]
 pub struct SuspectQuarantine {
     entries: BTreeMap<work::RequestFingerprint, SuspectEntry>,
+    /// Number of crashes that were added to entries so far.
+    change_count: u64,
 }
 
 impl SuspectQuarantine {
@@ -127,6 +131,7 @@
             crashes: [None, None],
             cleared: VecDeque::new(),
             expires_at: now,
+            changed_at: 0,
         });
         if entry.expires_at <= now {
             entry.crashes = [None, None];
@@ -164,11 +169,14 @@
         fingerprint: work::RequestFingerprint,
         crash: ids::CrashId,
     ) {
+        let change_count = self.change_count + 1;
         let entry = self.entry(now, fingerprint);
         if !entry.add_crash(crash) {
             return;
         }
         entry.expires_at = now + entry_lifetime(entry);
+        entry.changed_at = change_count;
+        self.change_count = change_count;
     }
 
     fn record_completion(&mut self, _now: time::Timestamp, fingerprint: work::RequestFingerprint) {
@@ -185,20 +193,31 @@
             return;
         }
 
+        let change_count = self.change_count + 1;
         let entry = self.entry(now, record.fingerprint);
+        let mut has_changed = false;
         for crash in record.crashes.iter().flatten() {
-            entry.add_crash(*crash);
+            has_changed |= entry.add_crash(*crash);
         }
         let lifetime = lifetime.min(entry_lifetime(entry));
         entry.expires_at = entry.expires_at.max(now + lifetime);
+        if has_changed {
+            entry.changed_at = change_count;
+            self.change_count = change_count;
+        }
     }
 
     fn records(&self, now: time::Timestamp) -> Vec<SuspectRecord> {
-        self.entries
-            .iter()
-            .filter(|(_, entry)| entry.expires_at > now && entry.is_suspect())
-            .map(|(fingerprint, entry)| entry.record(now, *fingerprint))
-            .collect()
+        self.records_after(now, 0).0
+    }
+
+    fn records_after(&self, now: time::Timestamp, change_count: u64) -> (Vec<SuspectRecord>, u64) {
+        let is_included = |entry: &SuspectEntry| {
+            entry.changed_at > change_count && entry.expires_at > now && entry.is_suspect()
+        };
+        let entries = self.entries.iter().filter(|(_, entry)| is_included(entry));
+        let records = entries.map(|(fingerprint, entry)| entry.record(now, *fingerprint));
+        (records.collect(), self.change_count)
     }
 
     fn record(
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -89,6 +89,26 @@
     );
 }
 
+#[test]
+fn records_after_a_change_contain_only_later_ones() {
+    let mut policy = quarantine::SuspectQuarantine::default();
+    policy.record_crash(NOW, request(1), crash(1));
+    let (records, change_count) = policy.records_after(NOW, 0);
+    assert_eq!(records.len(), 1);
+
+    policy.merge(NOW, &records[0]);
+    assert!(policy.records_after(NOW, change_count).0.is_empty());
+
+    policy.record_crash(NOW, request(2), crash(2));
+    let (records, change_count) = policy.records_after(NOW, change_count);
+    assert_eq!(records.len(), 1);
+    assert_eq!(records[0].fingerprint, request(2));
+
+    policy.record_crash(NOW, request(1), crash(3));
+    let (records, _) = policy.records_after(NOW, change_count);
+    assert_eq!(records[0].crashes, [1, 3].map(|number| Some(crash(number))));
+}
+
 #[test]
 fn entries_expire_after_their_duration() {
     let mut policy = quarantine::SuspectQuarantine::default();
--- a/crates/relay/src/dispatch/crashes.rs
+++ b/crates/relay/src/dispatch/crashes.rs
@@ -224,6 +224,16 @@
         self.settings.quarantine.records(now)
     }
 
+    /// Returns the suspicions that changed after the first `change_count` changes, and the number of
+    /// all changes.
+    pub fn suspects_after(
+        &self,
+        now: time::Timestamp,
+        change_count: u64,
+    ) -> (Vec<quarantine::SuspectRecord>, u64) {
+        self.settings.quarantine.records_after(now, change_count)
+    }
+
     /// Returns whether a request may be sent to a target, as far as crashes of its targets are
     /// known or likely.
     pub fn crash_verdict(
--- a/crates/relay/src/shell/peer_links.rs
+++ b/crates/relay/src/shell/peer_links.rs
@@ -93,6 +93,7 @@
     is_same_cell: bool,
     departures_sent: u64,
     refused_sent: u64,
+    suspects_sent: u64,
     unused_since: Option<time::Timestamp>,
     /// Sender of messages to the peer on this link; moved to the shared state once the first
     /// heartbeat identifies the peer.
@@ -517,6 +518,9 @@
         dispatcher.refused_requests_after(now, link.refused_sent)
     });
     link.refused_sent = refused_sent;
+    let (suspects, suspects_sent) =
+        state.with_dispatcher(|dispatcher, now| dispatcher.suspects_after(now, link.suspects_sent));
+    link.suspects_sent = suspects_sent;
     peer_messages::PeerHeartbeat {
         vm: settings.vm.clone(),
         address: settings.peer_address,
@@ -529,6 +533,6 @@
         departures,
         refused_requests,
         budget_usages: state.budget_usages(),
-        suspects: state.suspects(),
+        suspects,
     }
 }
--- a/crates/relay/src/shell/peer_messages.rs
+++ b/crates/relay/src/shell/peer_messages.rs
@@ -81,7 +81,8 @@
     /// The sender's usage of each service's retry budget, within the window of the retry bounds.
     #[serde(rename = "n", default)]
     pub budget_usages: Vec<(ids::ServiceName, dispatch::BudgetUsage)>,
-    /// Requests that are suspected of crashing targets.
+    /// Requests that are suspected of crashing targets, and that the sender has not sent on this
+    /// link yet.
     #[serde(rename = "q")]
     pub suspects: Vec<quarantine::SuspectRecord>,
 }
