--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -188,6 +188,11 @@
         self.log.write(self.now(), record);
     }
 
+    /// Returns whether all decision records have been written to standard output.
+    pub(super) fn is_log_written(&self) -> bool {
+        self.log.is_written()
+    }
+
     /// Replaces the settings. Addresses stay bound as they were at the start.
     pub fn replace_settings(&self, settings: RelaySettings) {
         *self.settings.borrow_mut() = settings;
--- a/crates/relay/src/shell/stop.rs
+++ b/crates/relay/src/shell/stop.rs
@@ -22,6 +22,12 @@
 /// Interval between checks for open connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time limit for writing the last log lines, as a reader of standard output may have stalled.
+const LOG_WRITE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Interval between checks whether the log lines are written.
+const LOG_POLL_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Time between the deadline of a call and the end of the drain: its response still has to be
 /// written then.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
@@ -74,4 +80,8 @@
         .count(state.open_calls.get() as u64)
         .after(state.now().since(started_at));
     state.record(&record);
+    let written_by = state.now() + LOG_WRITE_TIMEOUT;
+    while !state.is_log_written() && state.now() < written_by {
+        tokio::time::sleep(LOG_POLL_INTERVAL).await;
+    }
 }
--- a/crates/relay/src/telemetry/writer.rs
+++ b/crates/relay/src/telemetry/writer.rs
@@ -6,6 +6,9 @@
 use std::io;
 use std::io::Write;
 use std::result;
+use std::sync::Arc;
+use std::sync::atomic;
+use std::sync::atomic::AtomicU64;
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
@@ -56,6 +59,9 @@
     counts: RefCell<BTreeMap<RecordKind, KindLineCount>>,
     window_start: Cell<time::Timestamp>,
     lost_lines: Cell<u64>,
+    queued_lines: Cell<u64>,
+    /// Number of lines that the writer has taken from the queue and written.
+    written_lines: Arc<AtomicU64>,
 }
 
 /// Starts the thread that writes to standard output, and returns the log that queues lines for it.
@@ -66,11 +72,13 @@
 /// Returns the operating system's error if the thread can't be started.
 pub fn start_log(node: &str) -> Result<DecisionLog> {
     let (sender, receiver) = mpsc::sync_channel::<Vec<u8>>(MAX_QUEUED_LINES);
+    let log = DecisionLog::new(node, Some(sender));
+    let written_lines = Arc::clone(&log.written_lines);
     thread::Builder::new()
         .name("log-writer".into())
         .stack_size(64 * 1024)
-        .spawn(move || write_lines(&receiver))?;
-    Ok(DecisionLog::new(node, Some(sender)))
+        .spawn(move || write_lines(&receiver, &written_lines))?;
+    Ok(log)
 }
 
 impl DecisionLog {
@@ -82,6 +90,8 @@
             counts: RefCell::new(BTreeMap::new()),
             window_start: Cell::new(time::Timestamp::ZERO),
             lost_lines: Cell::new(0),
+            queued_lines: Cell::new(0),
+            written_lines: Arc::default(),
         }
     }
 
@@ -111,6 +121,11 @@
         self.lost_lines.get()
     }
 
+    /// Returns whether all queued lines have been written.
+    pub fn is_written(&self) -> bool {
+        self.written_lines.load(atomic::Ordering::Acquire) >= self.queued_lines.get()
+    }
+
     /// Starts a new window at `now`, and queues a record for each kind that had lines omitted.
     fn end_window(&self, now: time::Timestamp) {
         self.window_start.set(now);
@@ -142,22 +157,26 @@
             return;
         };
         bytes.push(b'\n');
-        if lines.try_send(bytes).is_err() {
-            self.lost_lines.set(self.lost_lines.get() + 1);
+        match lines.try_send(bytes) {
+            Ok(()) => self.queued_lines.set(self.queued_lines.get() + 1),
+            Err(_) => self.lost_lines.set(self.lost_lines.get() + 1),
         }
     }
 }
 
 /// Writes lines until the process ends, and all lines that are queued at once in one write.
-fn write_lines(lines: &mpsc::Receiver<Vec<u8>>) {
+fn write_lines(lines: &mpsc::Receiver<Vec<u8>>, written_lines: &AtomicU64) {
     let mut output = io::stdout().lock();
     while let Ok(mut batch) = lines.recv() {
+        let mut line_count = 1;
         while let Ok(line) = lines.try_recv() {
             batch.extend_from_slice(&line);
+            line_count += 1;
         }
         if output.write_all(&batch).is_err() || output.flush().is_err() {
             // Standard output was closed; the metrics still count the lost lines.
             return;
         }
+        written_lines.fetch_add(line_count, atomic::Ordering::Release);
     }
 }
--- a/crates/relay/tests/telemetry.rs
+++ b/crates/relay/tests/telemetry.rs
@@ -40,6 +40,16 @@
     assert_eq!(omitted["count"], 5_000 - written);
 }
 
+/// The process must not end before its last records are written.
+#[test]
+fn is_written_only_without_lines_in_the_queue() {
+    let (sender, _receiver) = mpsc::sync_channel(10);
+    let log = telemetry::DecisionLog::new("vm-1", Some(sender));
+    assert!(log.is_written());
+    log.write(START, &refusal_record());
+    assert!(!log.is_written());
+}
+
 #[test]
 fn write_with_full_queue_drops_lines_without_blocking() {
     let (sender, _receiver) = mpsc::sync_channel(10);
