--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod event;
 mod health;
 mod load;
+mod migrations;
 mod placement;
 mod queue;
 mod reducer;
--- a/crates/relay/src/shell/mod.rs
+++ b/crates/relay/src/shell/mod.rs
@@ -1,5 +1,6 @@
 //! Input and output: connections with callers, targets and peers, and the state that they share.
 
+mod budgets;
 mod buffered;
 mod client;
 mod directory_events;
@@ -7,9 +8,11 @@
 mod head_timeout;
 mod intake;
 mod memory_migration;
+mod peer_exchange;
 mod peer_links;
 mod peer_messages;
 mod responses;
+mod resumption;
 mod server;
 mod settings;
 mod state;
--- a/crates/relay/src/shell/peer_links.rs
+++ b/crates/relay/src/shell/peer_links.rs
@@ -25,12 +25,11 @@
 use tokio_tungstenite::tungstenite;
 
 use super::client;
-use super::directory_events;
+use super::peer_exchange;
 use super::peer_messages;
 use super::state;
 use super::state::RelayState;
 use crate::dispatch;
-use crate::membership;
 use crate::telemetry;
 
 /// Shortest interval between heartbeats on a link.
@@ -60,23 +59,16 @@
 /// Time for which an unused link is kept: several heartbeats, which name other relays.
 const UNUSED_LINK_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Maximum number of relays that a heartbeat names.
-const MAX_MEMBER_HINTS: usize = 24;
-
-/// Maximum number of target incarnations that a heartbeat names as leaving: those of some ten
-/// seconds.
-const MAX_DEPARTURES: usize = 32;
-
 /// Links of this relay, by the address at which the peer accepts links.
 #[derive(Debug, Default)]
-struct LinkTable {
-    link_counts: BTreeMap<net::SocketAddr, usize>,
+pub(super) struct LinkTable {
+    pub(super) link_counts: BTreeMap<net::SocketAddr, usize>,
     dialing: BTreeSet<net::SocketAddr>,
     desired: BTreeSet<net::SocketAddr>,
     next_seed_at: time::Timestamp,
 }
 
-type SharedLinkTable = Rc<std::cell::RefCell<LinkTable>>;
+pub(super) type SharedLinkTable = Rc<std::cell::RefCell<LinkTable>>;
 
 /// Which end opened a link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -87,17 +79,17 @@
 
 /// What is known of the peer on a link, and what was sent to it.
 #[derive(Debug, Default)]
-struct LinkState {
-    vm: Option<ids::VmName>,
-    address: Option<net::SocketAddr>,
-    is_same_cell: bool,
-    departures_sent: u64,
-    refused_sent: u64,
-    suspects_sent: u64,
+pub(super) struct LinkState {
+    pub(super) vm: Option<ids::VmName>,
+    pub(super) address: Option<net::SocketAddr>,
+    pub(super) is_same_cell: bool,
+    pub(super) departures_sent: u64,
+    pub(super) refused_sent: u64,
+    pub(super) suspects_sent: u64,
     unused_since: Option<time::Timestamp>,
     /// Sender of messages to the peer on this link; moved to the shared state once the first
     /// heartbeat identifies the peer.
-    mailbox: Option<mpsc::UnboundedSender<bytes::Bytes>>,
+    pub(super) mailbox: Option<mpsc::UnboundedSender<bytes::Bytes>>,
 }
 
 /// Accepts links from peers, and opens links to known addresses.
@@ -230,7 +222,7 @@
             message = stream.next() => match message {
                 Some(Ok(tungstenite::Message::Binary(bytes))) => {
                     last_received_at = state.now();
-                    encode(&handle_message(state, link_table, &mut link, &bytes))
+                    encode(&peer_exchange::handle_message(state, link_table, &mut link, &bytes))
                 }
                 Some(Ok(_)) => continue,
                 Some(Err(_)) | None => break "closed",
@@ -243,7 +235,7 @@
                 if direction == LinkDirection::Outbound && is_unused(state, link_table, &mut link) {
                     break "not needed";
                 }
-                let heartbeat = build_heartbeat(state, &mut link);
+                let heartbeat = peer_exchange::build_heartbeat(state, &mut link);
                 encode(&[peer_messages::PeerMessage::Heartbeat(Box::new(heartbeat))])
             }
         };
@@ -346,193 +338,3 @@
     state.record(&record);
     state.remove_peer(vm);
 }
-
-/// Handles a message and returns the replies.
-fn handle_message(
-    state: &RelayState,
-    link_table: &SharedLinkTable,
-    link: &mut LinkState,
-    bytes: &[u8],
-) -> Vec<peer_messages::PeerMessage> {
-    let message = match codec::decode::<peer_messages::PeerMessage>(bytes) {
-        Ok(message) => message,
-        Err(error) => {
-            log::warn!("can't decode a message from a peer, ignoring it: {error}");
-            return Vec::new();
-        }
-    };
-    match message {
-        peer_messages::PeerMessage::Heartbeat(heartbeat) => {
-            return handle_heartbeat(state, link_table, link, *heartbeat);
-        }
-        peer_messages::PeerMessage::UpdateRequest(known) => return updates_since(state, known),
-        peer_messages::PeerMessage::Loads { vm, loads } => {
-            state.submit(dispatch::DispatchEvent::PeerLoadsUpdated { peer: vm, loads });
-        }
-        peer_messages::PeerMessage::Reservation { vm, message } => {
-            state.submit(dispatch::DispatchEvent::ReservationReceived { peer: vm, message });
-        }
-        peer_messages::PeerMessage::Departures(departures) => {
-            let changes = state.targets.borrow_mut().apply_departures(&departures);
-            directory_events::apply_target_changes(state, changes, directory_events::PEER_SOURCE);
-        }
-        peer_messages::PeerMessage::Suspects(records) => {
-            state.submit(dispatch::DispatchEvent::SuspectsReported(records));
-        }
-        peer_messages::PeerMessage::Routes(text) => match (state.decode_routes)(&text) {
-            Some(table) => {
-                directory_events::handle_routes(
-                    state,
-                    Rc::new(table),
-                    text.into(),
-                    directory_events::PEER_SOURCE,
-                );
-            }
-            None => log::warn!("can't decode routes from a peer, ignoring them"),
-        },
-        peer_messages::PeerMessage::Targets(delta) => {
-            let now = state.now();
-            let changes = state.targets.borrow_mut().apply_delta(now, delta);
-            directory_events::apply_target_changes(state, changes, directory_events::PEER_SOURCE);
-        }
-    }
-    Vec::new()
-}
-
-fn handle_heartbeat(
-    state: &RelayState,
-    link_table: &SharedLinkTable,
-    link: &mut LinkState,
-    heartbeat: peer_messages::PeerHeartbeat,
-) -> Vec<peer_messages::PeerMessage> {
-    let now = state.now();
-    let is_first_heartbeat = link.vm.is_none();
-    if is_first_heartbeat {
-        identify_peer(state, link_table, link, &heartbeat);
-    }
-    {
-        let mut members = state.members.borrow_mut();
-        members.record_received(heartbeat.address, now);
-        for hint in heartbeat.members.iter().take(MAX_MEMBER_HINTS) {
-            members.record_hint(now, *hint);
-        }
-        link.is_same_cell = members.is_same_cell(heartbeat.address);
-    }
-    let changes = state
-        .targets
-        .borrow_mut()
-        .apply_departures(&heartbeat.departures);
-    directory_events::apply_target_changes(state, changes, directory_events::PEER_SOURCE);
-    state.submit(dispatch::DispatchEvent::SuspectsReported(
-        heartbeat.suspects,
-    ));
-    state.with_dispatcher(|dispatcher, now| {
-        for record in &heartbeat.refused_requests {
-            dispatcher.merge_refused_request(now, record);
-        }
-    });
-    state.record_peer_usages(&heartbeat.vm, &heartbeat.budget_usages);
-    // Only peers of the same cell share their load and decide on reservations.
-    let peer = heartbeat.vm;
-    state.submit(match link.is_same_cell {
-        true => dispatch::DispatchEvent::PeerLoadsReplaced {
-            peer,
-            loads: heartbeat.loads,
-        },
-        false => dispatch::DispatchEvent::PeerLost { peer },
-    });
-
-    let own = state.known_versions();
-    let mut replies = Vec::new();
-    if state
-        .catch_up
-        .borrow_mut()
-        .should_request(now, own, heartbeat.known)
-    {
-        replies.push(peer_messages::PeerMessage::UpdateRequest(own));
-    }
-    if is_first_heartbeat && link.is_same_cell {
-        // The previous heartbeat contained no loads, as the peer's cell was not known yet.
-        let heartbeat = self::build_heartbeat(state, link);
-        replies.push(peer_messages::PeerMessage::Heartbeat(Box::new(heartbeat)));
-    }
-    replies
-}
-
-/// Records which peer is at the other end of a link, and registers the link's mailbox.
-fn identify_peer(
-    state: &RelayState,
-    link_table: &SharedLinkTable,
-    link: &mut LinkState,
-    heartbeat: &peer_messages::PeerHeartbeat,
-) {
-    link.vm = Some(heartbeat.vm.clone());
-    link.address = Some(heartbeat.address);
-    *link_table
-        .borrow_mut()
-        .link_counts
-        .entry(heartbeat.address)
-        .or_default() += 1;
-    let mut peer_mailboxes = state.peer_mailboxes.borrow_mut();
-    let mailboxes = peer_mailboxes.entry(heartbeat.vm.clone()).or_default();
-    mailboxes.extend(link.mailbox.take());
-    if mailboxes.len() == 1 {
-        let record = telemetry::DecisionRecord::new(telemetry::RecordKind::PeerLinked)
-            .target_text(heartbeat.vm.as_str())
-            .version(heartbeat.known.routes.get());
-        state.record(&record);
-    }
-}
-
-/// Returns the routes and targets that are newer than the versions a peer knows.
-fn updates_since(
-    state: &RelayState,
-    known: membership::KnownVersions,
-) -> Vec<peer_messages::PeerMessage> {
-    let mut messages = Vec::new();
-    if let Some(routes) = state.routes()
-        && routes.table.version() > known.routes
-    {
-        messages.push(peer_messages::PeerMessage::Routes(routes.text.to_vec()));
-    }
-    let targets = state.targets.borrow();
-    if targets.revision() > known.directory {
-        let delta = targets.delta_since(known.directory);
-        messages.push(peer_messages::PeerMessage::Targets(delta));
-    }
-    messages
-}
-
-fn build_heartbeat(state: &RelayState, link: &mut LinkState) -> peer_messages::PeerHeartbeat {
-    let now = state.now();
-    let settings = state.settings.borrow();
-    let targets = state.targets.borrow();
-    let departures = targets.departures_after(link.departures_sent);
-    let departures = departures.take(MAX_DEPARTURES).collect();
-    link.departures_sent = targets.departure_count();
-    let loads = match link.is_same_cell {
-        true => state.with_dispatcher(|dispatcher, now| dispatcher.loads(now)),
-        false => Vec::new(),
-    };
-    let (refused_requests, refused_sent) = state.with_dispatcher(|dispatcher, now| {
-        dispatcher.refused_requests_after(now, link.refused_sent)
-    });
-    link.refused_sent = refused_sent;
-    let (suspects, suspects_sent) =
-        state.with_dispatcher(|dispatcher, now| dispatcher.suspects_after(now, link.suspects_sent));
-    link.suspects_sent = suspects_sent;
-    peer_messages::PeerHeartbeat {
-        vm: settings.vm.clone(),
-        address: settings.peer_address,
-        members: state
-            .members
-            .borrow()
-            .sample_hints(now, &mut rand::rng(), MAX_MEMBER_HINTS),
-        known: state.known_versions(),
-        loads,
-        departures,
-        refused_requests,
-        budget_usages: state.budget_usages(),
-        suspects,
-    }
-}
--- /dev/null
+++ b/crates/relay/src/shell/resumption.rs
@@ -0,0 +1,202 @@
+//! Resumes a stream at another target, from a copy of its memory.
+
+use std::rc::Rc;
+use std::result;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+
+use super::buffered;
+use super::client;
+use super::forwarder;
+use super::forwarder::StreamForwarder;
+use super::memory_migration;
+use super::stream;
+use crate::directory;
+use crate::dispatch;
+use crate::protocol;
+use crate::telemetry;
+
+/// Further time for a target to start its response to a resumption, after [`MAX_OVERLAP`].
+const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Time limit for the previous target to keep running a stream whose resumption has been requested.
+/// The platform counts 400 ms of overlap as two runs, and a target notices a closed connection only
+/// after some milliseconds.
+const MAX_OVERLAP: Duration = Duration::from_millis(250);
+
+/// Urgency of a stream that is resumed at another target; 0 is the most urgent.
+const RESUMED_URGENCY: u8 = 0;
+
+/// Outcome recorded when a stream may not be resumed, as its request has crashed targets.
+const QUARANTINED: &str = "quarantined";
+
+/// Result of an attempt to resume a stream. An error is how the attempt ended.
+type Result<T> = result::Result<T, dispatch::AttemptResult>;
+
+impl StreamForwarder {
+    /// Resumes the stream at the target that holds `copy`. Returns whether it did; if its request
+    /// has crashed targets, the budget does not allow it or that target does not accept it, the
+    /// stream stays assigned to its current target.
+    pub(super) async fn resume(&mut self, copy: forwarder::MemoryCopy, cause: &str) -> bool {
+        if !self.state.may_run(self.call.demand.fingerprint).await {
+            self.record_migration_failure(QUARANTINED);
+            return false;
+        }
+        let resumption = dispatch::RepeatKind::Resumption;
+        if !self
+            .state
+            .try_acquire_repeat(&self.call.demand.service, resumption)
+        {
+            self.record_migration_failure(forwarder::NO_REPEAT_LEFT);
+            return false;
+        }
+        let migrated = dispatch::DispatchEvent::Migrated {
+            call: self.call.id,
+            target: Rc::clone(&copy.holder),
+        };
+        let next_holder = self
+            .state
+            .submit_for_call(self.call.id, migrated)
+            .into_iter()
+            .find_map(|effect| match effect {
+                dispatch::DispatchEffect::Place { placement, .. } => placement.copy_holder,
+                _ => None,
+            });
+        let request = self.resumption_request(&copy, next_holder.as_ref());
+        let upstream = match self.open_resumption(&copy, request).await {
+            Ok(upstream) => upstream,
+            Err(result) => {
+                let migration_failed = dispatch::DispatchEvent::MigrationFailed {
+                    call: self.call.id,
+                    target: Rc::clone(&self.target),
+                    result,
+                };
+                self.state.submit(migration_failed);
+                self.replace_copy_holder(None);
+                self.state.metrics.record_resumption("refused");
+                self.record_migration_failure("the copy is of no use");
+                return false;
+            }
+        };
+
+        let record = stream::migration_record(
+            &self.call,
+            telemetry::RecordKind::Resumed,
+            &copy.holder,
+            cause,
+        )
+        .copy(next_holder.as_ref().map(|holder| &holder.key.name))
+        .count(self.event_count)
+        .after(self.state.now().since(self.last_received_at));
+        self.state.record(&record);
+        self.state.metrics.record_resumption("resumed");
+        self.target = copy.holder;
+        self.replace_copy_holder(next_holder);
+        self.abandon_migration();
+        self.migration = None;
+        self.parser = protocol::EventParser::default();
+        self.upstream = Some(upstream);
+        true
+    }
+
+    /// Builds the request that resumes the stream from a copy.
+    fn resumption_request(
+        &self,
+        copy: &forwarder::MemoryCopy,
+        next_holder: Option<&Rc<directory::TargetRecord>>,
+    ) -> Request<Full<Bytes>> {
+        let resumption = protocol::StreamResumption {
+            handle_address: copy.handle_address,
+            handle: copy.handle.clone(),
+            last_event: self.last_event_id,
+        };
+        let head = protocol::ForwardedHead {
+            target: &copy.holder.key,
+            time_left: self.call.demand.deadline.since(self.state.now()),
+            organisation: self.call.organisation_name(),
+            urgency: Some(RESUMED_URGENCY),
+            copy_to: next_holder.map(|holder| holder.address),
+            resumption: Some(&resumption),
+        };
+        buffered::forwarded_request(&self.state, &self.call, &head)
+    }
+
+    /// Sends the resumption. The relay stops the previous target when the response starts, or after
+    /// [`MAX_OVERLAP`] if that is earlier: the next target may already be running the stream before
+    /// it responds.
+    ///
+    /// # Errors
+    ///
+    /// How the attempt ended if the stream does not resume.
+    async fn open_resumption(
+        &mut self,
+        copy: &forwarder::MemoryCopy,
+        request: Request<Full<Bytes>>,
+    ) -> Result<client::OpenResponse> {
+        let mut sent = Box::pin(client::send(copy.holder.address, request));
+        let mut outcome = tokio::time::timeout(MAX_OVERLAP, sent.as_mut()).await;
+        if outcome.is_err() {
+            self.upstream = None;
+            outcome = tokio::time::timeout(RESUME_TIMEOUT, sent).await;
+        }
+        let response = match outcome {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) => {
+                log::debug!(
+                    "can't resume stream {} at its copy holder: {error}",
+                    self.call.head.request_id
+                );
+                return Err(match error {
+                    client::SendError::Unreachable(_) => dispatch::AttemptResult::Unreachable,
+                    client::SendError::Broken(_) | client::SendError::Incomplete(_) => {
+                        dispatch::AttemptResult::Broken
+                    }
+                    client::SendError::TimedOut => dispatch::AttemptResult::TimedOut,
+                });
+            }
+            Err(_) => return Err(dispatch::AttemptResult::TimedOut),
+        };
+        let class = self
+            .state
+            .protocol
+            .classify_response(&response.parts, &self.call.head.request_id);
+        match class {
+            protocol::ResponseClass::Success => Ok(response),
+            protocol::ResponseClass::NotRun => Err(dispatch::AttemptResult::NotRun),
+            protocol::ResponseClass::Failure => Err(dispatch::AttemptResult::Failed),
+            protocol::ResponseClass::Foreign => Err(dispatch::AttemptResult::Broken),
+        }
+    }
+
+    /// Returns the copy that the current target keeps up to date. Its handle is the caller's
+    /// request id.
+    pub(super) fn current_copy(&self) -> Option<forwarder::MemoryCopy> {
+        let holder = self.copy_holder.as_ref()?;
+        Some(forwarder::MemoryCopy {
+            holder: Rc::clone(holder),
+            handle_address: holder.address,
+            handle: self.call.head.request_id.clone(),
+        })
+    }
+
+    /// Replaces the copy holder, and discards the previous copy unless it is still in use: the
+    /// targets would keep it for some time.
+    pub(super) fn replace_copy_holder(&mut self, next: Option<Rc<directory::TargetRecord>>) {
+        let previous = std::mem::replace(&mut self.copy_holder, next);
+        let Some(previous) = previous else {
+            return;
+        };
+        let is_needed = previous.key == self.target.key
+            || self
+                .copy_holder
+                .as_ref()
+                .is_some_and(|next| next.key == previous.key);
+        if !is_needed {
+            let handle = self.call.head.request_id.clone();
+            memory_migration::discard_copy(&self.state, handle, &[previous.address]);
+        }
+    }
+}
