Count the ends of several targets at one time once against a request

A relay that is cut off from its targets finds each of them unreachable, and so took all that ran there for requests that end targets; so does a relay that sees several targets end at one moment.

An attempt now counts only if it was sent after its request was first lost at an ended target: a request that ends targets does so when it comes again. Crashes that different relays report are still added up.

--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -8,6 +8,7 @@
 use kingcupfall_core::work;
 
 use super::LoadCount;
+use super::crashes;
 use crate::directory;
 
 /// Share of a stream's expected output that is reserved when it starts. Streams at a target end at
@@ -64,6 +65,8 @@
     pub(super) target: Rc<directory::TargetRecord>,
     pub(super) copy_holder: Option<Rc<directory::TargetRecord>>,
     pub(super) placed_at: time::Timestamp,
+    /// When the call was sent to the target.
+    pub(super) sent_at: time::Timestamp,
     /// When the call was sent, or the last event of its stream was received.
     pub(super) heard_at: time::Timestamp,
     /// Load of all relays at the target when it was chosen, without this call.
@@ -73,6 +76,16 @@
 }
 
 impl PlacedCall {
+    /// Returns the attempt to run the call at its target.
+    pub(super) fn attempt(&self) -> crashes::TargetAttempt {
+        crashes::TargetAttempt {
+            target: Rc::clone(&self.target),
+            fingerprint: self.demand.fingerprint,
+            sent_at: self.sent_at,
+            heard_at: self.heard_at,
+        }
+    }
+
     /// Returns the tokens held in the target's memory.
     pub(super) fn used_tokens(&self) -> u64 {
         match &self.demand.engine {
--- a/crates/relay/src/dispatch/crashes.rs
+++ b/crates/relay/src/dispatch/crashes.rs
@@ -7,7 +7,6 @@
 //! until that is known.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -67,10 +66,21 @@
     Unclear,
 }
 
+/// An attempt to run a request at a target.
+#[derive(Debug, Clone)]
+pub(super) struct TargetAttempt {
+    pub(super) target: Rc<directory::TargetRecord>,
+    pub(super) fingerprint: work::RequestFingerprint,
+    pub(super) sent_at: time::Timestamp,
+    /// When the target was last heard from.
+    pub(super) heard_at: time::Timestamp,
+}
+
 /// An attempt that ended without a successful response.
 #[derive(Debug)]
 struct LostAttempt {
     fingerprint: work::RequestFingerprint,
+    sent_at: time::Timestamp,
     lost_at: time::Timestamp,
     kind: LossKind,
     /// Whether the target has accepted a connection since.
@@ -90,27 +100,29 @@
 #[derive(Debug, Default)]
 pub(super) struct LostAttempts {
     targets: BTreeMap<directory::TargetKey, TargetLosses>,
+    /// When each request was first lost at a target that ended.
+    first_losses: BTreeMap<work::RequestFingerprint, time::Timestamp>,
 }
 
 impl LostAttempts {
-    fn record(
-        &mut self,
-        now: time::Timestamp,
-        key: &directory::TargetKey,
-        fingerprint: work::RequestFingerprint,
-        kind: LossKind,
-    ) {
+    fn record(&mut self, key: &directory::TargetKey, attempt: LostAttempt) {
         let losses = self.targets.entry(key.clone()).or_default();
         if losses.attempts.len() < MAX_LOSSES {
-            losses.attempts.push(LostAttempt {
-                fingerprint,
-                lost_at: now,
-                kind,
-                is_disproved: false,
-            });
+            losses.attempts.push(attempt);
         }
     }
 
+    /// Returns whether a lost attempt was sent before its request was lost at another target that
+    /// ended. It then says nothing more about the request: several targets have ended at the same
+    /// time, or this relay was cut off from them.
+    fn is_concurrent(&mut self, attempt: &LostAttempt) -> bool {
+        let first_lost_at = self
+            .first_losses
+            .entry(attempt.fingerprint)
+            .or_insert(attempt.lost_at);
+        attempt.sent_at < *first_lost_at && attempt.lost_at > *first_lost_at
+    }
+
     fn has_ended(&self, key: &directory::TargetKey) -> bool {
         let losses = self.targets.get(key);
         losses.is_some_and(|losses| losses.ended_at.is_some())
@@ -142,28 +154,22 @@
         }
     }
 
-    /// Records that an incarnation has ended, and returns the requests that were lost there.
-    fn end_target(
-        &mut self,
-        now: time::Timestamp,
-        key: &directory::TargetKey,
-    ) -> Vec<work::RequestFingerprint> {
+    /// Records that an incarnation has ended, and returns the attempts that were lost there.
+    fn end_target(&mut self, now: time::Timestamp, key: &directory::TargetKey) -> Vec<LostAttempt> {
         let losses = self.targets.entry(key.clone()).or_default();
         losses.ended_at = Some(now);
-        let attempts = std::mem::take(&mut losses.attempts);
-        let recent = attempts
-            .into_iter()
-            .filter(|attempt| now.since(attempt.lost_at) < LOSS_RETENTION);
-        recent.map(|attempt| attempt.fingerprint).collect()
+        let mut attempts = std::mem::take(&mut losses.attempts);
+        attempts.retain(|attempt| now.since(attempt.lost_at) < LOSS_RETENTION);
+        attempts
     }
 
-    /// Records that an incarnation has been replaced, and returns the requests whose connections
+    /// Records that an incarnation has been replaced, and returns the attempts whose connections
     /// broke or fell silent there.
     fn replace_target(
         &mut self,
         now: time::Timestamp,
         key: &directory::TargetKey,
-    ) -> Vec<work::RequestFingerprint> {
+    ) -> Vec<LostAttempt> {
         if let Some(losses) = self.targets.get_mut(key) {
             let attempts = &mut losses.attempts;
             attempts.retain(|attempt| attempt.kind == LossKind::Abrupt);
@@ -215,6 +221,8 @@
                 .filter(|ended_at| now.since(*ended_at) < END_RETENTION);
             !losses.attempts.is_empty() || losses.ended_at.is_some() || losses.is_probing
         });
+        let is_recent = |lost_at: &time::Timestamp| now.since(*lost_at) < END_RETENTION;
+        self.first_losses.retain(|_, lost_at| is_recent(lost_at));
     }
 }
 
@@ -253,59 +261,64 @@
         }
     }
 
-    /// Draws conclusions about a target and a request from how an attempt ended. The target was
-    /// last heard from at `heard_at`.
+    /// Draws conclusions about a target and a request from how an attempt ended.
     pub(super) fn assess_result(
         &mut self,
         now: time::Timestamp,
-        target: &Rc<directory::TargetRecord>,
-        fingerprint: work::RequestFingerprint,
-        heard_at: time::Timestamp,
+        attempt: &TargetAttempt,
         result: AttemptResult,
         effects: &mut Vec<DispatchEffect>,
     ) {
+        let key = &attempt.target.key;
         match result {
             AttemptResult::Succeeded { .. } => {
-                self.lost_attempts.record_response(&target.key);
+                self.lost_attempts.record_response(key);
+                let fingerprint = attempt.fingerprint;
                 self.settings.quarantine.record_completion(now, fingerprint);
             }
-            AttemptResult::NotRun => self.lost_attempts.record_response(&target.key),
+            AttemptResult::NotRun => self.lost_attempts.record_response(key),
             AttemptResult::Failed => {
-                self.lost_attempts.record_response(&target.key);
-                self.record_loss(now, target, fingerprint, LossKind::Unclear, effects);
+                self.lost_attempts.record_response(key);
+                self.record_loss(now, attempt, LossKind::Unclear, effects);
             }
             AttemptResult::Cancelled => {
-                let kind = match now.since(heard_at) < SILENCE_TIME {
+                let kind = match now.since(attempt.heard_at) < SILENCE_TIME {
                     true => LossKind::Unclear,
                     false => LossKind::Abrupt,
                 };
-                self.record_loss(now, target, fingerprint, kind, effects);
+                self.record_loss(now, attempt, kind, effects);
             }
             AttemptResult::Broken | AttemptResult::TimedOut => {
-                self.record_loss(now, target, fingerprint, LossKind::Abrupt, effects);
+                self.record_loss(now, attempt, LossKind::Abrupt, effects);
             }
-            AttemptResult::Unreachable => self.handle_target_end(now, &target.key, effects),
+            AttemptResult::Unreachable => self.handle_target_end(now, key, effects),
         }
     }
 
     fn record_loss(
         &mut self,
         now: time::Timestamp,
-        target: &Rc<directory::TargetRecord>,
-        fingerprint: work::RequestFingerprint,
+        attempt: &TargetAttempt,
         kind: LossKind,
         effects: &mut Vec<DispatchEffect>,
     ) {
-        let key = &target.key;
+        let key = &attempt.target.key;
+        let lost_attempt = LostAttempt {
+            fingerprint: attempt.fingerprint,
+            sent_at: attempt.sent_at,
+            lost_at: now,
+            kind,
+            is_disproved: false,
+        };
         if self.lost_attempts.has_ended(key) {
-            self.record_crash(now, key, [fingerprint].into(), effects);
+            self.record_crash(now, key, &[lost_attempt], effects);
         } else if self.accepts_work(key) {
             // A target that leaves ends as planned, whatever runs there.
-            self.lost_attempts.record(now, key, fingerprint, kind);
+            self.lost_attempts.record(key, lost_attempt);
             if kind == LossKind::Abrupt
                 && let Some(delay) = self.lost_attempts.start_probe(now, key)
             {
-                let target = Rc::clone(target);
+                let target = Rc::clone(&attempt.target);
                 effects.push(DispatchEffect::Probe { target, delay });
             }
         }
@@ -331,8 +344,8 @@
         key: &directory::TargetKey,
         effects: &mut Vec<DispatchEffect>,
     ) {
-        let fingerprints = self.lost_attempts.end_target(now, key);
-        self.record_crash(now, key, fingerprints.into_iter().collect(), effects);
+        let attempts = self.lost_attempts.end_target(now, key);
+        self.record_crash(now, key, &attempts, effects);
     }
 
     /// Handles the registration of an incarnation, which ends previous ones of the same name.
@@ -343,23 +356,27 @@
         effects: &mut Vec<DispatchEffect>,
     ) {
         for key in self.lost_attempts.replaced_incarnations(registered) {
-            let fingerprints = self.lost_attempts.replace_target(now, &key);
-            self.record_crash(now, &key, fingerprints.into_iter().collect(), effects);
+            let attempts = self.lost_attempts.replace_target(now, &key);
+            self.record_crash(now, &key, &attempts, effects);
         }
     }
 
-    /// Counts the crash of a target for all requests that ran there, and refuses those that wait
-    /// although they are quarantined now.
+    /// Counts the crash of a target for all requests that were lost there, and refuses those that
+    /// wait although they are quarantined now.
     fn record_crash(
         &mut self,
         now: time::Timestamp,
         key: &directory::TargetKey,
-        fingerprints: BTreeSet<work::RequestFingerprint>,
+        attempts: &[LostAttempt],
         effects: &mut Vec<DispatchEffect>,
     ) {
         let crash = crash_id(key);
         let mut records = Vec::new();
-        for fingerprint in fingerprints {
+        for attempt in attempts {
+            if self.lost_attempts.is_concurrent(attempt) {
+                continue;
+            }
+            let fingerprint = attempt.fingerprint;
             let known = self.settings.quarantine.record(now, fingerprint);
             self.settings
                 .quarantine
--- a/crates/relay/src/dispatch/migrations.rs
+++ b/crates/relay/src/dispatch/migrations.rs
@@ -94,6 +94,8 @@
             return;
         };
         placed.copy_holder = None;
+        placed.sent_at = now;
+        placed.heard_at = now;
         let previous = std::mem::replace(&mut placed.target, Rc::clone(&target));
         self.changed_targets.insert(previous.key.name.clone());
         self.changed_targets.insert(target.key.name.clone());
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -121,18 +121,16 @@
             } => {
                 self.reservations.remove(call);
                 if let Some(placed) = self.placed.get_mut(&call) {
-                    let failed = std::mem::replace(&mut placed.target, target);
+                    let attempt = placed.attempt();
+                    placed.target = target;
                     placed.copy_holder = None;
-                    let fingerprint = placed.demand.fingerprint;
-                    self.assess_result(now, &failed, fingerprint, now, result, &mut effects);
+                    self.assess_result(now, &attempt, result, &mut effects);
                 }
             }
             DispatchEvent::StreamLost { call } => {
                 if let Some(placed) = self.placed.get(&call) {
-                    let target = Rc::clone(&placed.target);
-                    let fingerprint = placed.demand.fingerprint;
-                    let result = AttemptResult::Broken;
-                    self.assess_result(now, &target, fingerprint, now, result, &mut effects);
+                    let attempt = placed.attempt();
+                    self.assess_result(now, &attempt, AttemptResult::Broken, &mut effects);
                 }
             }
             DispatchEvent::TargetProbed {
@@ -287,6 +285,7 @@
             target: Rc::clone(&target),
             copy_holder: None,
             placed_at: now,
+            sent_at: now,
             heard_at: now,
             load_at_placement: present_load,
             has_started: false,
@@ -337,9 +336,7 @@
         };
         self.record_freed_targets(&placed);
         if was_sent {
-            let fingerprint = placed.demand.fingerprint;
-            let heard_at = placed.heard_at;
-            self.assess_result(now, &placed.target, fingerprint, heard_at, result, effects);
+            self.assess_result(now, &placed.attempt(), result, effects);
         }
         if let Some(entry) = self.targets.get_mut(&placed.target.key.name)
             && entry.record.key == placed.target.key
--- a/crates/relay/src/dispatch/reservations.rs
+++ b/crates/relay/src/dispatch/reservations.rs
@@ -238,6 +238,7 @@
             ReservationPurpose::Start => {
                 if let Some(placed) = self.placed.get_mut(&call) {
                     placed.placed_at = now;
+                    placed.sent_at = now;
                     placed.heard_at = now;
                     let prompt_tokens = placed.demand.prompt_tokens;
                     self.prompt_rates.add(now, &target.key.name, prompt_tokens);
--- a/crates/relay/tests/dispatch/crashes.rs
+++ b/crates/relay/tests/dispatch/crashes.rs
@@ -175,6 +175,30 @@
     assert_eq!(crash_count(&dispatcher), 0);
 }
 
+/// A relay that is cut off from all targets loses what runs there, and finds each of them
+/// unreachable.
+#[test]
+fn calls_sent_before_the_first_of_several_ends_count_as_one_crash() {
+    let mut dispatcher = fixtures::dispatcher(TARGETS);
+    let mut targets = Vec::new();
+    for call in 1..4 {
+        let effects = fixtures::arrive(&mut dispatcher, call, fixtures::stream_demand(400));
+        targets.push(fixtures::placed_target(&effects).unwrap());
+    }
+    targets.dedup();
+    assert_eq!(targets.len(), TARGETS.len());
+    let mut now = START;
+    for call in 1..4 {
+        now = now + Duration::from_millis(100);
+        dispatcher.handle(now, BROKEN.event(ids::CallId::new(call)));
+    }
+    for target in targets {
+        let target = fixtures::engine_record(&target).key;
+        end_probe(&mut dispatcher, now, target, false);
+    }
+    assert_eq!(crash_count(&dispatcher), 1);
+}
+
 #[test]
 fn second_crash_quarantines_the_request() {
     let mut dispatcher = fixtures::dispatcher(TARGETS);
