Install the signal handlers before the start is logged

What operators saw: a gateway that is stopped just after it has logged its start ended by the signal, with no further log line and without waiting for its calls; the agent has the same order.

Cause: both installed the handlers of SIGTERM and SIGINT when they began to wait for them, after the start was logged. They are now installed first.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -45,6 +45,8 @@
 }
 
 async fn run(settings: agent::AgentSettings) -> shell::Result<()> {
+    // Before the start is logged, as a signal may follow at once.
+    let signals = StopSignals::install();
     let drain_timeout = settings.drain.deadline;
     let incarnation = ids::Incarnation::random(&mut rand::rng());
     let target = settings.target.name.clone();
@@ -57,7 +59,7 @@
         handle.link_address(),
         handle.administration_address()
     );
-    ntex::rt::spawn(stop_on_signal(handle, drain_timeout));
+    ntex::rt::spawn(stop_on_signal(handle, signals, drain_timeout));
     agent.run().await;
     Ok(())
 }
@@ -87,8 +89,12 @@
 /// Drains the agent after SIGTERM or SIGINT.
 ///
 /// Exits with an error if the drain takes longer than `drain_timeout`; `None` sets no limit.
-async fn stop_on_signal(handle: shell::AgentHandle, drain_timeout: Option<Duration>) {
-    wait_for_signal().await;
+async fn stop_on_signal(
+    handle: shell::AgentHandle,
+    signals: Option<StopSignals>,
+    drain_timeout: Option<Duration>,
+) {
+    wait_for_signal(signals).await;
     log::info!("stopping: refusing new work and waiting for the work in progress to end");
     handle.stop().await;
 
@@ -99,18 +105,42 @@
     }
 }
 
-async fn wait_for_signal() {
-    let terminate = unix::signal(unix::SignalKind::terminate());
-    let interrupt = unix::signal(unix::SignalKind::interrupt());
-    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
-        log::error!(
-            "can't install handlers for SIGTERM and SIGINT; the agent runs until it is killed"
-        );
-        return std::future::pending().await;
-    };
+/// Signals that request the process to stop.
+struct StopSignals {
+    terminate: unix::Signal,
+    interrupt: unix::Signal,
+}
+
+impl StopSignals {
+    /// Installs the handlers. Returns `None` if that fails: the process then ends at once on a
+    /// signal.
+    fn install() -> Option<Self> {
+        let terminate = unix::signal(unix::SignalKind::terminate());
+        let interrupt = unix::signal(unix::SignalKind::interrupt());
+        let (Ok(terminate), Ok(interrupt)) = (terminate, interrupt) else {
+            log::error!(
+                "can't install handlers for SIGTERM and SIGINT; the agent can't stop gracefully"
+            );
+            return None;
+        };
+        Some(Self {
+            terminate,
+            interrupt,
+        })
+    }
+
+    async fn wait(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
 
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// Waits for a signal to stop; forever without handlers.
+async fn wait_for_signal(signals: Option<StopSignals>) {
+    match signals {
+        Some(mut signals) => signals.wait().await,
+        None => std::future::pending().await,
     }
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -52,6 +52,8 @@
 
 async fn run(settings: gateway::GatewaySettings) -> Result<()> {
     logs::start(settings.log.level.get())?;
+    // Before the start is logged, as a signal may follow at once.
+    let signals = StopSignals::install();
     let process = ids::ProcessId::random(&mut rand::rng());
     let gateway = shell::start(gateway_setup(&settings, process))?;
     let fleet = fleet_shell::start(fleet_setup(&settings, process, gateway.fleet_host())).await?;
@@ -63,7 +65,7 @@
         gateway.administration_address(),
     );
 
-    wait_for_signal().await;
+    wait_for_signal(signals).await;
     log::info!("stopping: refusing new work and waiting for the work in progress to end");
     gateway.stop();
     wait_for_stop(&gateway, settings.drain.deadline).await;
@@ -144,18 +146,42 @@
     }
 }
 
-async fn wait_for_signal() {
-    let terminate = unix::signal(unix::SignalKind::terminate());
-    let interrupt = unix::signal(unix::SignalKind::interrupt());
-    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
-        log::error!(
-            "can't install handlers for SIGTERM and SIGINT; the gateway runs until it is killed"
-        );
-        return std::future::pending().await;
-    };
+/// Signals that request the process to stop.
+struct StopSignals {
+    terminate: unix::Signal,
+    interrupt: unix::Signal,
+}
+
+impl StopSignals {
+    /// Installs the handlers. Returns `None` if that fails: the process then ends at once on a
+    /// signal.
+    fn install() -> Option<Self> {
+        let terminate = unix::signal(unix::SignalKind::terminate());
+        let interrupt = unix::signal(unix::SignalKind::interrupt());
+        let (Ok(terminate), Ok(interrupt)) = (terminate, interrupt) else {
+            log::error!(
+                "can't install handlers for SIGTERM and SIGINT; the gateway can't stop gracefully"
+            );
+            return None;
+        };
+        Some(Self {
+            terminate,
+            interrupt,
+        })
+    }
+
+    async fn wait(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
 
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// Waits for a signal to stop; forever without handlers.
+async fn wait_for_signal(signals: Option<StopSignals>) {
+    match signals {
+        Some(mut signals) => signals.wait().await,
+        None => std::future::pending().await,
     }
 }
--- a/crates/gateway/tests/binary.rs
+++ b/crates/gateway/tests/binary.rs
@@ -65,13 +65,13 @@
     let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
 
     let started = lines.find(|line| line.as_ref().unwrap().contains("callers at"));
-    let pid = child.id().to_string();
-    let signal = process::Command::new("kill").args(["-TERM", &pid]).status();
+    let pid = rustix::process::Pid::from_child(&child);
+    let signal = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
     let rest: Vec<String> = lines.map(|line| line.unwrap()).collect();
     let status = child.wait().unwrap();
 
     assert!(started.is_some());
-    assert!(signal.unwrap().success());
+    signal.unwrap();
     assert!(status.success(), "{rest:?}");
     assert!(
         rest.iter()
