Share the stop signals of gateway and agent, and give its test addresses of its own

Both binaries had the same handlers of SIGTERM and SIGINT; they are one type in the telemetry crate now.

Suspected is a port that another process took after the test had chosen it: the test now uses a loopback address that depends on its process, and prints the exit status.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -9,7 +9,7 @@
 use kingcupfall_settings::agent;
 use kingcupfall_settings::command;
 use kingcupfall_telemetry::logs;
-use tokio::signal::unix;
+use kingcupfall_telemetry::signals;
 
 /// Response timeout of a plain service until the document sets one.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -45,8 +45,7 @@
 }
 
 async fn run(settings: agent::AgentSettings) -> shell::Result<()> {
-    // Before the start is logged, as a signal may follow at once.
-    let signals = StopSignals::install();
+    let stop_signals = signals::StopSignals::install();
     let drain_timeout = settings.drain.deadline;
     let incarnation = ids::Incarnation::random(&mut rand::rng());
     let target = settings.target.name.clone();
@@ -59,7 +58,7 @@
         handle.link_address(),
         handle.administration_address()
     );
-    ntex::rt::spawn(stop_on_signal(handle, signals, drain_timeout));
+    ntex::rt::spawn(stop_on_signal(handle, stop_signals, drain_timeout));
     agent.run().await;
     Ok(())
 }
@@ -91,10 +90,10 @@
 /// Exits with an error if the drain takes longer than `drain_timeout`; `None` sets no limit.
 async fn stop_on_signal(
     handle: shell::AgentHandle,
-    signals: Option<StopSignals>,
+    stop_signals: signals::StopSignals,
     drain_timeout: Option<Duration>,
 ) {
-    wait_for_signal(signals).await;
+    stop_signals.wait().await;
     log::info!("stopping: refusing new work and waiting for the work in progress to end");
     handle.stop().await;
 
@@ -104,43 +103,3 @@
         process::exit(1);
     }
 }
-
-/// Signals that request the process to stop.
-struct StopSignals {
-    terminate: unix::Signal,
-    interrupt: unix::Signal,
-}
-
-impl StopSignals {
-    /// Installs the handlers. Returns `None` if that fails: the process then ends at once on a
-    /// signal.
-    fn install() -> Option<Self> {
-        let terminate = unix::signal(unix::SignalKind::terminate());
-        let interrupt = unix::signal(unix::SignalKind::interrupt());
-        let (Ok(terminate), Ok(interrupt)) = (terminate, interrupt) else {
-            log::error!(
-                "can't install handlers for SIGTERM and SIGINT; the agent can't stop gracefully"
-            );
-            return None;
-        };
-        Some(Self {
-            terminate,
-            interrupt,
-        })
-    }
-
-    async fn wait(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
-        }
-    }
-}
-
-/// Waits for a signal to stop; forever without handlers.
-async fn wait_for_signal(signals: Option<StopSignals>) {
-    match signals {
-        Some(mut signals) => signals.wait().await,
-        None => std::future::pending().await,
-    }
-}
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -15,8 +15,8 @@
 use kingcupfall_settings::command;
 use kingcupfall_settings::gateway;
 use kingcupfall_telemetry::logs;
+use kingcupfall_telemetry::signals;
 use rand::Rng;
-use tokio::signal::unix;
 
 /// Prefix that derives the signing key of idempotency keys from the link secret, so that it differs
 /// from the link key.
@@ -52,8 +52,7 @@
 
 async fn run(settings: gateway::GatewaySettings) -> Result<()> {
     logs::start(settings.log.level.get())?;
-    // Before the start is logged, as a signal may follow at once.
-    let signals = StopSignals::install();
+    let stop_signals = signals::StopSignals::install();
     let process = ids::ProcessId::random(&mut rand::rng());
     let gateway = shell::start(gateway_setup(&settings, process))?;
     let fleet = fleet_shell::start(fleet_setup(&settings, process, gateway.fleet_host())).await?;
@@ -65,7 +64,7 @@
         gateway.administration_address(),
     );
 
-    wait_for_signal(signals).await;
+    stop_signals.wait().await;
     log::info!("stopping: refusing new work and waiting for the work in progress to end");
     gateway.stop();
     wait_for_stop(&gateway, settings.drain.deadline).await;
@@ -145,43 +144,3 @@
         log::warn!("drain deadline passed; aborting the work in progress");
     }
 }
-
-/// Signals that request the process to stop.
-struct StopSignals {
-    terminate: unix::Signal,
-    interrupt: unix::Signal,
-}
-
-impl StopSignals {
-    /// Installs the handlers. Returns `None` if that fails: the process then ends at once on a
-    /// signal.
-    fn install() -> Option<Self> {
-        let terminate = unix::signal(unix::SignalKind::terminate());
-        let interrupt = unix::signal(unix::SignalKind::interrupt());
-        let (Ok(terminate), Ok(interrupt)) = (terminate, interrupt) else {
-            log::error!(
-                "can't install handlers for SIGTERM and SIGINT; the gateway can't stop gracefully"
-            );
-            return None;
-        };
-        Some(Self {
-            terminate,
-            interrupt,
-        })
-    }
-
-    async fn wait(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
-        }
-    }
-}
-
-/// Waits for a signal to stop; forever without handlers.
-async fn wait_for_signal(signals: Option<StopSignals>) {
-    match signals {
-        Some(mut signals) => signals.wait().await,
-        None => std::future::pending().await,
-    }
-}
--- a/crates/gateway/tests/binary.rs
+++ b/crates/gateway/tests/binary.rs
@@ -70,7 +70,7 @@
     let rest: Vec<String> = lines.map(|line| line.unwrap()).collect();
     let status = child.wait().unwrap();
 
-    assert!(started.is_some());
+    assert!(started.is_some(), "{status}");
     signal.unwrap();
     assert!(status.success(), "{rest:?}");
     assert!(
@@ -97,10 +97,13 @@
     file
 }
 
-/// Returns three local addresses that were free when they were probed.
+/// Returns three loopback addresses that were free when they were probed. Their IP address depends
+/// on this process, so that no other one takes their ports meanwhile.
 fn free_addresses() -> Vec<net::SocketAddr> {
+    let octet = |number: u32| u8::try_from(number % 250 + 1).unwrap();
+    let address = net::Ipv4Addr::new(127, octet(process::id() / 250), octet(process::id()), 251);
     let listeners: Vec<net::TcpListener> = (0..3)
-        .map(|_| net::TcpListener::bind("127.0.0.1:0").unwrap())
+        .map(|_| net::TcpListener::bind((address, 0)).unwrap())
         .collect();
     listeners
         .iter()
