Keep a stream at a silent target that accepts connections (LOST)

What callers saw: a stream ended without its last events although its target and its connection were sound. The target had paused for a second or so, which is allowed.

Cause: a relay took silence for the end of a target. A stream with a copy was closed at its target after 0.9 s without data, and only then resumed from the copy; if that was refused, the stream was lost.

Why this works: silence only starts a probe, after 0.5 s so that a dark target is still known after 0.9 s. A target that accepts a connection keeps the stream. One that doesn't is left only once another one has responded to the resumption, or after the overlap that the resumption may have. A connection that the other end has lost is found by its keepalive. The record target_silent says what a probe found.

--- a/crates/relay/src/shell/forwarder.rs
+++ b/crates/relay/src/shell/forwarder.rs
@@ -16,6 +16,7 @@
 use super::intake;
 use super::memory_migration;
 use super::responses;
+use super::silence;
 use super::state::RelayState;
 use super::stream;
 use super::stream_migration;
@@ -24,10 +25,6 @@
 use crate::protocol;
 use crate::telemetry;
 
-/// Time without data after which a running stream is resumed from its copy, if it has one. Prompt
-/// processing of other requests delays an event by a tenth of that.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
-
 /// Outcome recorded when the budget of repeated attempts does not allow a resumption.
 pub(super) const NO_REPEAT_LEFT: &str = "no repeated attempt is left";
 
@@ -59,7 +56,8 @@
     MigrationFinished(memory_migration::MigrationReport),
     CallerLeft,
     DeadlinePassed,
-    Silent,
+    ProbeDue,
+    ProbeFinished(bool),
     MigrationDue,
 }
 
@@ -82,6 +80,7 @@
     pub(super) opened_at: time::Timestamp,
     pub(super) migration: Option<stream_migration::StreamMigration>,
     pub(super) pending_migration: Option<PendingMigration>,
+    pub(super) silence: silence::SilenceProbes,
 }
 
 impl StreamForwarder {
@@ -109,6 +108,7 @@
             opened_at: now,
             migration: None,
             pending_migration: None,
+            silence: silence::SilenceProbes::default(),
         }
     }
 
@@ -125,10 +125,9 @@
 
     async fn next_step(&mut self) -> StreamStep {
         let deadline = self.state.instant(self.call.demand.deadline);
-        let silent_at = match self.copy_holder.is_some() && self.event_count > 0 {
-            true => self.state.instant(self.last_received_at + SILENCE_TIMEOUT),
-            false => deadline,
-        };
+        let probe_at = self
+            .silence_probe_at()
+            .map_or(deadline, |at| self.state.instant(at));
         let migration_at = match &self.migration {
             Some(migration) if self.pending_migration.is_none() => {
                 self.state.instant(migration.retry_at)
@@ -147,6 +146,12 @@
                 None => std::future::pending().await,
             }
         };
+        let probe = async {
+            match &mut self.silence.pending {
+                Some(pending) => pending.await,
+                None => std::future::pending().await,
+            }
+        };
         tokio::select! {
             biased;
             effect = self.call.inbox.recv() => StreamStep::Effect(effect),
@@ -154,7 +159,8 @@
             frame = frame => StreamStep::Frame(frame),
             () = self.sender.closed() => StreamStep::CallerLeft,
             () = tokio::time::sleep_until(deadline) => StreamStep::DeadlinePassed,
-            () = tokio::time::sleep_until(silent_at) => StreamStep::Silent,
+            is_reachable = probe => StreamStep::ProbeFinished(is_reachable),
+            () = tokio::time::sleep_until(probe_at) => StreamStep::ProbeDue,
             () = tokio::time::sleep_until(migration_at) => StreamStep::MigrationDue,
         }
     }
@@ -171,7 +177,13 @@
             }
             StreamStep::CallerLeft => Some(StreamEnd::CallerLeft),
             StreamStep::DeadlinePassed => Some(StreamEnd::TimedOut),
-            StreamStep::Silent => self.recover("silent").await,
+            StreamStep::ProbeDue => {
+                self.probe_silent_target();
+                None
+            }
+            StreamStep::ProbeFinished(is_reachable) => {
+                self.handle_silence_probe(is_reachable).await
+            }
             StreamStep::MigrationDue => {
                 self.request_migration_target();
                 None
@@ -277,9 +289,9 @@
         }
     }
 
-    /// Resumes the stream from its copy after its target was lost or stopped sending.
+    /// Resumes the stream from its copy after its target was lost.
     pub(super) async fn recover(&mut self, cause: &str) -> Option<StreamEnd> {
-        // A target that stopped sending may still be running the stream.
+        // A target whose connection broke may still be running the stream.
         self.upstream = None;
         let call = self.call.id;
         self.state
@@ -289,6 +301,11 @@
         {
             return None;
         }
+        Some(self.record_lost(cause))
+    }
+
+    /// Records that the stream is lost, and returns how it ends.
+    pub(super) fn record_lost(&self, cause: &str) -> StreamEnd {
         let record = stream::migration_record(
             &self.call,
             telemetry::RecordKind::MigrationFailed,
@@ -299,7 +316,7 @@
         .after(self.state.now().since(self.call.demand.arrived_at));
         self.state.record(&record);
         self.state.metrics.record_resumption("lost");
-        Some(StreamEnd::Broken)
+        StreamEnd::Broken
     }
 
     /// Lets a migration whose result is no longer needed finish, and then discards the copy.
--- a/crates/relay/src/shell/mod.rs
+++ b/crates/relay/src/shell/mod.rs
@@ -15,6 +15,7 @@
 mod resumption;
 mod server;
 mod settings;
+mod silence;
 mod state;
 mod stop;
 mod stream;
--- a/crates/relay/src/shell/resumption.rs
+++ b/crates/relay/src/shell/resumption.rs
@@ -98,6 +98,7 @@
         self.abandon_migration();
         self.migration = None;
         self.parser = protocol::EventParser::default();
+        self.silence.restart(self.state.now());
         self.upstream = Some(upstream);
         true
     }
--- a/crates/relay/src/telemetry/records.rs
+++ b/crates/relay/src/telemetry/records.rs
@@ -65,6 +65,9 @@
     Suspected,
     /// A request has crashed too many targets: it is refused from now on.
     Quarantined,
+    /// The target of a running stream sends nothing; a probe has found whether it accepts
+    /// connections.
+    TargetSilent,
     /// A stream was resumed at another target.
     Resumed,
     /// A stream could not be migrated to or resumed at another target, or an event of it was lost.
@@ -88,6 +91,7 @@
             | Self::AttemptFailed
             | Self::Suspected
             | Self::Quarantined
+            | Self::TargetSilent
             | Self::MigrationFailed
             | Self::RoutesRejected
             | Self::TargetRejected
