Probe the target of a suspected request that its caller leaves

A caller that leaves a request which may have ended a target before now starts a probe; one that leaves any other request early does not. caller_that_leaves_early_starts_a_probe failed before for the first of these cases.

--- a/crates/relay/src/dispatch/crashes.rs
+++ b/crates/relay/src/dispatch/crashes.rs
@@ -249,8 +249,7 @@
         now: time::Timestamp,
         fingerprint: work::RequestFingerprint,
     ) -> CrashVerdict {
-        let record = self.settings.quarantine.record(now, fingerprint);
-        let known = record.map_or(0, |record| record.crashes.iter().flatten().count());
+        let known = self.known_crashes(now, fingerprint);
         let unresolved = self.lost_attempts.unresolved_crashes(fingerprint);
         if known >= QUARANTINE_CRASHES {
             CrashVerdict::Quarantined
@@ -261,6 +260,17 @@
         }
     }
 
+    fn known_crashes(&self, now: time::Timestamp, fingerprint: work::RequestFingerprint) -> usize {
+        let record = self.settings.quarantine.record(now, fingerprint);
+        record.map_or(0, |record| record.crashes.iter().flatten().count())
+    }
+
+    /// Returns whether a request has crashed a target, or may have.
+    fn is_suspect(&self, now: time::Timestamp, fingerprint: work::RequestFingerprint) -> bool {
+        self.known_crashes(now, fingerprint) > 0
+            || self.lost_attempts.unresolved_crashes(fingerprint) > 0
+    }
+
     /// Draws conclusions about a target and a request from how an attempt ended.
     pub(super) fn assess_result(
         &mut self,
@@ -313,11 +323,10 @@
         if self.lost_attempts.has_ended(key) {
             self.record_crash(now, key, &[lost_attempt], effects);
         } else if self.accepts_work(key) {
+            let needs_probe = kind == LossKind::Abrupt || self.is_suspect(now, attempt.fingerprint);
             // A target that leaves ends as planned, whatever runs there.
             self.lost_attempts.record(key, lost_attempt);
-            if kind == LossKind::Abrupt
-                && let Some(delay) = self.lost_attempts.start_probe(now, key)
-            {
+            if needs_probe && let Some(delay) = self.lost_attempts.start_probe(now, key) {
                 let target = Rc::clone(&attempt.target);
                 effects.push(DispatchEffect::Probe { target, delay });
             }
--- a/crates/relay/tests/dispatch/crashes.rs
+++ b/crates/relay/tests/dispatch/crashes.rs
@@ -248,6 +248,26 @@
     assert!(effects.iter().any(is_probe));
 }
 
+/// The first loss makes the request suspect, as its target may have ended.
+#[parameterized(
+    first_loss = { &[], false },
+    after_a_loss_that_is_not_explained_yet = { &[BROKEN], true },
+)]
+fn caller_that_leaves_early_starts_a_probe(losses_before: &[Loss], expected: bool) {
+    let mut dispatcher = fixtures::dispatcher(TARGETS);
+    let calls = 1..=losses_before.len() as u64;
+    for (call, loss) in calls.zip(losses_before) {
+        lose_target(&mut dispatcher, call, *loss);
+    }
+    let call = ids::CallId::new(9);
+    fixtures::arrive(&mut dispatcher, 9, fixtures::stream_demand(400));
+    let effects = dispatcher.handle(START, dispatch::DispatchEvent::CallEnded { call });
+    let is_probe = |effect: &dispatch::DispatchEffect| {
+        matches!(effect, dispatch::DispatchEffect::Probe { .. })
+    };
+    assert_eq!(effects.iter().any(is_probe), expected);
+}
+
 /// The attempt to resume the stream crashes the copy holder.
 #[test]
 fn stream_that_lost_its_target_and_its_copy_holder_may_not_run_again() {
