Wait for the response to a resumption once the former target is stopped (LOST)

What callers saw: a stream that left its target ended although the next target was sound and went on with it a moment later.

Cause, the same as of the streams cut at a silent target: silence was taken for an end. A relay closes the stream at the former target after 250 ms, as the next one may be running it already, and then gave up the resumption after 1.5 s. Giving up there saves nothing, as no other target runs the stream any more.

Evidence: stream_of_a_leaving_engine_waits_for_a_silent_next_one failed with two of three events, as the next engine responds after 2.2 s. stream_is_cancelled_at_the_next_engine_when_its_caller_disconnects passed before and guards the longer wait.

Why this works: the relay waits until the deadline of the call, the end of the connection, which its keepalive bounds, or until the caller leaves.

--- a/crates/relay/src/shell/forwarder.rs
+++ b/crates/relay/src/shell/forwarder.rs
@@ -304,8 +304,11 @@
         Some(self.record_lost(cause))
     }
 
-    /// Records that the stream is lost, and returns how it ends.
+    /// Records that the stream is lost, unless its caller has left, and returns how it ends.
     pub(super) fn record_lost(&self, cause: &str) -> StreamEnd {
+        if self.sender.is_closed() {
+            return StreamEnd::CallerLeft;
+        }
         let record = stream::migration_record(
             &self.call,
             telemetry::RecordKind::MigrationFailed,
--- a/crates/relay/src/shell/resumption.rs
+++ b/crates/relay/src/shell/resumption.rs
@@ -19,9 +19,6 @@
 use crate::protocol;
 use crate::telemetry;
 
-/// Further time for a target to start its response to a resumption, after [`MAX_OVERLAP`].
-const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Time limit for the previous target to keep running a stream whose resumption has been requested.
 /// The platform counts 400 ms of overlap as two runs, and a target notices a closed connection only
 /// after some milliseconds.
@@ -140,8 +137,13 @@
         let mut sent = Box::pin(client::send(copy.holder.address, request));
         let mut outcome = tokio::time::timeout(MAX_OVERLAP, sent.as_mut()).await;
         if outcome.is_err() {
+            // From here on only the next target runs the stream, so nothing is gained by giving up.
             self.upstream = None;
-            outcome = tokio::time::timeout(RESUME_TIMEOUT, sent).await;
+            let deadline = self.state.instant(self.call.demand.deadline);
+            outcome = tokio::select! {
+                outcome = tokio::time::timeout_at(deadline, sent) => outcome,
+                () = self.sender.closed() => return Err(dispatch::AttemptResult::Cancelled),
+            };
         }
         let response = match outcome {
             Ok(Ok(response)) => response,
