Wait for a silent target until the deadline if no retry is left

What callers saw: a lookup whose target was silent for 0.45 of the time left got 502, although its deadline lay ahead and the target was still running it. A sound target may be silent for a second or so and then go on.

Cause: an attempt of an idempotent call was given that share of the time whenever the route allowed a further attempt. Whether the budget had a retry was asked only once the connection to the target was closed, and if it had none, the call ended there and then. The class of fault: something that may still succeed is given up before it is known that it can be replaced.

The retry is now taken from the budget when the share has passed and before the attempt is given up (AttemptOutcome::Abandoned); without one, the attempt goes on until the deadline. If there is a retry, the call is retried at the same time as before, and the budget is charged once. A retry that then finds no target still ends the call as unknown, as it was.

Evidence: call_without_a_retry_left_waits_for_a_late_response and call_without_a_retry_left_ends_at_its_deadline_if_its_target_is_silent failed before, in three runs of three: 502 in place of the target's response, and in place of 504 at the deadline. call_with_one_retry_left_is_retried_if_its_target_is_silent passed before, too, and fails with 502 if the retry is taken twice (a trial). All three passed in 15 runs of 15 with the fix, and so did all tests of the platform and relay packages.

--- a/crates/relay/src/shell/buffered.rs
+++ b/crates/relay/src/shell/buffered.rs
@@ -27,7 +27,7 @@
 /// `max_attempts` of the route does not apply.
 const MAX_UNREACHABLE_ATTEMPTS: u32 = 4;
 
-/// Share of the time left that an attempt may take if the call can still be retried afterwards.
+/// Share of the time left that an attempt may take if the call can be retried instead.
 const RETRYABLE_ATTEMPT_SHARE: f64 = 0.45;
 
 /// Outcome of one attempt.
@@ -40,6 +40,8 @@
     Unreachable,
     /// The target may have run the request, but there is no usable response.
     Unknown(dispatch::AttemptResult),
+    /// The target has not responded, and a retry has been taken from the budget.
+    Abandoned,
 }
 
 /// Attempts of one call so far, by outcome.
@@ -230,12 +232,6 @@
     counts: &AttemptCounts,
 ) -> AttemptOutcome {
     let time_left = call.demand.deadline.since(state.now());
-    let may_retry = call.route.kind == directory::CallKind::Idempotent
-        && counts.may_have_run + 1 < call.route.max_attempts;
-    let timeout = match may_retry {
-        true => time_left.mul_f64(RETRYABLE_ATTEMPT_SHARE),
-        false => time_left,
-    };
     let head = protocol::ForwardedHead {
         target: &target.key,
         time_left,
@@ -245,7 +241,31 @@
         resumption: None,
     };
     let request = forwarded_request(state, call, &head);
-    match client::exchange(target.address, request, timeout).await {
+    let mut exchange = std::pin::pin!(client::exchange(target.address, request, time_left));
+    let may_retry = call.route.kind == directory::CallKind::Idempotent
+        && counts.may_have_run + 1 < call.route.max_attempts;
+    if may_retry {
+        let timeout = time_left.mul_f64(RETRYABLE_ATTEMPT_SHARE);
+        match tokio::time::timeout(timeout, exchange.as_mut()).await {
+            Ok(result) => return attempt_outcome(state, call, result),
+            Err(_)
+                if state.try_acquire_repeat(&call.demand.service, dispatch::RepeatKind::Retry) =>
+            {
+                return AttemptOutcome::Abandoned;
+            }
+            // Without a retry, only this target can still respond.
+            Err(_) => {}
+        }
+    }
+    attempt_outcome(state, call, exchange.await)
+}
+
+fn attempt_outcome(
+    state: &RelayState,
+    call: &intake::AcceptedCall,
+    result: client::Result<(response::Parts, Bytes)>,
+) -> AttemptOutcome {
+    match result {
         Ok((parts, body)) => classify_attempt(state, call, parts, body),
         Err(client::SendError::Unreachable(_)) => AttemptOutcome::Unreachable,
         Err(client::SendError::Broken(_) | client::SendError::Incomplete(_)) => {
@@ -295,6 +315,7 @@
         AttemptOutcome::NotRun => (dispatch::AttemptResult::NotRun, Some("shed")),
         AttemptOutcome::Unreachable => (dispatch::AttemptResult::Unreachable, Some("unreachable")),
         AttemptOutcome::Unknown(result) => (*result, Some("unknown")),
+        AttemptOutcome::Abandoned => (dispatch::AttemptResult::TimedOut, Some("unknown")),
     };
     state.submit(dispatch::DispatchEvent::AttemptEnded {
         call: call.id,
@@ -358,6 +379,10 @@
             }
             NextStep::Respond(unknown_outcome_response(state, &call.demand), "unknown")
         }
+        AttemptOutcome::Abandoned => {
+            counts.may_have_run += 1;
+            NextStep::Retry
+        }
     }
 }
 
