--- a/crates/relay/src/dispatch/placement.rs
+++ b/crates/relay/src/dispatch/placement.rs
@@ -6,6 +6,7 @@
 use kingcupfall_core::time;
 
 use super::CallDemand;
+use super::Dispatcher;
 use super::LoadCount;
 use super::LoadLimit;
 use super::TargetHealth;
@@ -134,6 +135,23 @@
     }
 }
 
+impl Dispatcher {
+    /// Returns whether a call that runs at the target `current` could be sent to another one now.
+    pub fn has_other_target(
+        &self,
+        now: time::Timestamp,
+        demand: &CallDemand,
+        current: &ids::TargetName,
+    ) -> bool {
+        let loads = self.local_loads(now);
+        let candidates = self.candidates(now, &loads, &demand.service);
+        candidates.iter().any(|candidate| {
+            let name = &candidate.record.key.name;
+            name != current && !demand.tried.contains(name) && candidate.has_capacity(now, demand)
+        })
+    }
+}
+
 /// Returns the load limit of an engine that takes a call; `None` for a plain service.
 pub(super) fn start_limit(
     now: time::Timestamp,
--- a/crates/relay/src/shell/buffered.rs
+++ b/crates/relay/src/shell/buffered.rs
@@ -248,9 +248,7 @@
         let timeout = time_left.mul_f64(RETRYABLE_ATTEMPT_SHARE);
         match tokio::time::timeout(timeout, exchange.as_mut()).await {
             Ok(result) => return attempt_outcome(state, call, result),
-            Err(_)
-                if state.try_acquire_repeat(&call.demand.service, dispatch::RepeatKind::Retry) =>
-            {
+            Err(_) if try_acquire_replacement(state, call, target) => {
                 return AttemptOutcome::Abandoned;
             }
             // Without a retry, only this target can still respond.
@@ -260,6 +258,19 @@
     attempt_outcome(state, call, exchange.await)
 }
 
+/// Takes a retry from the budget that replaces an attempt at a silent target, if another target is
+/// free and the budget allows it. Returns whether it did.
+fn try_acquire_replacement(
+    state: &RelayState,
+    call: &intake::AcceptedCall,
+    target: &directory::TargetRecord,
+) -> bool {
+    let has_other_target = state.with_dispatcher(|dispatcher, now| {
+        dispatcher.has_other_target(now, &call.demand, &target.key.name)
+    });
+    has_other_target && state.try_acquire_repeat(&call.demand.service, dispatch::RepeatKind::Retry)
+}
+
 fn attempt_outcome(
     state: &RelayState,
     call: &intake::AcceptedCall,
