--- a/crates/relay/src/shell/client.rs
+++ b/crates/relay/src/shell/client.rs
@@ -122,33 +122,56 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
-/// Sends a request on a new connection and returns the response once its head has arrived.
+/// A new connection on which nothing has been sent yet.
 ///
 /// Connections are not reused: a late or duplicate response can never be taken for the response to
 /// another request, and no request is sent on a connection that the target is closing.
-pub(super) async fn send(
-    address: net::SocketAddr,
-    request: Request<Full<Bytes>>,
-) -> Result<OpenResponse> {
+pub(super) struct OpenConnection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    task: ConnectionTask,
+}
+
+impl OpenConnection {
+    /// Sends a request and returns the response once its head has arrived.
+    pub(super) async fn send(mut self, request: Request<Full<Bytes>>) -> Result<OpenResponse> {
+        let response = self.sender.send_request(request).await?;
+        let (parts, body) = response.into_parts();
+        Ok(OpenResponse {
+            parts,
+            body,
+            _connection: self.task,
+        })
+    }
+}
+
+/// Opens a connection for one request.
+///
+/// # Errors
+///
+/// [`SendError::Unreachable`] if no connection can be opened.
+pub(super) async fn open(address: net::SocketAddr) -> Result<OpenConnection> {
     let stream = connect(address).await.map_err(SendError::Unreachable)?;
-    let (mut sender, connection) = http1::Builder::new()
+    let (sender, connection) = http1::Builder::new()
         .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
         .await?;
     let task = task::spawn_local(async move {
         // `send_request` and the body report a broken connection.
         let _ = connection.await;
     });
-    let connection = ConnectionTask(task);
-
-    let response = sender.send_request(request).await?;
-    let (parts, body) = response.into_parts();
-    Ok(OpenResponse {
-        parts,
-        body,
-        _connection: connection,
+    Ok(OpenConnection {
+        sender,
+        task: ConnectionTask(task),
     })
 }
 
+/// Sends a request on a new connection and returns the response once its head has arrived.
+pub(super) async fn send(
+    address: net::SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<OpenResponse> {
+    open(address).await?.send(request).await
+}
+
 /// Sends a request and returns the buffered response, all within `timeout`.
 pub(super) async fn exchange(
     address: net::SocketAddr,
--- a/crates/relay/src/shell/resumption.rs
+++ b/crates/relay/src/shell/resumption.rs
@@ -122,9 +122,7 @@
         buffered::forwarded_request(&self.state, &self.call, &head)
     }
 
-    /// Sends the resumption. The relay stops the previous target when the response starts, or after
-    /// [`MAX_OVERLAP`] if that is earlier: the next target may already be running the stream before
-    /// it responds.
+    /// Sends the resumption on a new connection.
     ///
     /// # Errors
     ///
@@ -134,34 +132,26 @@
         copy: &forwarder::MemoryCopy,
         request: Request<Full<Bytes>>,
     ) -> Result<client::OpenResponse> {
-        let mut sent = Box::pin(client::send(copy.holder.address, request));
-        let mut outcome = tokio::time::timeout(MAX_OVERLAP, sent.as_mut()).await;
-        if outcome.is_err() {
-            // From here on only the next target runs the stream, so nothing is gained by giving up.
-            self.upstream = None;
-            let deadline = self.state.instant(self.call.demand.deadline);
-            outcome = tokio::select! {
-                outcome = tokio::time::timeout_at(deadline, sent) => outcome,
-                () = self.sender.closed() => return Err(dispatch::AttemptResult::Cancelled),
-            };
-        }
-        let response = match outcome {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) => {
-                log::debug!(
-                    "can't resume stream {} at its copy holder: {error}",
-                    self.call.head.request_id
-                );
-                return Err(match error {
-                    client::SendError::Unreachable(_) => dispatch::AttemptResult::Unreachable,
-                    client::SendError::Broken(_) | client::SendError::Incomplete(_) => {
-                        dispatch::AttemptResult::Broken
-                    }
-                    client::SendError::TimedOut => dispatch::AttemptResult::TimedOut,
-                });
-            }
-            Err(_) => return Err(dispatch::AttemptResult::TimedOut),
+        let outcome = match client::open(copy.holder.address).await {
+            Ok(connection) => self.send_resumption(connection, request).await,
+            Err(error) => Err(error),
         };
+        let response = outcome.map_err(|error| {
+            log::debug!(
+                "can't resume stream {} at its copy holder: {error}",
+                self.call.head.request_id
+            );
+            match error {
+                client::SendError::Unreachable(_) => dispatch::AttemptResult::Unreachable,
+                client::SendError::Broken(_) | client::SendError::Incomplete(_) => {
+                    dispatch::AttemptResult::Broken
+                }
+                client::SendError::TimedOut if self.sender.is_closed() => {
+                    dispatch::AttemptResult::Cancelled
+                }
+                client::SendError::TimedOut => dispatch::AttemptResult::TimedOut,
+            }
+        })?;
         let class = self
             .state
             .protocol
@@ -174,6 +164,32 @@
         }
     }
 
+    /// Sends the resumption. The relay stops the previous target when the response starts, or after
+    /// [`MAX_OVERLAP`] if that is earlier: the next target may already be running the stream before
+    /// it responds.
+    ///
+    /// # Errors
+    ///
+    /// [`client::SendError::TimedOut`] at the deadline of the call, or once its caller has left.
+    async fn send_resumption(
+        &mut self,
+        connection: client::OpenConnection,
+        request: Request<Full<Bytes>>,
+    ) -> client::Result<client::OpenResponse> {
+        let mut sent = Box::pin(connection.send(request));
+        if let Ok(response) = tokio::time::timeout(MAX_OVERLAP, sent.as_mut()).await {
+            return response;
+        }
+        // From here on only the next target runs the stream, so nothing is gained by giving up.
+        self.upstream = None;
+        let deadline = self.state.instant(self.call.demand.deadline);
+        tokio::select! {
+            response = sent => response,
+            () = tokio::time::sleep_until(deadline) => Err(client::SendError::TimedOut),
+            () = self.sender.closed() => Err(client::SendError::TimedOut),
+        }
+    }
+
     /// Returns the copy that the current target keeps up to date. Its handle is the caller's
     /// request id.
     pub(super) fn current_copy(&self) -> Option<forwarder::MemoryCopy> {
