--- a/crates/relay/src/dispatch/effect.rs
+++ b/crates/relay/src/dispatch/effect.rs
@@ -108,11 +108,15 @@
     Migrate {
         /// Call to migrate.
         call: ids::CallId,
+        /// Target that is leaving. The call may have another one by the time it learns of this.
+        target: directory::TargetKey,
     },
     /// The copy holder of the call is gone or leaving: drop the copy.
     DropCopy {
         /// Call whose copy is lost.
         call: ids::CallId,
+        /// Copy holder that is gone or leaving. The call may have another one by then.
+        holder: directory::TargetKey,
     },
     /// Reply to [`MigrationRequested`](super::DispatchEvent::MigrationRequested).
     MigrationTarget {
@@ -160,8 +164,8 @@
         match self {
             Self::Place { call, .. }
             | Self::Refuse { call, .. }
-            | Self::Migrate { call }
-            | Self::DropCopy { call }
+            | Self::Migrate { call, .. }
+            | Self::DropCopy { call, .. }
             | Self::MigrationTarget { call, .. } => Some(*call),
             Self::HealthChanged { .. }
             | Self::Probe { .. }
--- a/crates/relay/src/dispatch/targets.rs
+++ b/crates/relay/src/dispatch/targets.rs
@@ -116,10 +116,16 @@
                 .is_some_and(|holder| holder.key == *key)
             {
                 placed.copy_holder = None;
-                effects.push(DispatchEffect::DropCopy { call: *call });
+                effects.push(DispatchEffect::DropCopy {
+                    call: *call,
+                    holder: key.clone(),
+                });
             }
             if placed.target.key == *key {
-                effects.push(DispatchEffect::Migrate { call: *call });
+                effects.push(DispatchEffect::Migrate {
+                    call: *call,
+                    target: key.clone(),
+                });
             }
         }
     }
--- a/crates/relay/src/shell/forwarder.rs
+++ b/crates/relay/src/shell/forwarder.rs
@@ -268,9 +268,14 @@
         effect: Option<dispatch::DispatchEffect>,
     ) -> Option<StreamEnd> {
         match effect {
-            Some(dispatch::DispatchEffect::Migrate { .. }) => self.start_migration().await,
-            Some(dispatch::DispatchEffect::DropCopy { .. }) => {
-                self.copy_holder = None;
+            Some(dispatch::DispatchEffect::Migrate { target, .. }) => {
+                if target != self.target.key {
+                    return None;
+                }
+                self.start_migration().await
+            }
+            Some(dispatch::DispatchEffect::DropCopy { holder, .. }) => {
+                self.copy_holder.take_if(|copy| copy.key == holder);
                 None
             }
             Some(dispatch::DispatchEffect::MigrationTarget { target, .. }) => {
--- a/crates/relay/tests/dispatch/decisions.rs
+++ b/crates/relay/tests/dispatch/decisions.rs
@@ -424,9 +424,17 @@
 
     let effects = fixtures::announce_departure(&mut dispatcher, &copy);
     let call = ids::CallId::new(1);
-    assert_eq!(effects, [dispatch::DispatchEffect::DropCopy { call }]);
+    let holder = fixtures::engine_record(&copy).key;
+    assert_eq!(
+        effects,
+        [dispatch::DispatchEffect::DropCopy { call, holder }]
+    );
     let effects = fixtures::announce_departure(&mut dispatcher, &target);
-    assert_eq!(effects, [dispatch::DispatchEffect::Migrate { call }]);
+    let target = fixtures::engine_record(&target).key;
+    assert_eq!(
+        effects,
+        [dispatch::DispatchEffect::Migrate { call, target }]
+    );
 }
 
 #[parameterized(
