Don't give up a silent target for a request that may not be sent again yet (LOST)

Cause: the relay asked only whether another target has capacity before it gave up an attempt. The loss of the other lookup was not explained yet, so the retry had to wait for a probe and was refused as overdue.

Why this works: such a request stays at its target until its deadline.

--- a/crates/relay/src/dispatch/crashes.rs
+++ b/crates/relay/src/dispatch/crashes.rs
@@ -266,7 +266,11 @@
     }
 
     /// Returns whether a request has crashed a target, or may have.
-    fn is_suspect(&self, now: time::Timestamp, fingerprint: work::RequestFingerprint) -> bool {
+    pub(super) fn is_suspect(
+        &self,
+        now: time::Timestamp,
+        fingerprint: work::RequestFingerprint,
+    ) -> bool {
         self.known_crashes(now, fingerprint) > 0
             || self.lost_attempts.unresolved_crashes(fingerprint) > 0
     }
--- a/crates/relay/src/dispatch/placement.rs
+++ b/crates/relay/src/dispatch/placement.rs
@@ -136,13 +136,17 @@
 }
 
 impl Dispatcher {
-    /// Returns whether a call that runs at the target `current` could be sent to another one now.
+    /// Returns whether a call that runs at the target `current` could be sent to another one now. A
+    /// request that may have crashed a target could not: it would wait until that is known.
     pub fn has_other_target(
         &self,
         now: time::Timestamp,
         demand: &CallDemand,
         current: &ids::TargetName,
     ) -> bool {
+        if self.is_suspect(now, demand.fingerprint) {
+            return false;
+        }
         let loads = self.local_loads(now);
         let candidates = self.candidates(now, &loads, &demand.service);
         candidates.iter().any(|candidate| {
--- a/crates/relay/tests/dispatch/crashes.rs
+++ b/crates/relay/tests/dispatch/crashes.rs
@@ -268,6 +268,22 @@
     assert_eq!(effects.iter().any(is_probe), expected);
 }
 
+#[parameterized(
+    no_loss_before = { &[], true },
+    after_a_loss_that_is_not_explained_yet = { &[BROKEN], false },
+)]
+fn another_target_is_free_for_a_request_that_is_not_suspect(losses: &[Loss], expected: bool) {
+    let mut dispatcher = fixtures::dispatcher(TARGETS);
+    for (call, loss) in (1..).zip(losses) {
+        lose_target(&mut dispatcher, call, *loss);
+    }
+    let demand = fixtures::stream_demand(400);
+    let effects = fixtures::arrive(&mut dispatcher, 9, demand.clone());
+    let current = fixtures::placed_target(&effects).unwrap();
+    let has_other = dispatcher.has_other_target(START, &demand, &current.parse().unwrap());
+    assert_eq!(has_other, expected);
+}
+
 /// The attempt to resume the stream crashes the copy holder.
 #[test]
 fn stream_that_lost_its_target_and_its_copy_holder_may_not_run_again() {
