Queue warnings with the decision records instead of writing them (LOST)

What callers saw: nothing of a relay that had written its first warning: no answer, no refusal, no response to readiness probes or to SIGTERM, so that it was killed with requests open.

Cause: the thread that writes decision records holds the lock of standard output for as long as the process lives, and warnings and errors were written to standard output by the only runtime thread, which then waited for that lock for good. Any warning did it: a message of a peer that can't be decoded, an accept error as descriptors run out, routes of a peer that can't be decoded.

Why this works: one queue takes decision records and messages of the logger, and only the writer thread touches standard output. A reader that stalls blocks neither; lines beyond the queue are counted as lost.

--- a/crates/relay/src/telemetry/writer.rs
+++ b/crates/relay/src/telemetry/writer.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use kingcupfall_core::time;
+use kingcupfall_telemetry::logs;
 use serde::Serialize;
 
 use super::DecisionRecord;
@@ -55,11 +56,9 @@
 /// queue has no space, are counted and not written.
 pub struct DecisionLog {
     node: Box<str>,
-    lines: Option<mpsc::SyncSender<Vec<u8>>>,
+    queue: Option<logs::LineQueue>,
     counts: RefCell<BTreeMap<RecordKind, KindLineCount>>,
     window_start: Cell<time::Timestamp>,
-    lost_lines: Cell<u64>,
-    queued_lines: Cell<u64>,
     /// Number of lines that the writer has taken from the queue and written.
     written_lines: Arc<AtomicU64>,
 }
@@ -72,7 +71,7 @@
 /// Returns the operating system's error if the thread can't be started.
 pub fn start_log(node: &str) -> Result<DecisionLog> {
     let (sender, receiver) = mpsc::sync_channel::<Vec<u8>>(MAX_QUEUED_LINES);
-    let log = DecisionLog::new(node, Some(sender));
+    let log = DecisionLog::new(node, Some(logs::LineQueue::new(sender)));
     let written_lines = Arc::clone(&log.written_lines);
     thread::Builder::new()
         .name("log-writer".into())
@@ -82,19 +81,22 @@
 }
 
 impl DecisionLog {
-    /// Creates a log that sends its lines to a queue, or discards them if `lines` is `None`.
-    pub fn new(node: &str, lines: Option<mpsc::SyncSender<Vec<u8>>>) -> Self {
+    /// Creates a log that sends its lines to a queue, or discards them if `queue` is `None`.
+    pub fn new(node: &str, queue: Option<logs::LineQueue>) -> Self {
         Self {
             node: node.into(),
-            lines,
+            queue,
             counts: RefCell::new(BTreeMap::new()),
             window_start: Cell::new(time::Timestamp::ZERO),
-            lost_lines: Cell::new(0),
-            queued_lines: Cell::new(0),
             written_lines: Arc::default(),
         }
     }
 
+    /// Returns the queue of lines, for messages that are no decision records.
+    pub fn queue(&self) -> Option<logs::LineQueue> {
+        self.queue.clone()
+    }
+
     /// Queues a record, unless its kind has reached its limit in the current window. Never blocks.
     pub fn write(&self, now: time::Timestamp, record: &DecisionRecord) {
         if now.since(self.window_start.get()) >= COUNT_WINDOW {
@@ -118,12 +120,13 @@
 
     /// Returns the number of lines that were dropped because the queue had no space.
     pub fn lost_lines(&self) -> u64 {
-        self.lost_lines.get()
+        self.queue.as_ref().map_or(0, logs::LineQueue::lost_count)
     }
 
     /// Returns whether all queued lines have been written.
     pub fn is_written(&self) -> bool {
-        self.written_lines.load(atomic::Ordering::Acquire) >= self.queued_lines.get()
+        let queued_lines = self.queue.as_ref().map_or(0, logs::LineQueue::queued_count);
+        self.written_lines.load(atomic::Ordering::Acquire) >= queued_lines
     }
 
     /// Starts a new window at `now`, and queues a record for each kind that had lines omitted.
@@ -143,7 +146,7 @@
     }
 
     fn send(&self, now: time::Timestamp, record: &DecisionRecord) {
-        let Some(lines) = &self.lines else {
+        let Some(queue) = &self.queue else {
             return;
         };
         let line = LogLine {
@@ -153,20 +156,17 @@
         };
         let Ok(mut bytes) = serde_json::to_vec(&line) else {
             // The types of a record always serialise; a line that doesn't is counted as lost.
-            self.lost_lines.set(self.lost_lines.get() + 1);
+            queue.record_lost();
             return;
         };
         bytes.push(b'\n');
-        match lines.try_send(bytes) {
-            Ok(()) => self.queued_lines.set(self.queued_lines.get() + 1),
-            Err(_) => self.lost_lines.set(self.lost_lines.get() + 1),
-        }
+        queue.send(bytes);
     }
 }
 
 /// Writes lines until the process ends, and all lines that are queued at once in one write.
 fn write_lines(lines: &mpsc::Receiver<Vec<u8>>, written_lines: &AtomicU64) {
-    let mut output = io::stdout().lock();
+    let mut output = io::stdout();
     while let Ok(mut batch) = lines.recv() {
         let mut line_count = 1;
         while let Ok(line) = lines.try_recv() {
--- a/crates/relay/tests/telemetry.rs
+++ b/crates/relay/tests/telemetry.rs
@@ -5,6 +5,7 @@
 
 use kingcupfall_core::time;
 use kingcupfall_relay::telemetry;
+use kingcupfall_telemetry::logs;
 
 const START: time::Timestamp = time::Timestamp::from_micros(60_000_000);
 
@@ -20,7 +21,7 @@
 #[test]
 fn write_burst_of_refusals_is_bounded_and_omitted_lines_are_counted() {
     let (sender, receiver) = mpsc::sync_channel(10_000);
-    let log = telemetry::DecisionLog::new("vm-1", Some(sender));
+    let log = telemetry::DecisionLog::new("vm-1", Some(logs::LineQueue::new(sender)));
     for _ in 0..5_000 {
         log.write(START, &refusal_record());
     }
@@ -44,7 +45,7 @@
 #[test]
 fn is_written_only_without_lines_in_the_queue() {
     let (sender, _receiver) = mpsc::sync_channel(10);
-    let log = telemetry::DecisionLog::new("vm-1", Some(sender));
+    let log = telemetry::DecisionLog::new("vm-1", Some(logs::LineQueue::new(sender)));
     assert!(log.is_written());
     log.write(START, &refusal_record());
     assert!(!log.is_written());
@@ -53,7 +54,7 @@
 #[test]
 fn write_with_full_queue_drops_lines_without_blocking() {
     let (sender, _receiver) = mpsc::sync_channel(10);
-    let log = telemetry::DecisionLog::new("vm-1", Some(sender));
+    let log = telemetry::DecisionLog::new("vm-1", Some(logs::LineQueue::new(sender)));
     for _ in 0..100 {
         log.write(START, &refusal_record());
     }
--- a/crates/telemetry/src/logs/mod.rs
+++ b/crates/telemetry/src/logs/mod.rs
@@ -1,13 +1,18 @@
 //! Logging as JSON lines to standard output.
 
+mod lines;
+
 use std::result;
 
 use log::LevelFilter;
+use log4rs::append;
 use log4rs::append::console;
 use log4rs::config;
 use log4rs::encode::json;
 use quick_error::quick_error;
 
+pub use lines::LineQueue;
+
 const APPENDER_NAME: &str = "stdout";
 
 /// Libraries whose messages below `warn` are of no use to operators and are dropped.
@@ -53,8 +58,21 @@
         .target(console::Target::Stdout)
         .encoder(Box::new(encoder))
         .build();
-    let appender = config::Appender::builder().build(APPENDER_NAME, Box::new(appender));
+    install(level, Box::new(appender))
+}
+
+/// Installs the logger of a process that never blocks on its log: it queues lines at or above
+/// `level`.
+///
+/// # Errors
+///
+/// Returns [`LogError::Logger`] if the process already has a logger.
+pub fn start_queued(level: LevelFilter, queue: LineQueue) -> Result<()> {
+    install(level, Box::new(lines::QueueAppender::new(queue)))
+}
 
+fn install(level: LevelFilter, appender: Box<dyn append::Append>) -> Result<()> {
+    let appender = config::Appender::builder().build(APPENDER_NAME, appender);
     let library_level = level.min(LevelFilter::Warn);
     let loggers = WARNING_ONLY_LIBRARIES
         .map(|library| config::Logger::builder().build(library, library_level));
