BUDGET: Decode the parts of a prompt that requests share

Nothing in the relay reads the header `Prompt-Prefix`, so requests with a part that crashes targets have nothing in common once they differ in their bodies, and the quarantine never counts them together.

The call's demand carries them to the dispatcher, which doesn't use them yet.

--- a/crates/core/src/work/mod.rs
+++ b/crates/core/src/work/mod.rs
@@ -1,7 +1,9 @@
 //! Requests of callers as gateways send them to agents, and the responses to them.
 
 use std::fmt;
+use std::str::FromStr;
 
+use quick_error::quick_error;
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3;
@@ -15,6 +17,9 @@
 /// Average length of a token that [`estimate_tokens`] assumes.
 const CHARACTERS_PER_TOKEN: usize = 4;
 
+/// Maximum number of hexadecimal digits of a [`PromptPartId`].
+pub const MAX_PART_ID_DIGITS: usize = 16;
+
 /// Hash of a model and the start of a prompt.
 ///
 /// Gateways use it to find targets that have the prefix in their cache: prompts with the same hash
@@ -84,6 +89,55 @@
     }
 }
 
+quick_error! {
+    /// Reason why a text is not the id of a prompt part.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum PartIdError {
+        /// The text is not a hexadecimal number of at most [`MAX_PART_ID_DIGITS`] digits.
+        Malformed {
+            display("the id of a prompt part is a hexadecimal number of at most {} digits",
+                MAX_PART_ID_DIGITS)
+        }
+    }
+}
+
+/// Id of a part of a prompt, which other prompts may share.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PromptPartId(u64);
+
+impl PromptPartId {
+    /// Creates an id from its number.
+    pub const fn new(value: u64) -> Self {
+        Self(value)
+    }
+}
+
+impl FromStr for PromptPartId {
+    type Err = PartIdError;
+
+    fn from_str(text: &str) -> Result<Self, PartIdError> {
+        let is_hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if text.is_empty() || text.len() > MAX_PART_ID_DIGITS || !is_hex {
+            return Err(PartIdError::Malformed);
+        }
+        let value = u64::from_str_radix(text, 16).map_err(|_| PartIdError::Malformed)?;
+        Ok(Self(value))
+    }
+}
+
+impl fmt::Display for PromptPartId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:08x}", self.0)
+    }
+}
+
+impl fmt::Debug for PromptPartId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:08x}", self.0)
+    }
+}
+
 /// A request for a generation by a model engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GenerationRequest {
--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -54,6 +54,8 @@
     pub deadline: time::Timestamp,
     /// Identifies the request; the same for all its repetitions.
     pub fingerprint: work::RequestFingerprint,
+    /// Parts of its prompt that other requests may share, in order; empty without a prompt.
+    pub prompt_parts: Rc<[work::PromptPartId]>,
     /// Targets that are not tried again.
     pub tried: Vec<ids::TargetName>,
 }
--- a/crates/relay/src/protocol/mod.rs
+++ b/crates/relay/src/protocol/mod.rs
@@ -14,9 +14,13 @@
 use http::Request;
 use http::response;
 use http_body_util::Full;
+use kingcupfall_core::work;
 
 use crate::directory;
 
+/// Maximum number of shared prompt parts that are known of one request: the first ones.
+pub const MAX_PROMPT_PARTS: usize = 16;
+
 /// Metadata that a caller sends with its request, apart from method, path and body.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallHead {
@@ -30,6 +34,9 @@
     pub prompt_tokens: u64,
     /// Number of output tokens that the caller expects, or its maximum if it states no estimate.
     pub output_tokens: u64,
+    /// Parts of the prompt that other requests may share, in their order in the prompt, each once;
+    /// at most [`MAX_PROMPT_PARTS`].
+    pub prompt_parts: Box<[work::PromptPartId]>,
 }
 
 /// How a target resumes a stream that another target began.
--- a/crates/relay/src/shell/intake.rs
+++ b/crates/relay/src/shell/intake.rs
@@ -333,6 +333,7 @@
         target_latency: route.target_latency,
         deadline: arrived_at + timeout,
         fingerprint,
+        prompt_parts: head.prompt_parts.as_ref().into(),
         tried: Vec::new(),
     }
 }
--- a/crates/relay/tests/dispatch/fixtures.rs
+++ b/crates/relay/tests/dispatch/fixtures.rs
@@ -75,6 +75,7 @@
         target_latency: Duration::from_millis(1_800),
         deadline: START + Duration::from_secs(39),
         fingerprint: work::RequestFingerprint::new(7),
+        prompt_parts: Rc::new([]),
         tried: Vec::new(),
     }
 }
