BUDGET: Find the prompt part that repeated crashes have in common

Each request with a certain part of a prompt ended the target that began to generate for it. No two of these requests were alike, and sound requests shared their organisation and their other parts, so that neither the fingerprint nor the organisation tells them apart.

The new policy knows of each crash the shared parts of the prompts that were lost there without output or just after it had begun. A part counts in a crash unless a stream with it, whose output began after the crash, has got further than a fatal one does. It counts once for crashes whose requests ran at the same time, as several targets may end at once. Three crashes quarantine the part that alone explains most of them, not before 2 s after the first became known: until then sound streams, which are frequent with the parts that everybody shares, clear those parts. Parts that explain the same crashes wait for five, and so does a part of which this process has seen sound streams before; the last in the prompt is then quarantined. A crash counts for no other part if a quarantined one explains it.

Facts are crashes, sound parts of them, and disproved crashes, and merging them is a union, so that processes with the same facts come to the same verdict in whichever order they arrive. The table holds at most 128 crashes of 32 prompts of 16 parts, for 30 min.

--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -1,6 +1,7 @@
 //! Quarantine of requests that may crash the targets that run them.
 
 mod disabled;
+mod prompt_parts;
 mod suspects;
 
 use kingcupfall_core::ids;
@@ -10,6 +11,15 @@
 use serde::Serialize;
 
 pub use disabled::NoQuarantine;
+pub use prompt_parts::CrashCorrelation;
+pub use prompt_parts::LostPrompt;
+pub use prompt_parts::NoPartQuarantine;
+pub use prompt_parts::PartChange;
+pub use prompt_parts::PartQuarantine;
+pub use prompt_parts::PartStanding;
+pub use prompt_parts::PromptCrash;
+pub use prompt_parts::PromptPartPolicy;
+pub use prompt_parts::PromptRecord;
 pub use suspects::SuspectQuarantine;
 
 /// Quarantine status of a request.
