BUDGET: Refuse requests with a prompt part that crashes targets

Callers' streams, some twenty at a time, broke whenever a target began to generate for a prompt with a certain part, at one target after the other, and nothing refused such requests: the quarantine knows a request by its fingerprint, and no two of them are alike.

The dispatcher now hands the new policy what it sees. When a target is known to have ended, the streams that broke or fell silent there count if they had no event or their first one less than a second before they were last heard of; a fatal one crashes its target within 100 ms. A stream that receives events a second after its first one clears its parts, and so does a shorter one that completed, once its target has lived a second longer: a response may end with its connection, which looks the same when the target crashes. A target that responds to a request that was sent after its crash has not crashed, so that what a relay reports that was cut off from its targets does not stand.

A request with a quarantined part is refused on arrival, while it waits, and when its stream is to be resumed (503, reason `part_quarantined`). A stream that was lost with its target as it had just begun is not resumed from its copy either, as it may be the cause, unless streams with all its parts have been sound before or a probe finds that the target lives.

Relays tell all peers what is new at once, and in full on new links, as with suspects. An older relay ignores the field of the heartbeat and logs a warning for each message of the new kind; a heartbeat of an older relay decodes with no crashes.

--- a/crates/policy/src/quarantine/prompt_parts/correlation.rs
+++ b/crates/policy/src/quarantine/prompt_parts/correlation.rs
@@ -210,8 +210,12 @@
         }
     }
 
-    fn quarantine(&self, part: work::PromptPartId) -> Option<time::Timestamp> {
-        self.cases.get(&part)?.decisive_loss_at
+    fn quarantine(&self, part: work::PromptPartId) -> Option<PartQuarantine> {
+        let until = self.cases.get(&part)?.decisive_loss_at? + CRASH_DURATION;
+        Some(PartQuarantine {
+            part,
+            until: local(until),
+        })
     }
 
     fn part_record(&self, part: work::PromptPartId) -> verdict::PartRecord {
@@ -238,13 +242,12 @@
 
 impl PromptPartPolicy for CrashCorrelation {
     fn quarantined_part(&self, parts: &[work::PromptPartId]) -> Option<PartQuarantine> {
-        parts.iter().find_map(|part| {
-            let until = self.quarantine(*part)? + CRASH_DURATION;
-            Some(PartQuarantine {
-                part: *part,
-                until: local(until),
-            })
-        })
+        parts.iter().find_map(|part| self.quarantine(*part))
+    }
+
+    fn quarantined_parts(&self) -> Vec<PartQuarantine> {
+        let parts = self.cases.keys();
+        parts.filter_map(|part| self.quarantine(*part)).collect()
     }
 
     fn are_sound(&self, parts: &[work::PromptPartId]) -> bool {
@@ -261,6 +264,9 @@
         crash: ids::CrashId,
         prompts: &[LostPrompt],
     ) -> Option<PromptCrash> {
+        if prompts.iter().all(|prompt| prompt.parts.is_empty()) {
+            return None;
+        }
         let now = now + CLOCK_OFFSET;
         let sound = std::mem::take(&mut self.sound);
         let mut changes = CrashEntry::new(now);
--- a/crates/policy/src/quarantine/prompt_parts/disabled.rs
+++ b/crates/policy/src/quarantine/prompt_parts/disabled.rs
@@ -19,6 +19,10 @@
         None
     }
 
+    fn quarantined_parts(&self) -> Vec<PartQuarantine> {
+        Vec::new()
+    }
+
     fn are_sound(&self, _parts: &[work::PromptPartId]) -> bool {
         true
     }
--- a/crates/policy/src/quarantine/prompt_parts/mod.rs
+++ b/crates/policy/src/quarantine/prompt_parts/mod.rs
@@ -113,6 +113,9 @@
     /// Returns the first quarantined part of a prompt, if any.
     fn quarantined_part(&self, parts: &[work::PromptPartId]) -> Option<PartQuarantine>;
 
+    /// Returns all quarantined parts.
+    fn quarantined_parts(&self) -> Vec<PartQuarantine>;
+
     /// Returns whether streams with each of these parts have been found sound, at any time.
     fn are_sound(&self, parts: &[work::PromptPartId]) -> bool;
 
--- a/crates/relay/src/dispatch/admission.rs
+++ b/crates/relay/src/dispatch/admission.rs
@@ -62,6 +62,14 @@
                 retry_after: until.since(now),
             });
         }
+        if let Some(quarantine) = self.part_quarantine(demand) {
+            let left = quarantine.until.since(now);
+            return Err(CallRefusal {
+                reason: RefusalReason::PartQuarantined(quarantine.part),
+                // It may end at any time, when a stream with the part is found sound.
+                retry_after: left.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+            });
+        }
         let is_too_large = demand
             .engine
             .as_ref()
@@ -85,7 +93,7 @@
         }
     }
 
-    /// Refuses waiting calls whose requests are quarantined.
+    /// Refuses waiting calls whose requests or prompt parts are quarantined.
     pub(super) fn refuse_quarantined(
         &mut self,
         now: time::Timestamp,
@@ -98,6 +106,14 @@
                 self.refuse(now, call, reason, until.since(now), effects);
             }
         }
+        for call in self.waiting.calls() {
+            let demand = self.waiting.get(call);
+            if let Some(quarantine) = demand.and_then(|demand| self.part_quarantine(demand)) {
+                let reason = RefusalReason::PartQuarantined(quarantine.part);
+                let left = quarantine.until.since(now);
+                self.refuse(now, call, reason, left, effects);
+            }
+        }
     }
 
     /// Refuses a waiting call immediately if the calls ahead of it take longer than it may wait.
--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -71,6 +71,12 @@
     pub(super) sent_at: time::Timestamp,
     /// When the call was sent, or the last event of its stream was received.
     pub(super) heard_at: time::Timestamp,
+    /// When the first event from the target was received.
+    pub(super) first_event_at: Option<time::Timestamp>,
+    /// The same for the target before a migration that may still fail.
+    pub(super) previous_first_event_at: Option<time::Timestamp>,
+    /// Whether the stream has been recorded as sound at the target.
+    pub(super) is_sound: bool,
     /// Load of all relays at the target when it was chosen, without this call.
     pub(super) load_at_placement: LoadCount,
     pub(super) has_started: bool,
@@ -83,7 +89,9 @@
         crashes::TargetAttempt {
             target: Rc::clone(&self.target),
             fingerprint: self.demand.fingerprint,
+            prompt_parts: Rc::clone(&self.demand.prompt_parts),
             sent_at: self.sent_at,
+            first_event_at: self.first_event_at,
             heard_at: self.heard_at,
         }
     }
--- a/crates/relay/src/dispatch/crashes.rs
+++ b/crates/relay/src/dispatch/crashes.rs
@@ -52,8 +52,10 @@
     MayRun,
     /// Probes of its targets are under way, after which it may be quarantined.
     Unresolved,
-    /// It is quarantined.
+    /// It is quarantined, or a part of its prompt is.
     Quarantined,
+    /// Its target has ended just after it began to run the request, which may be the cause.
+    MayBeCause,
 }
 
 /// Whether the end of an attempt makes a crash likely.
@@ -71,20 +73,25 @@
 pub(super) struct TargetAttempt {
     pub(super) target: Rc<directory::TargetRecord>,
     pub(super) fingerprint: work::RequestFingerprint,
+    pub(super) prompt_parts: Rc<[work::PromptPartId]>,
     pub(super) sent_at: time::Timestamp,
+    /// When the first event from the target was received.
+    pub(super) first_event_at: Option<time::Timestamp>,
     /// When the target was last heard from.
     pub(super) heard_at: time::Timestamp,
 }
 
 /// An attempt that ended without a successful response.
 #[derive(Debug)]
-struct LostAttempt {
+pub(super) struct LostAttempt {
     fingerprint: work::RequestFingerprint,
     sent_at: time::Timestamp,
     lost_at: time::Timestamp,
     kind: LossKind,
     /// Whether the target has accepted a connection since.
     is_disproved: bool,
+    /// Its prompt, if that may be the cause.
+    pub(super) prompt: Option<quarantine::LostPrompt>,
 }
 
 /// What is known of one incarnation at which attempts were lost.
@@ -123,11 +130,16 @@
         attempt.sent_at < *first_lost_at && attempt.lost_at > *first_lost_at
     }
 
-    fn has_ended(&self, key: &directory::TargetKey) -> bool {
+    pub(super) fn has_ended(&self, key: &directory::TargetKey) -> bool {
         let losses = self.targets.get(key);
         losses.is_some_and(|losses| losses.ended_at.is_some())
     }
 
+    pub(super) fn is_probing(&self, key: &directory::TargetKey) -> bool {
+        let losses = self.targets.get(key);
+        losses.is_some_and(|losses| losses.is_probing)
+    }
+
     /// Returns the delay of the probe to start, or `None` if one is under way.
     fn start_probe(
         &mut self,
@@ -273,6 +285,7 @@
         match result {
             AttemptResult::Succeeded { .. } => {
                 self.lost_attempts.record_response(key);
+                self.record_prompt_response(now, attempt, effects);
                 let fingerprint = attempt.fingerprint;
                 self.settings.quarantine.record_completion(now, fingerprint);
             }
@@ -309,6 +322,10 @@
             lost_at: now,
             kind,
             is_disproved: false,
+            prompt: match kind {
+                LossKind::Abrupt => attempt.lost_prompt(now),
+                LossKind::Unclear => None,
+            },
         };
         if self.lost_attempts.has_ended(key) {
             self.record_crash(now, key, &[lost_attempt], effects);
@@ -370,6 +387,7 @@
         attempts: &[LostAttempt],
         effects: &mut Vec<DispatchEffect>,
     ) {
+        self.record_prompt_crash(now, key, attempts, effects);
         let crash = crash_id(key);
         let mut records = Vec::new();
         for attempt in attempts {
@@ -424,6 +442,6 @@
 }
 
 /// Returns the id of an incarnation's crash: the same at each relay that observes it.
-fn crash_id(key: &directory::TargetKey) -> ids::CrashId {
+pub(super) fn crash_id(key: &directory::TargetKey) -> ids::CrashId {
     ids::CrashId::from_u128(xxh3::xxh3_128(key.to_string().as_bytes()))
 }
--- a/crates/relay/src/dispatch/effect.rs
+++ b/crates/relay/src/dispatch/effect.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use kingcupfall_core::ids;
+use kingcupfall_core::work;
 use kingcupfall_policy::quarantine;
 
 use super::LoadCount;
@@ -36,6 +37,8 @@
     TooLarge,
     /// It crashed targets that ran it.
     Quarantined,
+    /// Requests with this part of its prompt crashed targets that ran them.
+    PartQuarantined(work::PromptPartId),
     /// Its targets refused it, and no further attempt is allowed.
     TargetsRefused,
     /// This relay is stopping.
@@ -55,6 +58,7 @@
             Self::WaitTimedOut => "waited_out",
             Self::TooLarge => "too_large",
             Self::Quarantined => "quarantined",
+            Self::PartQuarantined(_) => "part_quarantined",
             Self::TargetsRefused => "shed",
             Self::Stopping => "stopping",
             Self::NotConfigured => "not_configured",
@@ -63,6 +67,16 @@
     }
 }
 
+impl RefusalReason {
+    /// Returns the prompt part that is the reason, if any.
+    pub const fn part(self) -> Option<work::PromptPartId> {
+        match self {
+            Self::PartQuarantined(part) => Some(part),
+            _ => None,
+        }
+    }
+}
+
 impl fmt::Display for RefusalReason {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(self.label())
@@ -87,6 +101,19 @@
     Peer,
 }
 
+/// What made this relay decide anew about prompt parts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PartSource {
+    /// This target crashed.
+    Crash(ids::TargetName),
+    /// A peer reported a crash, or what is known of one.
+    Peer,
+    /// A stream was sound, or a target that had been taken for crashed responded.
+    Response,
+    /// Time has passed.
+    Time,
+}
+
 /// An effect for one call, one target or one peer.
 #[derive(Debug, Clone, PartialEq)]
 pub enum DispatchEffect {
@@ -145,6 +172,22 @@
         /// Where the suspicions come from.
         source: SuspectSource,
     },
+    /// Prompts were lost in the crash of a target: write them to the log.
+    PromptsLost {
+        /// Target that crashed.
+        target: ids::TargetName,
+        /// Prompts that may be the cause.
+        prompts: Vec<quarantine::LostPrompt>,
+    },
+    /// This relay learnt something of crashes that may be due to prompts: tell all peers.
+    PromptCrashesChanged(Vec<quarantine::PromptCrash>),
+    /// Prompt parts became suspect, quarantined or neither: write them to the log.
+    PartsChanged {
+        /// Changed parts.
+        changes: Vec<quarantine::PartChange>,
+        /// What the changes are due to.
+        source: PartSource,
+    },
     /// Send a reservation message to a peer.
     Send {
         /// Receiving peer.
@@ -166,6 +209,9 @@
             Self::HealthChanged { .. }
             | Self::Probe { .. }
             | Self::SuspectsChanged { .. }
+            | Self::PromptsLost { .. }
+            | Self::PromptCrashesChanged(_)
+            | Self::PartsChanged { .. }
             | Self::Send { .. } => None,
         }
     }
--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -106,6 +106,8 @@
     },
     /// A peer reported requests that crashed targets.
     SuspectsReported(Vec<quarantine::SuspectRecord>),
+    /// A peer reported crashes that may be due to prompts, or what it learnt of them.
+    PromptCrashesReported(Vec<quarantine::PromptCrash>),
     /// Targets became usable, began to leave or are gone.
     TargetsChanged(Vec<directory::TargetChange>),
     /// A peer reported its load at all targets.
--- a/crates/relay/src/dispatch/queue.rs
+++ b/crates/relay/src/dispatch/queue.rs
@@ -72,6 +72,11 @@
             .collect()
     }
 
+    /// Returns all calls.
+    pub(super) fn calls(&self) -> Vec<ids::CallId> {
+        self.calls.keys().copied().collect()
+    }
+
     /// Returns the waiting streams.
     pub(super) fn streams(&self) -> Vec<ids::CallId> {
         self.calls
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -14,6 +14,7 @@
 use super::DispatchEffect;
 use super::DispatchEvent;
 use super::LoadCount;
+use super::PartSource;
 use super::PeerLoad;
 use super::RefusedRequest;
 use super::ReservationRequest;
@@ -21,6 +22,7 @@
 use super::crashes;
 use super::load;
 use super::placement;
+use super::prompt_crashes;
 use super::queue;
 use super::refused;
 use super::reservations;
@@ -38,6 +40,8 @@
     pub position: membership::CellPosition,
     /// Decides which requests are quarantined for crashing targets.
     pub quarantine: Box<dyn quarantine::QuarantinePolicy>,
+    /// Decides which prompt parts are quarantined for crashing targets.
+    pub prompt_parts: Box<dyn quarantine::PromptPartPolicy>,
 }
 
 /// Places all calls of one relay.
@@ -50,6 +54,7 @@
     pub(super) start_rates: BTreeMap<ids::ServiceName, load::DecayingRate>,
     pub(super) refused_requests: refused::RefusedRequests,
     pub(super) lost_attempts: crashes::LostAttempts,
+    pub(super) recent_completions: prompt_crashes::RecentCompletions,
     pub(super) reservations: reservations::PendingReservations,
     /// Targets that recently denied a reservation, and the time until which they are not used.
     pub(super) denied_until: BTreeMap<ids::TargetName, time::Timestamp>,
@@ -70,6 +75,7 @@
             start_rates: BTreeMap::new(),
             refused_requests: refused::RefusedRequests::default(),
             lost_attempts: crashes::LostAttempts::default(),
+            recent_completions: prompt_crashes::RecentCompletions::default(),
             reservations: reservations::PendingReservations::default(),
             denied_until: BTreeMap::new(),
             prompt_rates: load::PromptRates::default(),
@@ -92,12 +98,14 @@
                     placed.heard_at = now;
                     self.changed_targets.insert(placed.target.key.name.clone());
                 }
+                self.record_stream_event(now, call, &mut effects);
             }
             DispatchEvent::Progressed { call, events } => {
                 if let Some(placed) = self.placed.get_mut(&call) {
                     placed.events = events;
                     placed.heard_at = now;
                 }
+                self.record_stream_event(now, call, &mut effects);
             }
             DispatchEvent::AttemptEnded { call, result } => {
                 self.end_attempt(now, call, result, &mut effects);
@@ -124,6 +132,7 @@
                     let attempt = placed.attempt();
                     placed.target = target;
                     placed.copy_holder = None;
+                    placed.first_event_at = placed.previous_first_event_at;
                     self.assess_result(now, &attempt, result, &mut effects);
                 }
             }
@@ -143,6 +152,9 @@
             DispatchEvent::SuspectsReported(records) => {
                 self.merge_suspects(now, &records, &mut effects);
             }
+            DispatchEvent::PromptCrashesReported(records) => {
+                self.merge_prompt_crashes(now, &records, &mut effects);
+            }
             DispatchEvent::TargetsChanged(changes) => {
                 for change in changes {
                     self.apply_target_change(now, change, &mut effects);
@@ -167,6 +179,8 @@
                 self.prompt_rates.remove_idle(now);
                 self.refused_requests.remove_expired(now);
                 self.lost_attempts.remove_expired(now);
+                self.record_completions(now, &mut effects);
+                self.review_parts(now, PartSource::Time, &mut effects);
                 self.expire_reservations(now, &mut effects);
                 self.place_waiting(now, &mut effects);
                 self.refuse_overdue(now, &mut effects);
@@ -255,7 +269,8 @@
         let mut candidates = BTreeMap::new();
         calls.iter().enumerate().find_map(|(index, call)| {
             let demand = self.waiting.get(*call)?;
-            if self.crash_verdict(now, demand.fingerprint) != crashes::CrashVerdict::MayRun {
+            let verdict = self.crash_verdict(now, demand.fingerprint);
+            if verdict != crashes::CrashVerdict::MayRun || self.part_quarantine(demand).is_some() {
                 return None;
             }
             let candidates = candidates
@@ -287,6 +302,9 @@
             placed_at: now,
             sent_at: now,
             heard_at: now,
+            first_event_at: None,
+            previous_first_event_at: None,
+            is_sound: false,
             load_at_placement: present_load,
             has_started: false,
             events: 0,
@@ -337,6 +355,9 @@
         self.record_freed_targets(&placed);
         if was_sent {
             self.assess_result(now, &placed.attempt(), result, effects);
+            if matches!(result, AttemptResult::Succeeded { .. }) {
+                self.recent_completions.add(now, &placed);
+            }
         }
         if let Some(entry) = self.targets.get_mut(&placed.target.key.name)
             && entry.record.key == placed.target.key
--- a/crates/relay/src/shell/buffered.rs
+++ b/crates/relay/src/shell/buffered.rs
@@ -138,6 +138,9 @@
                 | dispatch::DispatchEffect::HealthChanged { .. }
                 | dispatch::DispatchEffect::Probe { .. }
                 | dispatch::DispatchEffect::SuspectsChanged { .. }
+                | dispatch::DispatchEffect::PromptsLost { .. }
+                | dispatch::DispatchEffect::PromptCrashesChanged(_)
+                | dispatch::DispatchEffect::PartsChanged { .. }
                 | dispatch::DispatchEffect::Send { .. } => {}
             }
         }
@@ -201,6 +204,7 @@
         .record(telemetry::RecordKind::Refused)
         .fingerprint(call.demand.fingerprint)
         .outcome(refusal.reason.label())
+        .part(refusal.reason.part())
         .version(state.targets.borrow().revision().get())
         .after(state.now().since(call.demand.arrived_at))
         .retry_after(refusal.retry_after);
--- a/crates/relay/src/shell/forwarder.rs
+++ b/crates/relay/src/shell/forwarder.rs
@@ -271,6 +271,9 @@
                 | dispatch::DispatchEffect::HealthChanged { .. }
                 | dispatch::DispatchEffect::Probe { .. }
                 | dispatch::DispatchEffect::SuspectsChanged { .. }
+                | dispatch::DispatchEffect::PromptsLost { .. }
+                | dispatch::DispatchEffect::PromptCrashesChanged(_)
+                | dispatch::DispatchEffect::PartsChanged { .. }
                 | dispatch::DispatchEffect::Send { .. },
             ) => None,
             None => Some(StreamEnd::Broken),
--- a/crates/relay/src/shell/mod.rs
+++ b/crates/relay/src/shell/mod.rs
@@ -11,6 +11,7 @@
 mod peer_exchange;
 mod peer_links;
 mod peer_messages;
+mod prompt_parts;
 mod responses;
 mod resumption;
 mod server;
--- a/crates/relay/src/shell/peer_exchange.rs
+++ b/crates/relay/src/shell/peer_exchange.rs
@@ -51,6 +51,9 @@
         peer_messages::PeerMessage::Suspects(records) => {
             state.submit(dispatch::DispatchEvent::SuspectsReported(records));
         }
+        peer_messages::PeerMessage::PromptCrashes(records) => {
+            state.submit(dispatch::DispatchEvent::PromptCrashesReported(records));
+        }
         peer_messages::PeerMessage::Routes(text) => match (state.decode_routes)(&text) {
             Some(table) => {
                 directory_events::handle_routes(
@@ -98,6 +101,9 @@
     state.submit(dispatch::DispatchEvent::SuspectsReported(
         heartbeat.suspects,
     ));
+    state.submit(dispatch::DispatchEvent::PromptCrashesReported(
+        heartbeat.prompt_crashes,
+    ));
     state.with_dispatcher(|dispatcher, now| {
         for record in &heartbeat.refused_requests {
             dispatcher.merge_refused_request(now, record);
@@ -196,6 +202,10 @@
     let (suspects, suspects_sent) =
         state.with_dispatcher(|dispatcher, now| dispatcher.suspects_after(now, link.suspects_sent));
     link.suspects_sent = suspects_sent;
+    let (prompt_crashes, prompt_crashes_sent) = state.with_dispatcher(|dispatcher, now| {
+        dispatcher.prompt_crashes_after(now, link.prompt_crashes_sent)
+    });
+    link.prompt_crashes_sent = prompt_crashes_sent;
     peer_messages::PeerHeartbeat {
         vm: settings.vm.clone(),
         address: settings.peer_address,
@@ -209,5 +219,6 @@
         refused_requests,
         budget_usages: state.budget_usages(),
         suspects,
+        prompt_crashes,
     }
 }
--- a/crates/relay/src/shell/peer_links.rs
+++ b/crates/relay/src/shell/peer_links.rs
@@ -86,6 +86,7 @@
     pub(super) departures_sent: u64,
     pub(super) refused_sent: u64,
     pub(super) suspects_sent: u64,
+    pub(super) prompt_crashes_sent: u64,
     unused_since: Option<time::Timestamp>,
     /// Sender of messages to the peer on this link; moved to the shared state once the first
     /// heartbeat identifies the peer.
--- a/crates/relay/src/shell/peer_messages.rs
+++ b/crates/relay/src/shell/peer_messages.rs
@@ -43,6 +43,9 @@
     /// Requests that crashed targets of the sender.
     #[serde(rename = "s")]
     Suspects(Vec<quarantine::SuspectRecord>),
+    /// What the sender learnt of crashes that may be due to prompts.
+    #[serde(rename = "x")]
+    PromptCrashes(Vec<quarantine::PromptCrash>),
     /// Encoded routes, as they were published.
     #[serde(rename = "r")]
     Routes(#[serde(with = "serde_with::As::<serde_with::Bytes>")] Vec<u8>),
@@ -85,4 +88,7 @@
     /// link yet.
     #[serde(rename = "q")]
     pub suspects: Vec<quarantine::SuspectRecord>,
+    /// Crashes that may be due to prompts, and that the sender has not sent on this link yet.
+    #[serde(rename = "x", default)]
+    pub prompt_crashes: Vec<quarantine::PromptCrash>,
 }
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -21,6 +21,7 @@
 use tokio::time::Instant;
 
 use super::RelaySettings;
+use super::prompt_parts;
 use super::stop;
 use super::suspects;
 use crate::directory;
@@ -399,6 +400,16 @@
             dispatch::DispatchEffect::SuspectsChanged { records, source } => {
                 return suspects::handle_change(self, records, &source);
             }
+            dispatch::DispatchEffect::PromptsLost { target, prompts } => {
+                return prompt_parts::record_lost_prompts(self, &target, &prompts);
+            }
+            dispatch::DispatchEffect::PromptCrashesChanged(records) => {
+                let message = super::PeerMessage::PromptCrashes(records);
+                return self.broadcast(UpdateScope::All, &message);
+            }
+            dispatch::DispatchEffect::PartsChanged { changes, source } => {
+                return prompt_parts::record_changes(self, &changes, &source);
+            }
             effect => effect,
         };
         let inboxes = self.inboxes.borrow();
--- a/crates/relay/src/shell/suspects.rs
+++ b/crates/relay/src/shell/suspects.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use kingcupfall_core::work;
+use kingcupfall_core::ids;
 use kingcupfall_policy::quarantine;
 use tokio::task;
 
@@ -75,18 +75,16 @@
         self.with_dispatcher(|dispatcher, now| dispatcher.suspects(now))
     }
 
-    /// Waits until it is known whether a request may be sent to a target again, and returns that.
-    pub(super) async fn may_run(&self, fingerprint: work::RequestFingerprint) -> bool {
+    /// Waits until it is known whether the stream of a call may be resumed at another target, and
+    /// returns that.
+    pub(super) async fn resumption_verdict(&self, call: ids::CallId) -> dispatch::CrashVerdict {
         loop {
             let verdict =
-                self.with_dispatcher(|dispatcher, now| dispatcher.crash_verdict(now, fingerprint));
-            match verdict {
-                dispatch::CrashVerdict::MayRun => return true,
-                dispatch::CrashVerdict::Quarantined => return false,
-                dispatch::CrashVerdict::Unresolved => {
-                    tokio::time::sleep(VERDICT_POLL_INTERVAL).await;
-                }
+                self.with_dispatcher(|dispatcher, now| dispatcher.resumption_verdict(now, call));
+            if verdict != dispatch::CrashVerdict::Unresolved {
+                return verdict;
             }
+            tokio::time::sleep(VERDICT_POLL_INTERVAL).await;
         }
     }
 }
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -91,6 +91,8 @@
     refusals: Family<ReasonLabels, Counter>,
     attempt_failures: Family<ReasonLabels, Counter>,
     suspected_crashes: Counter,
+    prompt_crashes: Counter,
+    part_changes: Family<ReasonLabels, Counter>,
     resumptions: Family<ReasonLabels, Counter>,
     directory_calls: Family<ReasonLabels, Counter>,
     directory_call_times: LatencyFamily<ReasonLabels>,
@@ -128,6 +130,8 @@
             refusals: Family::default(),
             attempt_failures: Family::default(),
             suspected_crashes: Counter::default(),
+            prompt_crashes: Counter::default(),
+            part_changes: Family::default(),
             resumptions: Family::default(),
             directory_calls: Family::default(),
             directory_call_times: Family::new_with_constructor(latency_histogram),
@@ -171,6 +175,16 @@
             "Requests that ran at a target when it crashed, one count for each target",
             self.suspected_crashes.clone(),
         );
+        registry.register(
+            "prompt_crashes",
+            "Crashes of targets that prompts may be the cause of",
+            self.prompt_crashes.clone(),
+        );
+        registry.register(
+            "part_changes",
+            "Changes of prompt parts, by new standing",
+            self.part_changes.clone(),
+        );
         registry.register(
             "stream_moves",
             "Streams brought to another target",
@@ -292,6 +306,18 @@
         self.suspected_crashes.inc_by(count);
     }
 
+    /// Counts a crash that prompts may be the cause of.
+    pub fn record_prompt_crash(&self) {
+        self.prompt_crashes.inc();
+    }
+
+    /// Counts a prompt part whose standing changed; `reason` is the new standing.
+    pub fn record_part_change(&self, reason: &'static str) {
+        self.part_changes
+            .get_or_create(&ReasonLabels { reason })
+            .inc();
+    }
+
     /// Counts an attempt to resume a stream at another target; `reason` is its outcome.
     pub fn record_resumption(&self, reason: &'static str) {
         self.resumptions
--- a/crates/relay/src/telemetry/records.rs
+++ b/crates/relay/src/telemetry/records.rs
@@ -65,6 +65,15 @@
     Suspected,
     /// A request has crashed too many targets: it is refused from now on.
     Quarantined,
+    /// A target crashed, and prompts that may be the cause were lost there.
+    PromptsLost,
+    /// A part of prompts is suspected of having crashed targets.
+    PartSuspected,
+    /// Requests with a part of their prompts have crashed too many targets: they are refused from now
+    /// on.
+    PartQuarantined,
+    /// A part of prompts is neither suspected nor quarantined any more.
+    PartCleared,
     /// A stream was resumed at another target.
     Resumed,
     /// A stream could not be migrated to or resumed at another target, or an event of it was lost.
@@ -88,6 +97,9 @@
             | Self::AttemptFailed
             | Self::Suspected
             | Self::Quarantined
+            | Self::PromptsLost
+            | Self::PartSuspected
+            | Self::PartQuarantined
             | Self::MigrationFailed
             | Self::RoutesRejected
             | Self::TargetRejected
@@ -109,6 +121,7 @@
             | Self::PeerLinked
             | Self::Queued
             | Self::Placed
+            | Self::PartCleared
             | Self::Resumed
             | Self::Ended
             | Self::CallerLeft => false,
@@ -126,6 +139,11 @@
     pub request: Option<Box<str>>,
     /// Fingerprint of the request, the same each time that its caller sends it.
     pub fingerprint: Option<Box<str>>,
+    /// Part of the prompt that is the reason.
+    pub part: Option<Box<str>>,
+    /// Shared parts of the prompts that were lost: those of a prompt joined by commas, the prompts by
+    /// semicolons.
+    pub prompts: Option<Box<str>>,
     /// Name of the request's route.
     pub route: Option<Box<str>>,
     /// Organisation of the caller.
@@ -165,6 +183,8 @@
             event,
             request: None,
             fingerprint: None,
+            part: None,
+            prompts: None,
             route: None,
             organisation: None,
             target: None,
@@ -194,6 +214,18 @@
         self
     }
 
+    /// Sets the part of the prompt that is the reason.
+    pub fn part(mut self, part: Option<work::PromptPartId>) -> Self {
+        self.part = part.map(|part| part.to_string().into());
+        self
+    }
+
+    /// Sets the text that names the prompts that were lost.
+    pub fn prompts(mut self, prompts: &str) -> Self {
+        self.prompts = Some(prompts.into());
+        self
+    }
+
     /// Sets the name of the route.
     pub fn route(mut self, route: &str) -> Self {
         self.route = Some(route.into());
--- a/crates/relay/tests/dispatch/fixtures.rs
+++ b/crates/relay/tests/dispatch/fixtures.rs
@@ -30,6 +30,7 @@
         zone: "a".parse().unwrap(),
         position: membership::CellPosition::of(&relay),
         quarantine: Box::new(quarantine::SuspectQuarantine::default()),
+        prompt_parts: Box::new(quarantine::CrashCorrelation::default()),
     });
     let changes = engines
         .iter()
--- a/crates/relay/tests/dispatch/main.rs
+++ b/crates/relay/tests/dispatch/main.rs
@@ -3,4 +3,5 @@
 mod crashes;
 mod decisions;
 mod fixtures;
+mod prompt_crashes;
 mod reservations;
--- a/crates/relay/tests/dispatch/reservations.rs
+++ b/crates/relay/tests/dispatch/reservations.rs
@@ -94,7 +94,10 @@
                 | dispatch::DispatchEffect::DropCopy { .. }
                 | dispatch::DispatchEffect::HealthChanged { .. }
                 | dispatch::DispatchEffect::Probe { .. }
-                | dispatch::DispatchEffect::SuspectsChanged { .. } => {}
+                | dispatch::DispatchEffect::SuspectsChanged { .. }
+                | dispatch::DispatchEffect::PromptsLost { .. }
+                | dispatch::DispatchEffect::PromptCrashesChanged(_)
+                | dispatch::DispatchEffect::PartsChanged { .. } => {}
             }
         }
         let loads = self.dispatchers[index].take_changed_loads(self.now);
