BUDGET: Refuse only prompts with all parts that explain the same crashes

Parts of the same prompts can't be told apart by crashes alone.

Of such parts the last one is now quarantined after three crashes, but only in prompts that have all of them. Requests with some of them are served, and either clear the sound ones or, by a further crash, show that one part explains more; the quarantine then narrows down to it. Parts of different prompts that explain as many crashes still wait for five.

The test that expected five crashes for parts of the same prompts is replaced by three: such parts are refused together, parts of different prompts wait, and a further crash widens the quarantine.

--- a/crates/policy/src/quarantine/prompt_parts/correlation.rs
+++ b/crates/policy/src/quarantine/prompt_parts/correlation.rs
@@ -86,13 +86,13 @@
     }
 
     /// Returns the parts that the crash may be due to, each with the latest request that had it.
-    fn involvements(&self) -> Vec<verdict::Involvement> {
-        let mut latest: BTreeMap<work::PromptPartId, verdict::Involvement> = BTreeMap::new();
+    fn involvements(&self) -> Vec<verdict::Involvement<'_>> {
+        let mut latest: BTreeMap<work::PromptPartId, verdict::Involvement<'_>> = BTreeMap::new();
         for (parts, loss) in &self.prompts {
-            for (position, part) in parts.iter().copied().enumerate() {
+            for part in parts.iter().copied() {
                 let involvement = verdict::Involvement {
                     part,
-                    position,
+                    prompt: parts,
                     sent_at: loss.sent_at,
                     lost_at: loss.lost_at,
                 };
@@ -242,7 +242,11 @@
 
 impl PromptPartPolicy for CrashCorrelation {
     fn quarantined_part(&self, parts: &[work::PromptPartId]) -> Option<PartQuarantine> {
-        parts.iter().find_map(|part| self.quarantine(*part))
+        parts.iter().find_map(|part| {
+            let companions = &self.cases.get(part)?.companions;
+            let has_companions = companions.iter().all(|part| parts.contains(part));
+            has_companions.then(|| self.quarantine(*part)).flatten()
+        })
     }
 
     fn quarantined_parts(&self) -> Vec<PartQuarantine> {
--- a/crates/policy/src/quarantine/prompt_parts/mod.rs
+++ b/crates/policy/src/quarantine/prompt_parts/mod.rs
@@ -110,7 +110,8 @@
 
 /// Finds the prompt parts that crash targets.
 pub trait PromptPartPolicy {
-    /// Returns the first quarantined part of a prompt, if any.
+    /// Returns the first quarantined part of a prompt, if any. Of parts that explain the same crashes,
+    /// only one is quarantined, and only in prompts that have all of them.
     fn quarantined_part(&self, parts: &[work::PromptPartId]) -> Option<PartQuarantine>;
 
     /// Returns all quarantined parts.
--- a/crates/policy/tests/prompt_parts.rs
+++ b/crates/policy/tests/prompt_parts.rs
@@ -116,6 +116,32 @@
     assert_eq!(quarantined(&mut policy, 10_000, &[1, FATAL]), [FATAL]);
 }
 
+/// Times of crashes of the recorded incident in milliseconds, and sound streams with the first part
+/// that begin every 300 ms.
+#[test]
+fn recorded_crashes_quarantine_the_part_before_the_fifth() {
+    let crashes_ms = [15_910, 16_460, 16_620, 16_750, 18_320, 18_560, 19_140];
+    let mut policy = quarantine::CrashCorrelation::default();
+    let mut quarantined_ms = None;
+    for now_ms in (15_000..20_000).step_by(10) {
+        if let Some(number) = crashes_ms.iter().position(|lost_ms| *lost_ms == now_ms) {
+            let number = number as u64;
+            let fatal = prompt(&[1, FATAL], now_ms - RUN_TIME_MS + 12, now_ms);
+            let beside = prompt(&[1, 50 + number], now_ms - 300, now_ms);
+            policy.record_crash(at(now_ms), crash(number), &[fatal, beside]);
+        }
+        if now_ms % 300 == 0 {
+            policy.record_sound_stream(at(now_ms), &[part(1)], at(now_ms - 1_000));
+        }
+        let found = quarantined(&mut policy, now_ms, &[1, FATAL, 50, 51, 52, 53]);
+        if !found.is_empty() {
+            assert_eq!(found, [FATAL]);
+            quarantined_ms.get_or_insert(now_ms);
+        }
+    }
+    assert_eq!(quarantined_ms, Some(crashes_ms[0] + HEARING_MS));
+}
+
 #[test]
 fn quarantine_waits_for_sound_streams() {
     let mut policy = quarantine::CrashCorrelation::default();
@@ -181,20 +207,59 @@
     assert_eq!(quarantined(&mut policy, 5_000, &[FATAL]), []);
 }
 
-/// Two parts that the same prompts share can't be told apart until one is found sound. If none is,
-/// the later one is quarantined, as fewer requests share a longer start.
+/// Parts of the same prompts can't be told apart until one is found sound. Until then only prompts
+/// with all of them are refused.
+#[test]
+fn parts_that_explain_the_same_crashes_are_refused_only_together() {
+    let mut policy = quarantine::CrashCorrelation::default();
+    let prompts: [&[u64]; 3] = [&[1, 2, FATAL], &[1, FATAL, 3], &[1, FATAL]];
+    let last_ms = record_crashes(&mut policy, 1, &prompts);
+    policy.review(at(last_ms + HEARING_MS));
+    let is_refused = |policy: &quarantine::CrashCorrelation, values: &[u64]| {
+        policy.quarantined_part(&parts(values)).is_some()
+    };
+    assert!(is_refused(&policy, &[1, FATAL]));
+    assert!(is_refused(&policy, &[1, 9, FATAL, 8]));
+    for sound in [&[1][..], &[FATAL], &[1, 2], &[1, 3], &[2, FATAL]] {
+        assert!(!is_refused(&policy, sound), "{sound:?}");
+    }
+
+    policy.record_sound_stream(at(5_000), &parts(&[1, 2]), at(4_000));
+    policy.review(at(5_000));
+    assert!(is_refused(&policy, &[FATAL]));
+    assert!(!is_refused(&policy, &[1]));
+}
+
+/// Requests with the fatal part alone, and others that happened to be lost beside them.
 #[parameterized(
     four_crashes = { 4, &[] },
     five_crashes = { 5, &[FATAL] },
 )]
-fn parts_that_explain_the_same_crashes_wait_for_further_ones(crashes: usize, expected: &[u64]) {
+fn parts_of_different_prompts_wait_for_further_crashes(crashes: u64, expected: &[u64]) {
     let mut policy = quarantine::CrashCorrelation::default();
-    let prompts = vec![&[1, FATAL][..]; crashes];
-    let last_ms = record_crashes(&mut policy, 1, &prompts);
+    let last_ms = crashes * INTERVAL_MS;
+    for number in 1..=crashes {
+        let lost_ms = number * INTERVAL_MS;
+        let fatal = prompt(&[FATAL], lost_ms - RUN_TIME_MS, lost_ms);
+        let beside = prompt(&[1], lost_ms - RUN_TIME_MS, lost_ms);
+        policy.record_crash(at(lost_ms), crash(number), &[fatal, beside]);
+    }
     let now_ms = last_ms + HEARING_MS;
     assert_eq!(quarantined(&mut policy, now_ms, &[1, FATAL]), expected);
 }
 
+/// The first requests with the fatal part all had another part in common.
+#[test]
+fn crash_without_a_companion_widens_the_quarantine() {
+    let mut policy = quarantine::CrashCorrelation::default();
+    let prompts: [&[u64]; 3] = [&[FATAL, 2], &[FATAL, 2], &[FATAL, 2]];
+    let last_ms = record_crashes(&mut policy, 1, &prompts);
+    let now_ms = last_ms + HEARING_MS;
+    assert_eq!(quarantined(&mut policy, now_ms, &[2, FATAL]), []);
+    let last_ms = record_crashes(&mut policy, 8, &[&[FATAL, 3]]);
+    assert_eq!(quarantined(&mut policy, last_ms, &[2, 3, FATAL]), [FATAL]);
+}
+
 /// The fatal part comes first here; the parts after it are shared with sound requests.
 #[test]
 fn part_before_a_sound_one_is_quarantined() {
--- /dev/null
+++ b/crates/relay/tests/peer_messages.rs
@@ -0,0 +1,41 @@
+//! Messages between relays of different versions.
+
+use kingcupfall_relay::directory;
+use kingcupfall_relay::membership;
+use kingcupfall_relay::shell;
+
+fn heartbeat() -> serde_json::Value {
+    let heartbeat = shell::PeerHeartbeat {
+        vm: "vm-1".parse().unwrap(),
+        address: "10.0.0.1:9463".parse().unwrap(),
+        members: Vec::new(),
+        known: membership::KnownVersions {
+            routes: directory::RouteTableVersion::default(),
+            directory: directory::DirectoryRevision::new(1),
+        },
+        loads: Vec::new(),
+        departures: Vec::new(),
+        refused_requests: Vec::new(),
+        budget_usages: Vec::new(),
+        suspects: Vec::new(),
+        prompt_crashes: Vec::new(),
+    };
+    serde_json::to_value(heartbeat).unwrap()
+}
+
+/// A relay of the previous version reports no crashes that may be due to prompts.
+#[test]
+fn heartbeat_of_an_older_relay_decodes() {
+    let mut encoded = heartbeat();
+    encoded.as_object_mut().unwrap().remove("x").unwrap();
+    let decoded: shell::PeerHeartbeat = serde_json::from_value(encoded).unwrap();
+    assert!(decoded.prompt_crashes.is_empty());
+}
+
+#[test]
+fn heartbeat_of_a_newer_relay_decodes() {
+    let mut encoded = heartbeat();
+    encoded["unknown"] = serde_json::json!([1]);
+    let decoded = serde_json::from_value::<shell::PeerHeartbeat>(encoded);
+    assert!(decoded.is_ok());
+}
--- a/crates/relay/tests/telemetry.rs
+++ b/crates/relay/tests/telemetry.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use kingcupfall_core::time;
+use kingcupfall_relay::dispatch;
 use kingcupfall_relay::telemetry;
 
 const START: time::Timestamp = time::Timestamp::from_micros(60_000_000);
@@ -84,6 +85,28 @@
     assert_eq!(calls.count(), 601);
 }
 
+#[test]
+fn refused_record_names_the_prompt_part() {
+    let part = "5c1e07a2".parse().unwrap();
+    let reason = dispatch::RefusalReason::PartQuarantined(part);
+    let record = telemetry::DecisionRecord::new(telemetry::RecordKind::Refused)
+        .outcome(reason.label())
+        .part(reason.part());
+    let record = serde_json::to_value(record).unwrap();
+    assert_eq!(record["outcome"], "part_quarantined");
+    assert_eq!(record["part"], "5c1e07a2");
+}
+
+#[test]
+fn encode_includes_changes_of_prompt_parts() {
+    let metrics = telemetry::RelayMetrics::new();
+    metrics.record_prompt_crash();
+    metrics.record_part_change("quarantined");
+    let text = metrics.encode().unwrap();
+    assert!(text.contains("kingcupfall_relay_prompt_crashes_total 1"));
+    assert!(text.contains("kingcupfall_relay_part_changes_total{reason=\"quarantined\"} 1"));
+}
+
 #[test]
 fn encode_includes_ages_of_routes_and_directory() {
     let metrics = telemetry::RelayMetrics::new();
