--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -269,8 +269,7 @@
         let mut candidates = BTreeMap::new();
         calls.iter().enumerate().find_map(|(index, call)| {
             let demand = self.waiting.get(*call)?;
-            let verdict = self.crash_verdict(now, demand.fingerprint);
-            if verdict != crashes::CrashVerdict::MayRun || self.part_quarantine(demand).is_some() {
+            if self.crash_verdict(now, demand.fingerprint) != crashes::CrashVerdict::MayRun {
                 return None;
             }
             let candidates = candidates
--- a/crates/relay/tests/dispatch/main.rs
+++ b/crates/relay/tests/dispatch/main.rs
@@ -4,4 +4,5 @@
 mod decisions;
 mod fixtures;
 mod prompt_crashes;
+mod prompt_fixtures;
 mod reservations;
--- a/crates/relay/tests/dispatch/prompt_crashes.rs
+++ b/crates/relay/tests/dispatch/prompt_crashes.rs
@@ -5,174 +5,33 @@
 use std::time::Duration;
 
 use kingcupfall_core::ids;
-use kingcupfall_core::time;
 use kingcupfall_core::work;
 use kingcupfall_policy::quarantine;
-use kingcupfall_relay::directory;
 use kingcupfall_relay::dispatch;
 use yare::parameterized;
 
 use crate::fixtures;
 use crate::fixtures::START;
-
-const TARGETS: &[&str] = &[
-    "one", "two", "three", "four", "five", "six", "seven", "eight",
-];
-
-/// Part that all prompts share.
-const SHARED: work::PromptPartId = work::PromptPartId::new(0x5c1e);
-
-/// Part that crashes targets.
-const FATAL: work::PromptPartId = work::PromptPartId::new(0xfa7a);
-
-const OTHER: work::PromptPartId = work::PromptPartId::new(0x91bd);
-
-/// Time from sending a fatal request until its target crashes.
-const RUN_TIME_MS: u64 = 100;
-
-/// Time between two fatal requests.
-const INTERVAL_MS: u64 = 600;
-
-/// Time at which the part that crashed three targets is quarantined: 2 s after the first crash, and
-/// some time for the tick after that.
-const QUARANTINE_MS: u64 = 2_500;
-
-fn at(millis: u64) -> time::Timestamp {
-    START + Duration::from_millis(millis)
-}
-
-/// Returns the requirements of a stream whose prompt has these shared parts; no two are alike.
-fn demand(call: u64, parts: &[work::PromptPartId]) -> dispatch::CallDemand {
-    dispatch::CallDemand {
-        fingerprint: work::RequestFingerprint::new(call),
-        prompt_parts: parts.into(),
-        ..fixtures::stream_demand(400)
-    }
-}
-
-fn arrive(
-    dispatcher: &mut dispatch::Dispatcher,
-    now: time::Timestamp,
-    call: u64,
-    parts: &[work::PromptPartId],
-) -> Vec<dispatch::DispatchEffect> {
-    let mut demand = demand(call, parts);
-    demand.arrived_at = now;
-    demand.first_requested_at = now;
-    demand.deadline = now + Duration::from_secs(39);
-    let arrival = dispatch::DispatchEvent::Arrived {
-        call: ids::CallId::new(call),
-        demand: Box::new(demand),
-    };
-    dispatcher.handle(now, arrival)
-}
-
-/// Sends a stream, and returns its target.
-fn place(
-    dispatcher: &mut dispatch::Dispatcher,
-    now: time::Timestamp,
-    call: u64,
-    parts: &[work::PromptPartId],
-) -> directory::TargetKey {
-    let effects = arrive(dispatcher, now, call, parts);
-    let target = fixtures::placed_target(&effects).unwrap();
-    fixtures::engine_record(&target).key
-}
-
-fn receive_events(dispatcher: &mut dispatch::Dispatcher, now: time::Timestamp, call: u64) {
-    let call = ids::CallId::new(call);
-    dispatcher.handle(now, dispatch::DispatchEvent::Started { call });
-    dispatcher.handle(now, dispatch::DispatchEvent::Progressed { call, events: 1 });
-}
-
-fn receive_more_events(
-    dispatcher: &mut dispatch::Dispatcher,
-    now: time::Timestamp,
-    call: u64,
-) -> Vec<dispatch::DispatchEffect> {
-    let call = ids::CallId::new(call);
-    dispatcher.handle(now, dispatch::DispatchEvent::Progressed { call, events: 9 })
-}
-
-fn end_attempt(
-    dispatcher: &mut dispatch::Dispatcher,
-    now: time::Timestamp,
-    call: u64,
-    result: dispatch::AttemptResult,
-) {
-    let call = ids::CallId::new(call);
-    dispatcher.handle(now, dispatch::DispatchEvent::AttemptEnded { call, result });
-}
-
-fn end_probe(
-    dispatcher: &mut dispatch::Dispatcher,
-    now: time::Timestamp,
-    target: &directory::TargetKey,
-    is_reachable: bool,
-) -> Vec<dispatch::DispatchEffect> {
-    let probed = dispatch::DispatchEvent::TargetProbed {
-        target: target.clone(),
-        is_reachable,
-    };
-    dispatcher.handle(now, probed)
-}
-
-/// Sends a stream with these parts that crashes its target, which is then removed.
-fn crash_target(
-    dispatcher: &mut dispatch::Dispatcher,
-    sent_ms: u64,
-    call: u64,
-    parts: &[work::PromptPartId],
-) -> Vec<dispatch::DispatchEffect> {
-    let target = place(dispatcher, at(sent_ms), call, parts);
-    let lost_at = at(sent_ms + RUN_TIME_MS);
-    end_attempt(dispatcher, lost_at, call, dispatch::AttemptResult::Broken);
-    let effects = end_probe(dispatcher, lost_at, &target, false);
-    let gone = vec![directory::TargetChange::Gone(target)];
-    dispatcher.handle(lost_at, dispatch::DispatchEvent::TargetsChanged(gone));
-    effects
-}
-
-/// Crashes three targets with the fatal part, and waits for the verdict.
-fn quarantine_fatal_part(dispatcher: &mut dispatch::Dispatcher) {
-    for call in 0..3 {
-        crash_target(dispatcher, call * INTERVAL_MS, 100 + call, &[FATAL]);
-    }
-    dispatcher.handle(at(QUARANTINE_MS), dispatch::DispatchEvent::Tick);
-    assert_eq!(quarantined_parts(dispatcher), [FATAL]);
-}
-
-fn quarantined_parts(dispatcher: &dispatch::Dispatcher) -> Vec<work::PromptPartId> {
-    let quarantines = dispatcher.quarantined_parts();
-    quarantines
-        .iter()
-        .map(|quarantine| quarantine.part)
-        .collect()
-}
-
-/// Returns the prompts that count in crashes.
-fn lost_prompts(dispatcher: &dispatch::Dispatcher, now: time::Timestamp) -> usize {
-    let (crashes, _) = dispatcher.prompt_crashes_after(now, 0);
-    crashes.iter().map(|crash| crash.prompts.len()).sum()
-}
-
-/// Returns what the effects tell peers.
-fn findings(effects: &[dispatch::DispatchEffect]) -> Vec<quarantine::PromptCrash> {
-    let findings = effects.iter().filter_map(|effect| match effect {
-        dispatch::DispatchEffect::PromptCrashesChanged(records) => Some(records.clone()),
-        _ => None,
-    });
-    findings.flatten().collect()
-}
-
-fn report(
-    dispatcher: &mut dispatch::Dispatcher,
-    now: time::Timestamp,
-    records: &[quarantine::PromptCrash],
-) -> Vec<dispatch::DispatchEffect> {
-    let reported = dispatch::DispatchEvent::PromptCrashesReported(records.to_vec());
-    dispatcher.handle(now, reported)
-}
+use crate::prompt_fixtures::FATAL;
+use crate::prompt_fixtures::INTERVAL_MS;
+use crate::prompt_fixtures::OTHER;
+use crate::prompt_fixtures::QUARANTINE_MS;
+use crate::prompt_fixtures::RUN_TIME_MS;
+use crate::prompt_fixtures::SHARED;
+use crate::prompt_fixtures::TARGETS;
+use crate::prompt_fixtures::arrive;
+use crate::prompt_fixtures::at;
+use crate::prompt_fixtures::crash_target;
+use crate::prompt_fixtures::end_attempt;
+use crate::prompt_fixtures::end_probe;
+use crate::prompt_fixtures::findings;
+use crate::prompt_fixtures::lost_prompts;
+use crate::prompt_fixtures::place;
+use crate::prompt_fixtures::quarantine_fatal_part;
+use crate::prompt_fixtures::quarantined_parts;
+use crate::prompt_fixtures::receive_events;
+use crate::prompt_fixtures::receive_more_events;
+use crate::prompt_fixtures::report;
 
 #[parameterized(
     connection_broke = { dispatch::AttemptResult::Broken, 1 },
@@ -235,6 +94,67 @@
     assert_eq!(lost_prompts(&dispatcher, lost_at), expected);
 }
 
+/// The next target generates for the prompt anew.
+#[parameterized(
+    resumed = { true, 1 },
+    stayed = { false, 0 },
+)]
+fn stream_counts_again_once_it_has_been_resumed(is_resumed: bool, expected: usize) {
+    let mut dispatcher = fixtures::dispatcher(TARGETS);
+    let first = place(&mut dispatcher, START, 1, &[FATAL]);
+    receive_events(&mut dispatcher, at(100), 1);
+    receive_more_events(&mut dispatcher, at(2_000), 1);
+    let next = TARGETS.iter().find(|name| **name != first.name.as_str());
+    let next = Rc::new(fixtures::engine_record(next.unwrap()));
+    let call = ids::CallId::new(1);
+    let target = Rc::clone(&next);
+    dispatcher.handle(
+        at(2_100),
+        dispatch::DispatchEvent::Migrated { call, target },
+    );
+    let mut present = next.key.clone();
+    if !is_resumed {
+        let migration_failed = dispatch::DispatchEvent::MigrationFailed {
+            call,
+            target: Rc::new(fixtures::engine_record(first.name.as_str())),
+            result: dispatch::AttemptResult::NotRun,
+        };
+        dispatcher.handle(at(2_150), migration_failed);
+        present = first;
+    }
+    receive_more_events(&mut dispatcher, at(2_200), 1);
+    dispatcher.handle(at(2_300), dispatch::DispatchEvent::StreamLost { call });
+    end_probe(&mut dispatcher, at(2_300), &present, false);
+    assert_eq!(lost_prompts(&dispatcher, at(2_300)), expected);
+}
+
+#[test]
+fn resumed_stream_is_sound_once_it_has_run_at_the_next_target() {
+    let mut dispatcher = fixtures::dispatcher(TARGETS);
+    let mut unused: Vec<_> = TARGETS.to_vec();
+    let first = place(&mut dispatcher, START, 1, &[FATAL]);
+    receive_events(&mut dispatcher, at(100), 1);
+    receive_more_events(&mut dispatcher, at(1_100), 1);
+    let effects = crash_target(&mut dispatcher, 1_200, 2, &[FATAL]);
+    let has_crashed = |name: &str| {
+        effects.iter().any(|effect| {
+            matches!(effect, dispatch::DispatchEffect::PromptsLost { target, .. }
+                if target.as_str() == name)
+        })
+    };
+    unused.retain(|name| *name != first.name.as_str() && !has_crashed(name));
+    let target = Rc::new(fixtures::engine_record(unused[0]));
+    let call = ids::CallId::new(1);
+    dispatcher.handle(
+        at(1_400),
+        dispatch::DispatchEvent::Migrated { call, target },
+    );
+    let effects = receive_more_events(&mut dispatcher, at(1_500), 1);
+    assert_eq!(findings(&effects), []);
+    let effects = receive_more_events(&mut dispatcher, at(2_500), 1);
+    assert_eq!(findings(&effects).len(), 1);
+}
+
 #[test]
 fn call_with_a_quarantined_part_is_refused_and_others_are_placed() {
     let mut dispatcher = fixtures::dispatcher(TARGETS);
