BUDGET: Count a stream that seems complete as its target crashes

A response may have neither a length nor chunks and end with its connection. If its target crashes between two events, the relay takes such a stream for complete: the fatal prompt was then missing from the crash, and was even recorded as sound 1 s later if only a peer had seen the crash.

Completions of short calls are kept for 1 s as before. If their target is found to have ended meanwhile, here or by a peer's report, they clear nothing, and those of the last 0.5 s count as lost there.

--- a/crates/relay/src/dispatch/prompt_crashes.rs
+++ b/crates/relay/src/dispatch/prompt_crashes.rs
@@ -27,6 +27,10 @@
 /// times what was seen.
 const FATAL_TIME: Duration = Duration::from_secs(1);
 
+/// Time from the completion of a call until its target is found to have ended, within which the
+/// completion may have been the crash: a probe and the report of a peer.
+const CRASH_REPORT_TIME: Duration = Duration::from_millis(500);
+
 /// Maximum number of completions whose targets may still turn out to have ended.
 const MAX_RECENT_COMPLETIONS: usize = 1_024;
 
@@ -35,12 +39,13 @@
 struct RecentCompletion {
     target: directory::TargetKey,
     prompt_parts: Rc<[work::PromptPartId]>,
+    sent_at: time::Timestamp,
     began_at: time::Timestamp,
     ended_at: time::Timestamp,
 }
 
 /// Completed calls, oldest first. A response may end with its connection, so that it also looks
-/// complete if the target crashes.
+/// complete if the target crashes. That becomes known by other calls there, or from a peer.
 #[derive(Debug, Default)]
 pub(super) struct RecentCompletions {
     completions: VecDeque<RecentCompletion>,
@@ -58,11 +63,41 @@
         self.completions.push_back(RecentCompletion {
             target: placed.target.key.clone(),
             prompt_parts: Rc::clone(prompt_parts),
+            sent_at: placed.sent_at,
             began_at: placed.first_event_at.unwrap_or(placed.sent_at),
             ended_at: now,
         });
     }
 
+    /// Removes the completions at a target that has ended, and returns the prompts of those that may
+    /// have been the crash.
+    fn take_lost(
+        &mut self,
+        now: time::Timestamp,
+        target: &directory::TargetKey,
+    ) -> Vec<quarantine::LostPrompt> {
+        let mut lost = Vec::new();
+        self.completions.retain(|completion| {
+            let is_lost = completion.target == *target;
+            if is_lost && now.since(completion.ended_at) < CRASH_REPORT_TIME {
+                lost.push(quarantine::LostPrompt {
+                    parts: Rc::clone(&completion.prompt_parts),
+                    sent_at: completion.sent_at,
+                    lost_at: completion.ended_at,
+                });
+            }
+            !is_lost
+        });
+        lost
+    }
+
+    /// Returns the target that crashed, if calls were completed there recently.
+    fn crashed_target(&self, crash: ids::CrashId) -> Option<directory::TargetKey> {
+        let mut targets = self.completions.iter().map(|completion| &completion.target);
+        let target = targets.find(|target| crashes::crash_id(target) == crash);
+        target.cloned()
+    }
+
     fn pop_before(&mut self, at: time::Timestamp) -> Option<RecentCompletion> {
         let first = self.completions.front()?;
         match first.ended_at < at {
@@ -150,8 +185,9 @@
         attempts: &[crashes::LostAttempt],
         effects: &mut Vec<DispatchEffect>,
     ) {
-        let prompts = attempts.iter().filter_map(|attempt| attempt.prompt.clone());
-        let prompts: Vec<_> = prompts.collect();
+        let mut prompts = self.recent_completions.take_lost(now, key);
+        let lost = attempts.iter().filter_map(|attempt| attempt.prompt.clone());
+        prompts.extend(lost);
         let crash = crashes::crash_id(key);
         let policy = &mut self.settings.prompt_parts;
         let Some(record) = policy.record_crash(now, crash, &prompts) else {
@@ -262,6 +298,14 @@
             effects.push(DispatchEffect::PromptCrashesChanged(findings));
         }
         self.review_parts(now, PartSource::Peer, effects);
+        for record in records {
+            if !record.is_disproved
+                && !record.prompts.is_empty()
+                && let Some(target) = self.recent_completions.crashed_target(record.crash)
+            {
+                self.record_prompt_crash(now, &target, &[], effects);
+            }
+        }
     }
 
     /// Decides anew which parts are quarantined, and refuses the calls that wait although they have
--- a/crates/relay/tests/dispatch/prompt_crashes.rs
+++ b/crates/relay/tests/dispatch/prompt_crashes.rs
@@ -332,6 +332,38 @@
     assert_eq!(findings(&late).len(), expected);
 }
 
+/// The fatal stream looks complete, and another one at the target is broken off.
+#[parameterized(
+    seen_here = { false },
+    reported_by_a_peer = { true },
+)]
+fn short_stream_that_completed_as_its_target_crashed_counts(is_reported: bool) {
+    let mut dispatcher = fixtures::dispatcher(&["one"]);
+    let target = place(&mut dispatcher, START, 1, &[FATAL]);
+    receive_events(&mut dispatcher, at(50), 1);
+    place(&mut dispatcher, START, 2, &[SHARED]);
+    let took = Duration::from_millis(100);
+    let succeeded = dispatch::AttemptResult::Succeeded { took };
+    end_attempt(&mut dispatcher, at(100), 1, succeeded);
+    let effects = match is_reported {
+        true => {
+            let mut peer = fixtures::dispatcher_for("peer", &["one"]);
+            let effects = crash_target(&mut peer, 0, 3, &[OTHER]);
+            report(&mut dispatcher, at(150), &findings(&effects))
+        }
+        false => {
+            end_attempt(&mut dispatcher, at(100), 2, dispatch::AttemptResult::Broken);
+            end_probe(&mut dispatcher, at(150), &target, false)
+        }
+    };
+    let told = findings(&effects);
+    assert_eq!(told.len(), 1);
+    let mut prompts = told[0].prompts.iter();
+    assert!(prompts.any(|prompt| *prompt.parts == [FATAL]));
+    let effects = dispatcher.handle(at(1_400), dispatch::DispatchEvent::Tick);
+    assert_eq!(findings(&effects), []);
+}
+
 /// The relay that reported the crash was cut off from the target.
 #[test]
 fn target_that_responds_to_another_relay_has_not_crashed() {
