--- a/crates/relay/tests/dispatch/fixtures.rs
+++ b/crates/relay/tests/dispatch/fixtures.rs
@@ -30,6 +30,7 @@
         zone: "a".parse().unwrap(),
         position: membership::CellPosition::of(&relay),
         quarantine: Box::new(quarantine::SuspectQuarantine::default()),
+        prompt_parts: Box::new(quarantine::CrashCorrelation::default()),
     });
     let changes = engines
         .iter()
@@ -75,6 +76,7 @@
         target_latency: Duration::from_millis(1_800),
         deadline: START + Duration::from_secs(39),
         fingerprint: work::RequestFingerprint::new(7),
+        prompt_parts: Rc::new([]),
         tried: Vec::new(),
     }
 }
--- a/crates/relay/tests/dispatch/main.rs
+++ b/crates/relay/tests/dispatch/main.rs
@@ -3,4 +3,6 @@
 mod crashes;
 mod decisions;
 mod fixtures;
+mod prompt_crashes;
+mod prompt_fixtures;
 mod reservations;
