--- a/crates/relay/src/dispatch/crashes.rs
+++ b/crates/relay/src/dispatch/crashes.rs
@@ -109,6 +109,8 @@
     targets: BTreeMap<directory::TargetKey, TargetLosses>,
     /// When each request was first lost at a target that ended.
     first_losses: BTreeMap<work::RequestFingerprint, time::Timestamp>,
+    /// When incarnations announced that they leave.
+    departures: BTreeMap<directory::TargetKey, time::Timestamp>,
 }
 
 impl LostAttempts {
@@ -119,6 +121,18 @@
         }
     }
 
+    /// Records that an incarnation has announced that it leaves.
+    pub(super) fn record_departure(&mut self, now: time::Timestamp, key: &directory::TargetKey) {
+        self.departures.insert(key.clone(), now);
+    }
+
+    /// Keeps an incarnation in mind that runs attempts, unless it has announced that it leaves.
+    fn track(&mut self, key: directory::TargetKey) {
+        if !self.departures.contains_key(&key) {
+            self.targets.entry(key).or_default();
+        }
+    }
+
     /// Returns whether a lost attempt was sent before its request was lost at another target that
     /// ended. It then says nothing more about the request: several targets have ended at the same
     /// time, or this relay was cut off from them.
@@ -235,6 +249,8 @@
         });
         let is_recent = |lost_at: &time::Timestamp| now.since(*lost_at) < END_RETENTION;
         self.first_losses.retain(|_, lost_at| is_recent(lost_at));
+        self.departures
+            .retain(|_, departed_at| is_recent(departed_at));
     }
 }
 
@@ -385,6 +401,14 @@
         registered: &directory::TargetKey,
         effects: &mut Vec<DispatchEffect>,
     ) {
+        let placed = self.placed.values().map(|placed| &placed.target.key);
+        let replaced: Vec<_> = placed
+            .filter(|key| key.name == registered.name && *key != registered)
+            .cloned()
+            .collect();
+        for key in replaced {
+            self.lost_attempts.track(key);
+        }
         for key in self.lost_attempts.replaced_incarnations(registered) {
             let attempts = self.lost_attempts.replace_target(now, &key);
             self.record_crash(now, &key, &attempts, effects);
--- a/crates/relay/src/dispatch/targets.rs
+++ b/crates/relay/src/dispatch/targets.rs
@@ -57,6 +57,7 @@
                 }
             }
             directory::TargetChange::Leaving(key) => {
+                self.lost_attempts.record_departure(now, &key);
                 if let Some(entry) = self.targets.get_mut(&key.name)
                     && entry.record.key == key
                 {
--- a/crates/relay/tests/dispatch/crashes.rs
+++ b/crates/relay/tests/dispatch/crashes.rs
@@ -111,6 +111,23 @@
     assert_eq!(crash_count(&dispatcher), expected);
 }
 
+/// A target that has gone dark may be back before its callers give up.
+#[parameterized(
+    without_notice = { false, 1 },
+    that_left = { true, 0 },
+)]
+fn request_lost_after_its_target_was_replaced_becomes_suspect(has_left: bool, expected: usize) {
+    let mut dispatcher = fixtures::dispatcher(TARGETS);
+    let effects = fixtures::arrive(&mut dispatcher, 1, fixtures::stream_demand(400));
+    let target = fixtures::placed_target(&effects).unwrap();
+    if has_left {
+        fixtures::announce_departure(&mut dispatcher, &target);
+    }
+    register_next_incarnation(&mut dispatcher, &fixtures::engine_record(&target).key);
+    dispatcher.handle(START, BROKEN.event(ids::CallId::new(1)));
+    assert_eq!(crash_count(&dispatcher), expected);
+}
+
 #[test]
 fn request_at_a_target_that_still_accepts_connections_is_not_suspect() {
     let mut dispatcher = fixtures::dispatcher(TARGETS);
