--- a/crates/relay/src/dispatch/prompt_crashes.rs
+++ b/crates/relay/src/dispatch/prompt_crashes.rs
@@ -121,7 +121,8 @@
         may_be_cause.then(|| quarantine::LostPrompt {
             parts: Rc::clone(&self.prompt_parts),
             sent_at: self.sent_at,
-            lost_at: now,
+            // A target that goes dark has ended when its events stop, long before that is noticed.
+            lost_at: self.first_event_at.map_or(now, |_| self.heard_at),
         })
     }
 }
