--- a/crates/relay/src/shell/server.rs
+++ b/crates/relay/src/shell/server.rs
@@ -1,7 +1,7 @@
 //! Servers for callers, for readiness probes of the platform, and for metrics.
 
-use std::cell::Cell;
 use std::convert::Infallible;
+use std::io;
 use std::net;
 use std::rc::Rc;
 use std::time::Duration;
@@ -60,7 +60,8 @@
     let peer_listener = bind(settings.peer_address).await?;
     let metrics_listener = bind(settings.metrics_address).await?;
 
-    task::spawn_local(serve_callers(Rc::clone(state), caller_listener));
+    let caller_server = task::spawn_local(serve_callers(Rc::clone(state), caller_listener));
+    state.caller_server.set(Some(caller_server));
     task::spawn_local(serve_endpoint(
         Rc::clone(state),
         readiness_listener,
@@ -81,18 +82,37 @@
         .map_err(|error| ShellError::Bind(address, error))
 }
 
+/// Stops accepting callers' connections. Returns once the connections that had been opened by then
+/// are counted and the listener is closed.
+pub(super) async fn close_caller_listener(state: &RelayState) {
+    state.stop_phase.send_replace(StopPhase::Refusing);
+    if let Some(server) = state.caller_server.take() {
+        // A server that panicked has closed its listener, too.
+        let _ = server.await;
+    }
+}
+
 async fn serve_callers(state: Rc<RelayState>, listener: TcpListener) {
+    let mut phase = state.stop_phase.subscribe();
+    tokio::select! {
+        // `wait_for` can't fail, as the state is held here and thereby the sender.
+        _ = phase.wait_for(|phase| *phase == StopPhase::Refusing) => {}
+        () = accept_callers(&state, &listener) => {}
+    }
+    if let Err(error) = accept_queued_callers(&state, listener) {
+        log::warn!("can't accept the last connections of callers: {error}");
+    }
+}
+
+/// Accepts connections until it is cancelled.
+async fn accept_callers(state: &Rc<RelayState>, listener: &TcpListener) {
     loop {
-        let max_connections = state.settings.borrow().descriptor_limit;
-        let max_connections = max_connections.saturating_sub(RESERVED_DESCRIPTORS).max(1) as usize;
-        if state.open_connections.get() >= max_connections {
+        if !can_accept(state) {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         }
         match listener.accept().await {
-            Ok((stream, _)) => {
-                task::spawn_local(serve_connection(Rc::clone(&state), stream));
-            }
+            Ok((stream, _)) => spawn_connection(state, stream),
             Err(error) => {
                 log::warn!("can't accept a caller's connection, trying again: {error}");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -101,13 +121,42 @@
     }
 }
 
-async fn serve_connection(state: Rc<RelayState>, stream: TcpStream) {
+/// Accepts the connections that wait in the system's queue, and closes the listener.
+fn accept_queued_callers(state: &Rc<RelayState>, listener: TcpListener) -> io::Result<()> {
+    // The runtime may not have noticed the latest connections yet, so the system is asked directly.
+    let listener = listener.into_std()?;
+    while can_accept(state) {
+        let stream = match listener.accept() {
+            Ok((stream, _)) => stream,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+            Err(error) => return Err(error),
+        };
+        stream.set_nonblocking(true)?;
+        spawn_connection(state, TcpStream::from_std(stream)?);
+    }
+    Ok(())
+}
+
+/// Returns whether file descriptors are left for a further connection of a caller.
+fn can_accept(state: &RelayState) -> bool {
+    let max_connections = state.settings.borrow().descriptor_limit;
+    let max_connections = max_connections.saturating_sub(RESERVED_DESCRIPTORS).max(1) as usize;
+    state.open_connections.get() < max_connections
+}
+
+/// Starts serving a connection, which counts as open at once.
+fn spawn_connection(state: &Rc<RelayState>, stream: TcpStream) {
+    let guard = ConnectionGuard::new(Rc::clone(state));
+    task::spawn_local(serve_connection(guard, stream));
+}
+
+async fn serve_connection(guard: ConnectionGuard, stream: TcpStream) {
+    let state = &guard.0;
     let opened_at = Instant::now();
     if client::enable_loss_detection(&stream).is_err() {
         // The caller has already left.
         return;
     }
-    let _connection_guard = ConnectionGuard::new(&state);
     let limits = state.routes().map(|routes| routes.table.limits());
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let max_header_bytes = limits.map_or(0, |limits| {
@@ -116,7 +165,7 @@
     let header_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.header_timeout);
     let tracker = head_timeout::HeadTracker::new();
     let socket = head_timeout::HeadTimeoutSocket::new(stream, tracker.clone(), header_timeout);
-    let service_state = Rc::clone(&state);
+    let service_state = Rc::clone(state);
     let service_tracker = tracker.clone();
     let service = service::service_fn(move |request| {
         let state = Rc::clone(&service_state);
@@ -140,7 +189,7 @@
         biased;
         // An error is on the caller's side: it left, or sent an invalid request.
         _ = connection.as_mut() => return,
-        () = wait_until_closable(&state, &tracker, opened_at) => {}
+        () = wait_until_closable(state, &tracker, opened_at) => {}
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.as_mut().await;
@@ -154,25 +203,26 @@
 ) {
     let mut phase = state.stop_phase.subscribe();
     // `wait_for` can't fail, as the caller holds the state and thereby the sender.
-    let _ = phase.wait_for(|phase| *phase == StopPhase::Closing).await;
+    let _ = phase.wait_for(|phase| *phase >= StopPhase::Closing).await;
     if tracker.is_unused() {
         tokio::time::sleep_until(opened_at + FIRST_REQUEST_TIME).await;
     }
 }
 
 /// Counts a connection as long as it is open.
-struct ConnectionGuard<'a>(&'a Cell<usize>);
+struct ConnectionGuard(Rc<RelayState>);
 
-impl<'a> ConnectionGuard<'a> {
-    fn new(state: &'a RelayState) -> Self {
+impl ConnectionGuard {
+    fn new(state: Rc<RelayState>) -> Self {
         state.open_connections.set(state.open_connections.get() + 1);
-        Self(&state.open_connections)
+        Self(state)
     }
 }
 
-impl Drop for ConnectionGuard<'_> {
+impl Drop for ConnectionGuard {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        let open_connections = &self.0.open_connections;
+        open_connections.set(open_connections.get() - 1);
     }
 }
 
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -18,6 +18,7 @@
 use tokio::sync::broadcast;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use super::RelaySettings;
@@ -45,6 +46,8 @@
     Leaving,
     /// Idle connections are closed.
     Closing,
+    /// Callers can't open connections any more.
+    Refusing,
 }
 
 /// Links that an update is sent on.
@@ -103,7 +106,10 @@
     pub(super) stop_phase: watch::Sender<StopPhase>,
     /// Set once the process has been requested to stop.
     pub(super) stop_plan: Cell<Option<stop::StopPlan>>,
+    /// Number of callers' connections from their acceptance on.
     pub(super) open_connections: Cell<usize>,
+    /// The task that accepts callers' connections; it ends once it has closed its listener.
+    pub(super) caller_server: Cell<Option<JoinHandle<()>>>,
     pub(super) open_calls: Cell<usize>,
     pub(super) peer_mailboxes: RefCell<PeerMailboxes>,
     pub(super) members: RefCell<membership::MemberTable>,
@@ -139,6 +145,7 @@
             stop_phase,
             stop_plan: Cell::new(None),
             open_connections: Cell::new(0),
+            caller_server: Cell::new(None),
             open_calls: Cell::new(0),
             peer_mailboxes: RefCell::new(BTreeMap::new()),
             members,
--- a/crates/relay/src/shell/stop.rs
+++ b/crates/relay/src/shell/stop.rs
@@ -6,6 +6,7 @@
 
 use kingcupfall_core::time;
 
+use super::server;
 use super::state::RelayState;
 use super::state::StopPhase;
 use crate::directory;
@@ -37,6 +38,9 @@
 pub struct StopPlan {
     /// Time from which idle connections are closed.
     pub closing_at: time::Timestamp,
+    /// Time from which no connections are accepted, as no call on them could be accepted either.
+    /// Those accepted before have until the end for the refusals of their calls.
+    pub refusing_at: time::Timestamp,
     /// Time at which the process ends, whether calls are open or not.
     pub ends_at: time::Timestamp,
 }
@@ -46,6 +50,7 @@
     pub fn new(now: time::Timestamp, grace: Duration) -> Self {
         Self {
             closing_at: now + READINESS_PROPAGATION_TIME.min(grace / 2),
+            refusing_at: now + grace.saturating_sub(KILL_MARGIN + RESPONSE_MARGIN),
             ends_at: now + grace.saturating_sub(KILL_MARGIN),
         }
     }
@@ -73,9 +78,11 @@
     tokio::time::sleep_until(state.instant(plan.closing_at)).await;
     state.stop_phase.send_replace(StopPhase::Closing);
 
-    while state.open_connections.get() > 0 && state.now() < plan.ends_at {
-        tokio::time::sleep(POLL_INTERVAL).await;
-    }
+    wait_for_connections(state, plan.refusing_at).await;
+    // The process ends for want of connections only when no further ones can be opened.
+    server::close_caller_listener(state).await;
+    wait_for_connections(state, plan.ends_at).await;
+
     let record = telemetry::DecisionRecord::new(telemetry::RecordKind::Stopped)
         .count(state.open_calls.get() as u64)
         .after(state.now().since(started_at));
@@ -85,3 +92,11 @@
         tokio::time::sleep(LOG_POLL_INTERVAL).await;
     }
 }
+
+/// Waits until no caller's connection is open, at most until `until`.
+async fn wait_for_connections(state: &RelayState, until: time::Timestamp) {
+    while state.open_connections.get() > 0 && state.now() < until {
+        let next_check_at = until.min(state.now() + POLL_INTERVAL);
+        tokio::time::sleep_until(state.instant(next_check_at)).await;
+    }
+}
--- a/crates/relay/tests/stop.rs
+++ b/crates/relay/tests/stop.rs
@@ -31,3 +31,11 @@
     let plan = shell::StopPlan::new(START, Duration::from_millis(300));
     assert!(!plan.accepts(CallKind::Idempotent, START));
 }
+
+#[test]
+fn refuses_connections_when_no_further_call_is_accepted() {
+    let plan = shell::StopPlan::new(START, GRACE);
+    let next_moment = plan.refusing_at + Duration::from_micros(1);
+    assert!(plan.accepts(CallKind::AtMostOnce, plan.refusing_at));
+    assert!(!plan.accepts(CallKind::AtMostOnce, next_moment));
+}
