Withdraw the crash of a target that responds again (LOST)

What callers saw: a lookup that was sent to two targets which fell silent for a second was refused as quarantined for 30 minutes, although both were sound and back.

Cause, once more silence taken for an end: a connection that isn't open after 400 ms counts as the end of a target, and nothing withdrew that later. Besides, losses that a probe had disproved, as the target still accepted connections, counted again at a later end.

Why this works: a response to an attempt that was sent after the end of its target was assumed proves that the target lives; its crash then counts for no request, also if a peer reports it later. Each relay that uses the target finds this out itself. Disproved losses count only if the target is replaced.

--- a/crates/gateway/tests/http/sessions.rs
+++ b/crates/gateway/tests/http/sessions.rs
@@ -235,6 +235,8 @@
     fn record_completion(&mut self, _now: time::Timestamp, _fingerprint: work::RequestFingerprint) {
     }
 
+    fn disprove_crash(&mut self, _crash: ids::CrashId) {}
+
     fn merge(&mut self, _now: time::Timestamp, _record: &quarantine::SuspectRecord) {}
 
     fn records(&self, _now: time::Timestamp) -> Vec<quarantine::SuspectRecord> {
--- a/crates/policy/src/quarantine/disabled.rs
+++ b/crates/policy/src/quarantine/disabled.rs
@@ -32,6 +32,8 @@
     fn record_completion(&mut self, _now: time::Timestamp, _fingerprint: work::RequestFingerprint) {
     }
 
+    fn disprove_crash(&mut self, _crash: ids::CrashId) {}
+
     fn merge(&mut self, _now: time::Timestamp, _record: &SuspectRecord) {}
 
     fn records(&self, _now: time::Timestamp) -> Vec<SuspectRecord> {
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -68,6 +68,10 @@
     /// before that no longer count, also if another process reports them later.
     fn record_completion(&mut self, now: time::Timestamp, fingerprint: work::RequestFingerprint);
 
+    /// Records that a target which was taken for crashed has responded since: the crash counts for no
+    /// request, also if another process reports it later.
+    fn disprove_crash(&mut self, crash: ids::CrashId);
+
     /// Merges an entry received from another process.
     fn merge(&mut self, now: time::Timestamp, record: &SuspectRecord);
 
--- a/crates/policy/src/quarantine/suspects.rs
+++ b/crates/policy/src/quarantine/suspects.rs
@@ -56,8 +56,17 @@
     }
 
     fn clear(&mut self) {
-        let crashes = std::mem::take(&mut self.crashes);
-        self.cleared.extend(crashes.into_iter().flatten());
+        for crash in self.crashes.into_iter().flatten() {
+            self.clear_crash(crash);
+        }
+    }
+
+    fn clear_crash(&mut self, cleared: ids::CrashId) {
+        for crash in &mut self.crashes {
+            if crash.take_if(|crash| *crash == cleared).is_some() {
+                self.cleared.push_back(cleared);
+            }
+        }
         let excess = self.cleared.len().saturating_sub(MAX_CLEARED_CRASHES);
         self.cleared.drain(..excess);
     }
@@ -187,6 +196,12 @@
         }
     }
 
+    fn disprove_crash(&mut self, crash: ids::CrashId) {
+        for entry in self.entries.values_mut() {
+            entry.clear_crash(crash);
+        }
+    }
+
     fn merge(&mut self, now: time::Timestamp, record: &SuspectRecord) {
         let lifetime = Duration::from_secs(u64::from(record.seconds_left));
         if lifetime.is_zero() {
--- a/crates/relay/src/dispatch/crashes.rs
+++ b/crates/relay/src/dispatch/crashes.rs
@@ -203,11 +203,12 @@
         self.end_target(now, key)
     }
 
-    /// Records that an incarnation has responded, so that it has not ended.
-    fn record_response(&mut self, key: &directory::TargetKey) {
-        if let Some(losses) = self.targets.get_mut(key) {
-            losses.ended_at = None;
-        }
+    /// Records that an incarnation has responded to an attempt, so that it has not ended. Returns
+    /// whether it was taken for ended when the attempt was sent.
+    fn record_response(&mut self, key: &directory::TargetKey, sent_at: time::Timestamp) -> bool {
+        let losses = self.targets.get_mut(key);
+        let ended_at = losses.and_then(|losses| losses.ended_at.take());
+        ended_at.is_some_and(|ended_at| ended_at < sent_at)
     }
 
     /// Returns the incarnations of a target that have been replaced by the registered one, and that
@@ -314,14 +315,14 @@
         let key = &attempt.target.key;
         match result {
             AttemptResult::Succeeded { .. } => {
-                self.lost_attempts.record_response(key);
+                self.record_response(attempt);
                 self.record_prompt_response(now, attempt, effects);
                 let fingerprint = attempt.fingerprint;
                 self.settings.quarantine.record_completion(now, fingerprint);
             }
-            AttemptResult::NotRun => self.lost_attempts.record_response(key),
+            AttemptResult::NotRun => self.record_response(attempt),
             AttemptResult::Failed => {
-                self.lost_attempts.record_response(key);
+                self.record_response(attempt);
                 self.record_loss(now, attempt, LossKind::Unclear, effects);
             }
             AttemptResult::Cancelled => {
@@ -338,6 +339,13 @@
         }
     }
 
+    fn record_response(&mut self, attempt: &TargetAttempt) {
+        let key = &attempt.target.key;
+        if self.lost_attempts.record_response(key, attempt.sent_at) {
+            self.settings.quarantine.disprove_crash(crash_id(key));
+        }
+    }
+
     fn record_loss(
         &mut self,
         now: time::Timestamp,
@@ -390,7 +398,8 @@
         key: &directory::TargetKey,
         effects: &mut Vec<DispatchEffect>,
     ) {
-        let attempts = self.lost_attempts.end_target(now, key);
+        let mut attempts = self.lost_attempts.end_target(now, key);
+        attempts.retain(|attempt| !attempt.is_disproved);
         self.record_crash(now, key, &attempts, effects);
     }
 
--- a/crates/relay/tests/dispatch/crashes.rs
+++ b/crates/relay/tests/dispatch/crashes.rs
@@ -111,6 +111,44 @@
     assert_eq!(crash_count(&dispatcher), expected);
 }
 
+/// A target that was only silent accepts connections again.
+#[test]
+fn request_at_targets_that_respond_again_is_not_quarantined() {
+    let mut dispatcher = fixtures::dispatcher(&["one", "two"]);
+    for call in [1, 2] {
+        let target = lose_target(&mut dispatcher, call, BROKEN);
+        end_probe(&mut dispatcher, START, target, false);
+    }
+    assert_eq!(
+        dispatcher.crash_verdict(START, REQUEST),
+        dispatch::CrashVerdict::Quarantined
+    );
+
+    let later = START + Duration::from_secs(1);
+    let demand = dispatch::CallDemand {
+        fingerprint: work::RequestFingerprint::new(8),
+        arrived_at: later,
+        ..fixtures::stream_demand(400)
+    };
+    let call = ids::CallId::new(3);
+    let arrived = dispatch::DispatchEvent::Arrived {
+        call,
+        demand: Box::new(demand),
+    };
+    dispatcher.handle(later, arrived);
+    let result = dispatch::AttemptResult::Succeeded {
+        took: Duration::from_millis(40),
+    };
+    dispatcher.handle(
+        later,
+        dispatch::DispatchEvent::AttemptEnded { call, result },
+    );
+    assert_eq!(
+        dispatcher.crash_verdict(later, REQUEST),
+        dispatch::CrashVerdict::MayRun
+    );
+}
+
 /// A target that has gone dark may be back before its callers give up.
 #[parameterized(
     without_notice = { false, 1 },
