--- a/crates/relay/src/shell/server.rs
+++ b/crates/relay/src/shell/server.rs
@@ -37,8 +37,7 @@
 /// Smallest header buffer that the HTTP library accepts.
 const MIN_HEADER_BUFFER_BYTES: usize = 8_192;
 
-/// Idle timeout of readiness and metrics connections, and of callers' connections that were opened
-/// before any routes were known.
+/// Idle timeout of readiness and metrics connections.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Time after its opening in which a connection without a request stays open while the process
@@ -157,29 +156,27 @@
         // The caller has already left.
         return;
     }
-    let limits = state.routes().map(|routes| routes.table.limits());
-    let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
-    let max_header_bytes = limits.map_or(0, |limits| {
-        usize::try_from(limits.header.get()).unwrap_or(usize::MAX)
+    // The size of the buffer can't be changed on an open connection.
+    let max_header_bytes = state.routes().map_or(0, |routes| {
+        usize::try_from(routes.table.limits().header.get()).unwrap_or(usize::MAX)
     });
-    let header_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.header_timeout);
     let tracker = head_timeout::HeadTracker::new();
-    let socket = head_timeout::HeadTimeoutSocket::new(stream, tracker.clone(), header_timeout);
+    let socket = head_timeout::HeadTimeoutSocket::new(stream, tracker.clone(), Rc::clone(state));
     let service_state = Rc::clone(state);
     let service_tracker = tracker.clone();
     let service = service::service_fn(move |request| {
         let state = Rc::clone(&service_state);
         let tracker = service_tracker.clone();
+        // Not in the future: the connection is read again before that runs.
+        tracker.record_head();
         async move {
-            tracker.record_head();
             let response = handle_request(state, request).await;
-            tracker.record_response();
-            response
+            response.map(|response| response.map(|body| tracker.track_body(body)))
         }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle_timeout)
+        // The socket limits the time for heads.
+        .header_read_timeout(None)
         .max_buf_size(max_header_bytes.max(MIN_HEADER_BUFFER_BYTES))
         .serve_connection(TokioIo::new(socket), service);
 
