--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -60,6 +60,14 @@
     pub tried: Vec<ids::TargetName>,
 }
 
+/// When an attempt was sent, its first event was received, and its target was last heard from.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct AttemptTimes {
+    sent_at: time::Timestamp,
+    first_event_at: Option<time::Timestamp>,
+    heard_at: time::Timestamp,
+}
+
 /// A call that was assigned a target.
 #[derive(Debug)]
 pub(super) struct PlacedCall {
@@ -73,8 +81,8 @@
     pub(super) heard_at: time::Timestamp,
     /// When the first event from the target was received.
     pub(super) first_event_at: Option<time::Timestamp>,
-    /// The same for the target before a migration that may still fail.
-    pub(super) previous_first_event_at: Option<time::Timestamp>,
+    /// Times at the target before a migration that may still fail.
+    pub(super) previous_times: Option<AttemptTimes>,
     /// Whether the stream has been recorded as sound at the target.
     pub(super) is_sound: bool,
     /// Load of all relays at the target when it was chosen, without this call.
@@ -96,6 +104,27 @@
         }
     }
 
+    /// Starts the times of an attempt at another target, and keeps those of the present one.
+    pub(super) fn start_times(&mut self, now: time::Timestamp) {
+        self.previous_times = Some(AttemptTimes {
+            sent_at: self.sent_at,
+            first_event_at: self.first_event_at,
+            heard_at: self.heard_at,
+        });
+        self.sent_at = now;
+        self.first_event_at = None;
+        self.heard_at = now;
+    }
+
+    /// Restores the times of the attempt before a migration that failed.
+    pub(super) fn restore_times(&mut self) {
+        if let Some(times) = self.previous_times.take() {
+            self.sent_at = times.sent_at;
+            self.first_event_at = times.first_event_at;
+            self.heard_at = times.heard_at;
+        }
+    }
+
     /// Returns the tokens held in the target's memory.
     pub(super) fn used_tokens(&self) -> u64 {
         match &self.demand.engine {
--- a/crates/relay/src/dispatch/migrations.rs
+++ b/crates/relay/src/dispatch/migrations.rs
@@ -94,9 +94,7 @@
             return;
         };
         placed.copy_holder = None;
-        placed.sent_at = now;
-        placed.heard_at = now;
-        placed.previous_first_event_at = placed.first_event_at.take();
+        placed.start_times(now);
         placed.is_sound = false;
         let previous = std::mem::replace(&mut placed.target, Rc::clone(&target));
         self.changed_targets.insert(previous.key.name.clone());
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -132,7 +132,7 @@
                     let attempt = placed.attempt();
                     placed.target = target;
                     placed.copy_holder = None;
-                    placed.first_event_at = placed.previous_first_event_at;
+                    placed.restore_times();
                     self.assess_result(now, &attempt, result, &mut effects);
                 }
             }
@@ -302,7 +302,7 @@
             sent_at: now,
             heard_at: now,
             first_event_at: None,
-            previous_first_event_at: None,
+            previous_times: None,
             is_sound: false,
             load_at_placement: present_load,
             has_started: false,
--- a/crates/relay/tests/dispatch/prompt_crashes.rs
+++ b/crates/relay/tests/dispatch/prompt_crashes.rs
@@ -226,6 +226,43 @@
     assert_eq!(quarantined_parts(&dispatcher), []);
 }
 
+/// A failed resumption must not make a stream look as if it had been sent after the crash.
+#[test]
+fn streams_lost_at_one_time_quarantine_nothing_after_failed_resumptions() {
+    let mut dispatcher = fixtures::dispatcher(TARGETS);
+    let targets: Vec<_> = (0..6)
+        .map(|call| place(&mut dispatcher, at(call), call, &[FATAL]))
+        .collect();
+    for call in 0..6 {
+        receive_events(&mut dispatcher, at(100), call);
+    }
+    let unused = TARGETS
+        .iter()
+        .find(|name| targets.iter().all(|target| target.name.as_str() != **name));
+    let holder = Rc::new(fixtures::engine_record(unused.unwrap()));
+    for (number, key) in (0..).zip(&targets) {
+        let call = ids::CallId::new(number);
+        let lost_at = at(200 + 10 * number);
+        dispatcher.handle(lost_at, dispatch::DispatchEvent::StreamLost { call });
+        let target = Rc::clone(&holder);
+        dispatcher.handle(lost_at, dispatch::DispatchEvent::Migrated { call, target });
+        let migration_failed = dispatch::DispatchEvent::MigrationFailed {
+            call,
+            target: Rc::new(fixtures::engine_record(key.name.as_str())),
+            result: dispatch::AttemptResult::Unreachable,
+        };
+        dispatcher.handle(lost_at, migration_failed);
+        let result = dispatch::AttemptResult::Broken;
+        end_attempt(&mut dispatcher, lost_at, number, result);
+    }
+    for target in &targets {
+        end_probe(&mut dispatcher, at(300), target, false);
+    }
+    assert_eq!(lost_prompts(&dispatcher, at(300)), targets.len());
+    dispatcher.handle(at(5_000), dispatch::DispatchEvent::Tick);
+    assert_eq!(quarantined_parts(&dispatcher), []);
+}
+
 /// A stream lost with its target may be the cause, and would crash its copy holder too.
 #[parameterized(
     probe_under_way = { None, dispatch::CrashVerdict::Unresolved },
