--- a/crates/relay/src/shell/peer_exchange.rs
+++ b/crates/relay/src/shell/peer_exchange.rs
@@ -51,9 +51,6 @@
         peer_messages::PeerMessage::Suspects(records) => {
             state.submit(dispatch::DispatchEvent::SuspectsReported(records));
         }
-        peer_messages::PeerMessage::PromptCrashes(records) => {
-            state.submit(dispatch::DispatchEvent::PromptCrashesReported(records));
-        }
         peer_messages::PeerMessage::Routes(text) => match (state.decode_routes)(&text) {
             Some(table) => {
                 directory_events::handle_routes(
--- a/crates/relay/src/shell/peer_messages.rs
+++ b/crates/relay/src/shell/peer_messages.rs
@@ -43,9 +43,6 @@
     /// Requests that crashed targets of the sender.
     #[serde(rename = "s")]
     Suspects(Vec<quarantine::SuspectRecord>),
-    /// What the sender learnt of crashes that may be due to prompts.
-    #[serde(rename = "x")]
-    PromptCrashes(Vec<quarantine::PromptCrash>),
     /// Encoded routes, as they were published.
     #[serde(rename = "r")]
     Routes(#[serde(with = "serde_with::As::<serde_with::Bytes>")] Vec<u8>),
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -410,10 +410,8 @@
             dispatch::DispatchEffect::PromptsLost { target, prompts } => {
                 return prompt_parts::record_lost_prompts(self, &target, &prompts);
             }
-            dispatch::DispatchEffect::PromptCrashesChanged(records) => {
-                let message = super::PeerMessage::PromptCrashes(records);
-                return self.broadcast(UpdateScope::All, &message);
-            }
+            // Peers learn of these with the next heartbeat.
+            dispatch::DispatchEffect::PromptCrashesChanged(_) => return,
             dispatch::DispatchEffect::PartsChanged { changes, source } => {
                 return prompt_parts::record_changes(self, &changes, &source);
             }
