Allow for the time between events in the date of a loss (BUDGET)

When several targets ended at one time, or a relay was cut off from them, streams that had just begun counted as crashes one after the other, and a part that they share could be refused.

Cause: a loss was dated by the stream's last event. Events come at intervals, so the last one of a stream may have come before another stream was sent, although both targets ended later, together.

Evidence: streams_between_whose_events_targets_ended_quarantine_nothing failed, with the part of four streams quarantined, if the allowance is zero.

Why this works: the loss is dated 250 ms after the last event, and no later than it was noticed. That covers the time between events of a busy target.

--- a/crates/relay/src/dispatch/prompt_crashes.rs
+++ b/crates/relay/src/dispatch/prompt_crashes.rs
@@ -27,6 +27,10 @@
 /// times what was seen.
 const FATAL_TIME: Duration = Duration::from_secs(1);
 
+/// Time after its last event within which the target of a stream ends: that between two events of a
+/// busy target, and more. Streams that are lost at one time are then all dated after they were sent.
+const MAX_EVENT_GAP: Duration = Duration::from_millis(250);
+
 /// Time from the completion of a call until its target is found to have ended, within which the
 /// completion may have been the crash: a probe and the report of a peer.
 const CRASH_REPORT_TIME: Duration = Duration::from_millis(500);
@@ -122,7 +126,9 @@
             parts: Rc::clone(&self.prompt_parts),
             sent_at: self.sent_at,
             // A target that goes dark has ended when its events stop, long before that is noticed.
-            lost_at: self.first_event_at.map_or(now, |_| self.heard_at),
+            lost_at: self
+                .first_event_at
+                .map_or(now, |_| now.min(self.heard_at + MAX_EVENT_GAP)),
         })
     }
 }
--- a/crates/relay/tests/dispatch/prompt_crashes.rs
+++ b/crates/relay/tests/dispatch/prompt_crashes.rs
@@ -226,6 +226,29 @@
     assert_eq!(quarantined_parts(&dispatcher), []);
 }
 
+/// Events don't come all at once: when targets end together, a stream may have begun after the last
+/// event of another one.
+#[test]
+fn streams_between_whose_events_targets_ended_quarantine_nothing() {
+    let mut dispatcher = fixtures::dispatcher(TARGETS);
+    let targets: Vec<_> = (0..4)
+        .map(|call| {
+            let sent_ms = 60 * call;
+            let target = place(&mut dispatcher, at(sent_ms), call, &[FATAL]);
+            receive_events(&mut dispatcher, at(sent_ms + 50), call);
+            target
+        })
+        .collect();
+    for (call, target) in (0..).zip(&targets) {
+        let result = dispatch::AttemptResult::TimedOut;
+        end_attempt(&mut dispatcher, at(1_100), call, result);
+        end_probe(&mut dispatcher, at(1_100), target, false);
+    }
+    assert_eq!(lost_prompts(&dispatcher, at(1_100)), targets.len());
+    dispatcher.handle(at(5_000), dispatch::DispatchEvent::Tick);
+    assert_eq!(quarantined_parts(&dispatcher), []);
+}
+
 /// A failed resumption must not make a stream look as if it had been sent after the crash.
 #[test]
 fn streams_lost_at_one_time_quarantine_nothing_after_failed_resumptions() {
