--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -68,8 +68,8 @@
     /// before that no longer count, also if another process reports them later.
     fn record_completion(&mut self, now: time::Timestamp, fingerprint: work::RequestFingerprint);
 
-    /// Records that a target which was taken for crashed has responded since: the crash counts for no
-    /// request, also if another process reports it later.
+    /// Records that a target which was taken for crashed has responded since: the crash counts for
+    /// no request, also if another process reports it later.
     fn disprove_crash(&mut self, crash: ids::CrashId);
 
     /// Merges an entry received from another process.
@@ -78,8 +78,8 @@
     /// Returns all entries that have not expired.
     fn records(&self, now: time::Timestamp) -> Vec<SuspectRecord>;
 
-    /// Returns the entries that changed after the first `change_count` changes and have not expired,
-    /// and the number of all changes.
+    /// Returns the entries that changed after the first `change_count` changes and have not
+    /// expired, and the number of all changes.
     fn records_after(&self, now: time::Timestamp, change_count: u64) -> (Vec<SuspectRecord>, u64);
 
     /// Returns the entry of a request, unless there is none or it has expired.
--- a/crates/policy/src/quarantine/prompt_parts/correlation.rs
+++ b/crates/policy/src/quarantine/prompt_parts/correlation.rs
@@ -21,8 +21,8 @@
 /// Time for which a crash counts, and with it the quarantine of the parts that it is due to.
 const CRASH_DURATION: Duration = Duration::from_secs(1_800);
 
-/// Maximum number of crashes. In a full table a new one replaces the oldest, if possible one that is
-/// no reason for a quarantine.
+/// Maximum number of crashes. In a full table a new one replaces the oldest, if possible one that
+/// is no reason for a quarantine.
 const MAX_CRASHES: usize = 128;
 
 /// Maximum number of prompts of a crash, more than run at a target; the first ones in their order
@@ -145,8 +145,8 @@
     }
 }
 
-/// Policy that quarantines the parts that explain repeated crashes best. All processes that know the
-/// same crashes quarantine the same parts.
+/// Policy that quarantines the parts that explain repeated crashes best. All processes that know
+/// the same crashes quarantine the same parts.
 #[derive(Debug, Default)]
 pub struct CrashCorrelation {
     entries: BTreeMap<ids::CrashId, CrashEntry>,
--- a/crates/policy/src/quarantine/prompt_parts/mod.rs
+++ b/crates/policy/src/quarantine/prompt_parts/mod.rs
@@ -110,8 +110,8 @@
 
 /// Finds the prompt parts that crash targets.
 pub trait PromptPartPolicy {
-    /// Returns the first quarantined part of a prompt, if any. Of parts that explain the same crashes,
-    /// only one is quarantined, and only in prompts that have all of them.
+    /// Returns the first quarantined part of a prompt, if any. Of parts that explain the same
+    /// crashes, only one is quarantined, and only in prompts that have all of them.
     fn quarantined_part(&self, parts: &[work::PromptPartId]) -> Option<PartQuarantine>;
 
     /// Returns all quarantined parts.
@@ -132,8 +132,8 @@
     ) -> Option<PromptCrash>;
 
     /// Records that a stream with these parts, whose output began at `began_at`, has got further
-    /// than one that crashes its target. Crashes before that are not due to these parts. Returns what
-    /// is new, for other processes.
+    /// than one that crashes its target. Crashes before that are not due to these parts. Returns
+    /// what is new, for other processes.
     fn record_sound_stream(
         &mut self,
         now: time::Timestamp,
@@ -141,8 +141,8 @@
         began_at: time::Timestamp,
     ) -> Vec<PromptCrash>;
 
-    /// Records that the target of a crash responded to a request that was sent at `sent_at`; if that
-    /// was after the crash, there was none. Returns what is new, for other processes.
+    /// Records that the target of a crash responded to a request that was sent at `sent_at`; if
+    /// that was after the crash, there was none. Returns what is new, for other processes.
     fn record_response(
         &mut self,
         now: time::Timestamp,
--- a/crates/policy/src/quarantine/prompt_parts/verdict.rs
+++ b/crates/policy/src/quarantine/prompt_parts/verdict.rs
@@ -18,9 +18,9 @@
 /// Number of crashes from which on a part is reported as suspected.
 const SUSPECTED_CRASHES: usize = 2;
 
-/// Time between the report of a part's first crash and its quarantine, in which relays find its sound
-/// streams: 1 s from their first event, and as long again to wait for such a stream and to hear of
-/// it.
+/// Time between the report of a part's first crash and its quarantine, in which relays find its
+/// sound streams: 1 s from their first event, and as long again to wait for such a stream and to
+/// hear of it.
 const HEARING_TIME: Duration = Duration::from_secs(2);
 
 /// A part of a prompt that was lost in a crash.
--- a/crates/policy/tests/prompt_parts/fleet.rs
+++ b/crates/policy/tests/prompt_parts/fleet.rs
@@ -1,5 +1,5 @@
-//! Simulates a fleet of relays whose targets crash, for random causes or because of a prompt part, and
-//! counts how many requests with the part reach targets and how many sound ones are refused.
+//! Simulates a fleet of relays whose targets crash, for random causes or because of a prompt part,
+//! and counts how many requests with the part reach targets and how many sound ones are refused.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -354,7 +354,8 @@
         }
     }
 
-    /// Returns the number of fatal requests that were sent to targets too late after the fifth crash.
+    /// Returns the number of fatal requests that were sent to targets too late after the fifth
+    /// crash.
     fn late_requests(&self) -> usize {
         let fifth_ms = self.fatal_crashes_ms.get(4).copied().unwrap_or(u64::MAX);
         let limit_ms = fifth_ms.saturating_add(GRACE_MS);
--- a/crates/relay/src/dispatch/crashes.rs
+++ b/crates/relay/src/dispatch/crashes.rs
@@ -3,8 +3,8 @@
 //! A relay sees a crash only as attempts without a complete response, and many other faults look
 //! the same. Such an attempt makes its request a suspect once the target is known to have ended
 //! without notice: nothing accepts connections at its address any more, or another incarnation has
-//! registered under its name. A request that may have crashed as many targets as quarantine it waits
-//! until that is known.
+//! registered under its name. A request that may have crashed as many targets as quarantine it
+//! waits until that is known.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -261,8 +261,8 @@
         self.settings.quarantine.records(now)
     }
 
-    /// Returns the suspicions that changed after the first `change_count` changes, and the number of
-    /// all changes.
+    /// Returns the suspicions that changed after the first `change_count` changes, and the number
+    /// of all changes.
     pub fn suspects_after(
         &self,
         now: time::Timestamp,
--- a/crates/relay/src/dispatch/prompt_crashes.rs
+++ b/crates/relay/src/dispatch/prompt_crashes.rs
@@ -1,9 +1,9 @@
 //! Finds out which parts of prompts crash targets, from the streams that were lost in crashes and
 //! those that were not.
 //!
-//! A target crashes soon after it has begun to generate for such a prompt. A stream that has run for
-//! longer is therefore not the cause of a crash, and none of its parts crashed a target before it
-//! began.
+//! A target crashes soon after it has begun to generate for such a prompt. A stream that has run
+//! for longer is therefore not the cause of a crash, and none of its parts crashed a target before
+//! it began.
 
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -28,7 +28,8 @@
 const FATAL_TIME: Duration = Duration::from_secs(1);
 
 /// Time after its last event within which the target of a stream ends: that between two events of a
-/// busy target, and more. Streams that are lost at one time are then all dated after they were sent.
+/// busy target, and more. Streams that are lost at one time are then all dated after they were
+/// sent.
 const MAX_EVENT_GAP: Duration = Duration::from_millis(250);
 
 /// Time from the completion of a call until its target is found to have ended, within which the
@@ -73,8 +74,8 @@
         });
     }
 
-    /// Removes the completions at a target that has ended, and returns the prompts of those that may
-    /// have been the crash.
+    /// Removes the completions at a target that has ended, and returns the prompts of those that
+    /// may have been the crash.
     fn take_lost(
         &mut self,
         now: time::Timestamp,
--- a/crates/relay/src/shell/resumption.rs
+++ b/crates/relay/src/shell/resumption.rs
@@ -30,8 +30,8 @@
 /// Outcome recorded when a stream may not be resumed, as its request has crashed targets.
 const QUARANTINED: &str = "quarantined";
 
-/// Outcome recorded when a stream may not be resumed, as its target ended just after it began to run
-/// it.
+/// Outcome recorded when a stream may not be resumed, as its target ended just after it began to
+/// run it.
 const MAY_BE_CAUSE: &str = "its target ended as it began";
 
 /// Result of an attempt to resume a stream. An error is how the attempt ended.
@@ -39,8 +39,8 @@
 
 impl StreamForwarder {
     /// Resumes the stream at the target that holds `copy`. Returns whether it did; if its request
-    /// has or may have crashed targets, the budget does not allow it or that target does not accept it, the
-    /// stream stays assigned to its current target.
+    /// has or may have crashed targets, the budget does not allow it or that target does not accept
+    /// it, the stream stays assigned to its current target.
     pub(super) async fn resume(&mut self, copy: forwarder::MemoryCopy, cause: &str) -> bool {
         let outcome = match self.state.resumption_verdict(self.call.id).await {
             dispatch::CrashVerdict::MayRun => None,
--- a/crates/relay/src/shell/suspects.rs
+++ b/crates/relay/src/shell/suspects.rs
@@ -15,8 +15,8 @@
 use crate::dispatch;
 use crate::telemetry;
 
-/// Interval at which a stream checks whether it may be resumed: a fraction of the pause that a probe
-/// causes.
+/// Interval at which a stream checks whether it may be resumed: a fraction of the pause that a
+/// probe causes.
 const VERDICT_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Checks after `delay` whether a target accepts connections, and reports it to the dispatcher.
--- a/crates/relay/src/telemetry/records.rs
+++ b/crates/relay/src/telemetry/records.rs
@@ -72,8 +72,8 @@
     PromptsLost,
     /// A part of prompts is suspected of having crashed targets.
     PartSuspected,
-    /// Requests with a part of their prompts have crashed too many targets: they are refused from now
-    /// on.
+    /// Requests with a part of their prompts have crashed too many targets: they are refused from
+    /// now on.
     PartQuarantined,
     /// A part of prompts is neither suspected nor quarantined any more.
     PartCleared,
@@ -145,8 +145,8 @@
     pub fingerprint: Option<Box<str>>,
     /// Part of the prompt that is the reason.
     pub part: Option<Box<str>>,
-    /// Shared parts of the prompts that were lost: those of a prompt joined by commas, the prompts by
-    /// semicolons.
+    /// Shared parts of the prompts that were lost: those of a prompt joined by commas, the prompts
+    /// by semicolons.
     pub prompts: Option<Box<str>>,
     /// Name of the request's route.
     pub route: Option<Box<str>>,
--- a/crates/relay/tests/dispatch/prompt_crashes.rs
+++ b/crates/relay/tests/dispatch/prompt_crashes.rs
@@ -1,5 +1,5 @@
-//! Tests of the conclusions from streams that were lost in crashes: which prompt parts crash targets,
-//! and what follows.
+//! Tests of the conclusions from streams that were lost in crashes: which prompt parts crash
+//! targets, and what follows.
 
 use std::rc::Rc;
 use std::time::Duration;
