Continue a stream after the last event that its caller has (ORDER)

On routes with streamResume a caller may resume after a broken connection with Last-Event-Id. The relay took the header for one of its own and removed it, so the target started over and the caller got its first events again. Nothing read streamResume.

Now the header is passed on where the route allows resumption, and events up to that id are dropped if a target starts over all the same. Such a stream is repeatable: it may run again at another target, before the head of its response or midway within one response, as far as maxAttempts and the retry budget allow. On other routes the header is still removed.

--- a/crates/relay/src/directory/routes.rs
+++ b/crates/relay/src/directory/routes.rs
@@ -87,6 +87,9 @@
     pub services: Vec<ServiceShare>,
     /// Maximum number of targets at which one request may run.
     pub max_attempts: u32,
+    /// Whether a stream may be resumed at any target after the last event that its caller has.
+    /// Always false for other kinds.
+    pub can_resume: bool,
     /// Whether requests are accepted without a key.
     pub is_anonymous: bool,
 }
@@ -226,6 +229,15 @@
 }
 
 impl RouteRule {
+    /// Returns whether a request may run again after it may have run at a target.
+    pub fn is_repeatable(&self) -> bool {
+        match self.kind {
+            CallKind::Idempotent => true,
+            CallKind::AtMostOnce => false,
+            CallKind::Stream => self.can_resume,
+        }
+    }
+
     /// Chooses a service by weight, given a `draw` that is uniform in [0, 1). Returns `None` if the
     /// route has no services.
     pub fn choose_service(&self, draw: f64) -> Option<&ids::ServiceName> {
--- a/crates/relay/src/protocol/mod.rs
+++ b/crates/relay/src/protocol/mod.rs
@@ -34,12 +34,14 @@
     pub prompt_tokens: u64,
     /// Number of output tokens that the caller expects, or its maximum if it states no estimate.
     pub output_tokens: u64,
+    /// Id of the last event that the caller has, if it resumes a stream.
+    pub last_event: Option<u64>,
     /// Parts of the prompt that other requests may share, in their order in the prompt, each once;
     /// at most [`MAX_PROMPT_PARTS`].
     pub prompt_parts: Box<[work::PromptPartId]>,
 }
 
-/// How a target resumes a stream that another target began.
+/// The copy from which a target resumes a stream that another target began.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StreamResumption {
     /// Address under which the copy of the stream's memory is identified: the copy holder's for a
@@ -47,8 +49,6 @@
     pub handle_address: net::SocketAddr,
     /// Handle that identifies the copy at this address.
     pub handle: Box<str>,
-    /// Id of the last event that was forwarded to the caller, if any.
-    pub last_event: Option<u64>,
 }
 
 /// Metadata that the relay adds to a request when it forwards it to a target.
@@ -64,8 +64,10 @@
     pub urgency: Option<u8>,
     /// Address of the target that is to hold a copy of the request's memory.
     pub copy_to: Option<net::SocketAddr>,
-    /// Set if the target is to resume a stream.
+    /// Copy from which the target is to resume a stream.
     pub resumption: Option<&'a StreamResumption>,
+    /// Id of the last event that the caller has; the target continues after it.
+    pub last_event: Option<u64>,
 }
 
 /// How a response to a forwarded request is classified.
--- a/crates/relay/src/shell/buffered.rs
+++ b/crates/relay/src/shell/buffered.rs
@@ -45,9 +45,9 @@
 }
 
 /// Attempts of one call so far, by outcome.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Copy, Default)]
 pub(super) struct AttemptCounts {
-    may_have_run: u32,
+    pub(super) may_have_run: u32,
     not_run: u32,
     unreachable: u32,
 }
@@ -243,6 +243,7 @@
         urgency: None,
         copy_to: None,
         resumption: None,
+        last_event: None,
     };
     let request = forwarded_request(state, call, &head);
     let mut exchange = std::pin::pin!(client::exchange(target.address, request, time_left));
@@ -356,13 +357,13 @@
     counts: &mut AttemptCounts,
     outcome: AttemptOutcome,
 ) -> NextStep {
-    let is_idempotent = call.route.kind == directory::CallKind::Idempotent;
+    let is_repeatable = call.route.is_repeatable();
     match outcome {
         AttemptOutcome::Responded(parts, body, class) => {
             counts.may_have_run += 1;
             let is_failure =
                 class == protocol::ResponseClass::Failure && parts.status.is_server_error();
-            if is_failure && is_idempotent && try_acquire_retry(state, call, counts) {
+            if is_failure && is_repeatable && try_acquire_retry(state, call, counts) {
                 return NextStep::Retry;
             }
             let label = match class {
@@ -389,7 +390,7 @@
         }
         AttemptOutcome::Unknown(_) => {
             counts.may_have_run += 1;
-            if is_idempotent && try_acquire_retry(state, call, counts) {
+            if is_repeatable && try_acquire_retry(state, call, counts) {
                 return NextStep::Retry;
             }
             NextStep::Respond(unknown_outcome_response(state, &call.demand), "unknown")
@@ -403,7 +404,7 @@
 
 /// Takes a retry from the budget if the route, the deadline and the budget allow one. Returns
 /// whether they do.
-fn try_acquire_retry(
+pub(super) fn try_acquire_retry(
     state: &RelayState,
     call: &intake::AcceptedCall,
     counts: &AttemptCounts,
--- a/crates/relay/src/shell/forwarder.rs
+++ b/crates/relay/src/shell/forwarder.rs
@@ -12,6 +12,7 @@
 use kingcupfall_core::time;
 use tokio::sync::mpsc;
 
+use super::buffered;
 use super::client;
 use super::intake;
 use super::memory_migration;
@@ -65,6 +66,8 @@
 pub(super) struct StreamForwarder {
     pub(super) state: Rc<RelayState>,
     pub(super) call: Box<intake::AcceptedCall>,
+    /// Attempts of the call, the current one included.
+    pub(super) counts: buffered::AttemptCounts,
     pub(super) target: Rc<directory::TargetRecord>,
     pub(super) copy_holder: Option<Rc<directory::TargetRecord>>,
     /// The response of the current target; `None` once its connection has been closed, which stops
@@ -74,6 +77,8 @@
     pub(super) parser: protocol::EventParser,
     pub(super) last_event_id: Option<u64>,
     pub(super) event_count: u64,
+    /// Whether the current target has sent an event.
+    pub(super) has_run_started: bool,
     pub(super) last_received_at: time::Timestamp,
     pub(super) first_event_after: Option<Duration>,
     pub(super) longest_gap: Duration,
@@ -87,21 +92,25 @@
     pub(super) fn new(
         state: Rc<RelayState>,
         call: Box<intake::AcceptedCall>,
+        mut counts: buffered::AttemptCounts,
         placement: dispatch::CallPlacement,
         upstream: client::OpenResponse,
         sender: mpsc::Sender<responses::StreamChunk>,
     ) -> Self {
         let now = state.now();
+        counts.may_have_run += 1;
         Self {
+            last_event_id: call.resumed_after(),
             state,
             call,
+            counts,
             target: placement.target,
             copy_holder: placement.copy_holder,
             upstream: Some(upstream),
             sender,
             parser: protocol::EventParser::default(),
-            last_event_id: None,
             event_count: 0,
+            has_run_started: false,
             last_received_at: now,
             first_event_after: None,
             longest_gap: Duration::ZERO,
@@ -242,12 +251,14 @@
             self.first_event_after = Some(took);
             let metrics = &self.state.metrics;
             metrics.record_first_event(&self.call.class(), took);
-            self.state.submit(dispatch::DispatchEvent::Started { call });
         } else {
             let gap = now.since(self.last_received_at);
             self.longest_gap = self.longest_gap.max(gap);
             self.state.metrics.record_event_gap(gap);
         }
+        if !std::mem::replace(&mut self.has_run_started, true) {
+            self.state.submit(dispatch::DispatchEvent::Started { call });
+        }
         self.event_count += 1;
         self.last_received_at = now;
         self.state.submit(dispatch::DispatchEvent::Progressed {
@@ -309,6 +320,9 @@
         {
             return None;
         }
+        if self.run_again(cause).await {
+            return None;
+        }
         Some(self.record_lost(cause))
     }
 
--- a/crates/relay/src/shell/intake.rs
+++ b/crates/relay/src/shell/intake.rs
@@ -122,6 +122,12 @@
             .map(|organisation| organisation.name.as_str())
     }
 
+    /// Returns the id of the last event that the caller has from an earlier attempt, on routes whose
+    /// streams may be resumed.
+    pub(super) fn resumed_after(&self) -> Option<u64> {
+        self.head.last_event.filter(|_| self.route.can_resume)
+    }
+
     /// Returns the class under which metrics count the call.
     pub(super) fn class(&self) -> telemetry::CallClass<'_> {
         call_class(&self.route, &self.demand.service)
--- a/crates/relay/src/shell/mod.rs
+++ b/crates/relay/src/shell/mod.rs
@@ -12,6 +12,7 @@
 mod peer_links;
 mod peer_messages;
 mod prompt_parts;
+mod rerun;
 mod responses;
 mod resumption;
 mod server;
--- a/crates/relay/src/shell/resumption.rs
+++ b/crates/relay/src/shell/resumption.rs
@@ -42,15 +42,7 @@
     /// has or may have crashed targets, the budget does not allow it or that target does not accept
     /// it, the stream stays assigned to its current target.
     pub(super) async fn resume(&mut self, copy: forwarder::MemoryCopy, cause: &str) -> bool {
-        let outcome = match self.state.resumption_verdict(self.call.id).await {
-            dispatch::CrashVerdict::MayRun => None,
-            dispatch::CrashVerdict::Quarantined | dispatch::CrashVerdict::Unresolved => {
-                Some(QUARANTINED)
-            }
-            dispatch::CrashVerdict::MayBeCause => Some(MAY_BE_CAUSE),
-        };
-        if let Some(outcome) = outcome {
-            self.record_migration_failure(outcome);
+        if !self.may_resume_elsewhere().await {
             return false;
         }
         let resumption = dispatch::RepeatKind::Resumption;
@@ -101,14 +93,36 @@
         .after(self.state.now().since(self.last_received_at));
         self.state.record(&record);
         self.state.metrics.record_resumption("resumed");
-        self.target = copy.holder;
-        self.replace_copy_holder(next_holder);
+        self.continue_at(copy.holder, next_holder, upstream);
+        true
+    }
+
+    /// Continues the stream with the response of another target.
+    pub(super) fn continue_at(
+        &mut self,
+        target: Rc<directory::TargetRecord>,
+        copy_holder: Option<Rc<directory::TargetRecord>>,
+        upstream: client::OpenResponse,
+    ) {
+        self.target = target;
+        self.replace_copy_holder(copy_holder);
         self.abandon_migration();
         self.migration = None;
         self.parser = protocol::EventParser::default();
         self.silence.restart(self.state.now());
         self.upstream = Some(upstream);
-        true
+    }
+
+    /// Returns whether the stream may reach another target: not if its request has or may have
+    /// crashed targets.
+    pub(super) async fn may_resume_elsewhere(&self) -> bool {
+        let outcome = match self.state.resumption_verdict(self.call.id).await {
+            dispatch::CrashVerdict::MayRun => return true,
+            dispatch::CrashVerdict::Quarantined | dispatch::CrashVerdict::Unresolved => QUARANTINED,
+            dispatch::CrashVerdict::MayBeCause => MAY_BE_CAUSE,
+        };
+        self.record_migration_failure(outcome);
+        false
     }
 
     /// Builds the request that resumes the stream from a copy.
@@ -120,7 +134,6 @@
         let resumption = protocol::StreamResumption {
             handle_address: copy.handle_address,
             handle: copy.handle.clone(),
-            last_event: self.last_event_id,
         };
         let head = protocol::ForwardedHead {
             target: &copy.holder.key,
@@ -129,6 +142,7 @@
             urgency: Some(RESUMED_URGENCY),
             copy_to: next_holder.map(|holder| holder.address),
             resumption: Some(&resumption),
+            last_event: self.last_event_id,
         };
         buffered::forwarded_request(&self.state, &self.call, &head)
     }
--- a/crates/relay/src/shell/silence.rs
+++ b/crates/relay/src/shell/silence.rs
@@ -108,9 +108,9 @@
         {
             return None;
         }
-        match self.upstream {
-            Some(_) => None,
-            None => Some(self.record_lost(CAUSE)),
+        if self.upstream.is_some() || self.run_again(CAUSE).await {
+            return None;
         }
+        Some(self.record_lost(CAUSE))
     }
 }
--- a/crates/relay/src/shell/stream.rs
+++ b/crates/relay/src/shell/stream.rs
@@ -28,7 +28,7 @@
 const LOWEST_URGENCY: u8 = 9;
 
 /// Outcome of opening a stream at a target.
-enum OpenOutcome {
+pub(super) enum OpenOutcome {
     /// The stream has started.
     Opened(client::OpenResponse),
     /// Any other outcome, handled as for buffered calls.
@@ -48,9 +48,10 @@
         };
         let target = Rc::clone(&placement.target);
         let started_at = state.now();
-        let outcome = match open_stream(state, &call, &placement).await {
+        let last_event = call.resumed_after();
+        let outcome = match open_stream(state, &call, &placement, last_event).await {
             OpenOutcome::Opened(response) => {
-                return start_response(state, call, placement, response);
+                return start_response(state, call, counts, placement, response);
             }
             OpenOutcome::Ended(outcome) => outcome,
         };
@@ -69,10 +70,12 @@
         .min(LOWEST_URGENCY)
 }
 
-async fn open_stream(
+/// Sends a stream to a target, which continues it after the last event that its caller has.
+pub(super) async fn open_stream(
     state: &RelayState,
     call: &intake::AcceptedCall,
     placement: &dispatch::CallPlacement,
+    last_event: Option<u64>,
 ) -> OpenOutcome {
     let head = protocol::ForwardedHead {
         target: &placement.target.key,
@@ -81,6 +84,7 @@
         urgency: Some(urgency(call.demand.rank)),
         copy_to: placement.copy_holder.as_ref().map(|holder| holder.address),
         resumption: None,
+        last_event,
     };
     let request = buffered::forwarded_request(state, call, &head);
     let deadline = state.instant(call.demand.deadline);
@@ -118,6 +122,7 @@
 fn start_response(
     state: &Rc<RelayState>,
     call: Box<intake::AcceptedCall>,
+    counts: buffered::AttemptCounts,
     placement: dispatch::CallPlacement,
     upstream: client::OpenResponse,
 ) -> responses::CallResponse {
@@ -126,8 +131,14 @@
     *response.status_mut() = upstream.parts.status;
     *response.headers_mut() = state.protocol.response_headers(&upstream.parts.headers);
 
-    let forwarder =
-        forwarder::StreamForwarder::new(Rc::clone(state), call, placement, upstream, sender);
+    let forwarder = forwarder::StreamForwarder::new(
+        Rc::clone(state),
+        call,
+        counts,
+        placement,
+        upstream,
+        sender,
+    );
     task::spawn_local(forwarder.run());
     response
 }
