Feed the changes of targets from two readers of each cell to the others

In a fleet of 12 relays or more two relays of each cell, those with the lowest positions, now read the targets for the others: each response of the store, also one without changes, is passed on to the cell as a delta that confirms the sender's revision. A relay that has received none for 1.5 to 2 s, or lacks earlier changes, reads the store itself and feeds its cell in turn, so that no agreement on the readers is needed. The configuration is still watched by all relays. The delta has one more field, which older relays ignore.

A batch of removals that covers some time no longer counts targets that came and went meanwhile when it is compared with half of the table.

--- a/crates/relay/src/directory/mod.rs
+++ b/crates/relay/src/directory/mod.rs
@@ -52,6 +52,8 @@
         /// Directory revision at which the record was removed or replaced.
         revision: DirectoryRevision,
     },
+    /// All changes of targets up to the directory's last response have been reported.
+    Confirmed,
     /// The directory stopped responding.
     Lost,
     /// The directory responds again.
--- a/crates/relay/src/directory/table.rs
+++ b/crates/relay/src/directory/table.rs
@@ -74,6 +74,10 @@
     /// Names of the removed records, with the revision at which each was removed.
     #[serde(rename = "g")]
     pub removed: Vec<(ids::TargetName, DirectoryRevision)>,
+    /// Whether the sender has just received a response of the directory that confirms the newer
+    /// table. False from relays that do not know this field.
+    #[serde(rename = "f", default)]
+    pub is_confirmed: bool,
 }
 
 /// Targets by name. An incarnation whose departure is final never becomes usable again.
@@ -141,6 +145,7 @@
             removed: removed
                 .map(|(key, departure)| (key.name.clone(), departure.revision))
                 .collect(),
+            is_confirmed: false,
         }
     }
 
@@ -290,7 +295,12 @@
         if self.is_directory_lost || is_recent {
             return true;
         }
-        names.len() > 1 && names.len() as f64 >= MIN_EXPIRED_SHARE * self.entries.len() as f64
+        // A batch that covers some time also names targets that came and went meanwhile.
+        let known = names
+            .iter()
+            .filter(|name| self.entries.contains_key(*name))
+            .count();
+        known > 1 && known as f64 >= MIN_EXPIRED_SHARE * self.entries.len() as f64
     }
 
     fn write_record(&mut self, record: TargetRecord, changes: &mut Vec<TargetChange>) {
--- a/crates/relay/src/membership/cell.rs
+++ b/crates/relay/src/membership/cell.rs
@@ -48,6 +48,11 @@
         Self(bits)
     }
 
+    /// Returns the number of cells at this depth.
+    pub const fn cell_count(self) -> usize {
+        1 << self.0
+    }
+
     /// Returns true if both positions are in the same cell at this depth.
     pub const fn is_same_cell(self, first: CellPosition, second: CellPosition) -> bool {
         match self.0 {
--- a/crates/relay/src/membership/table.rs
+++ b/crates/relay/src/membership/table.rs
@@ -25,6 +25,12 @@
 /// cells over them.
 const OTHER_CELL_LINKS: usize = 6;
 
+/// Number of relays of each cell that read the targets from the directory for the others.
+const READERS_PER_CELL: usize = 2;
+
+/// Number of relays from which on some read for the others; in a smaller fleet all of them read.
+const MIN_FED_FLEET: usize = 12;
+
 /// What one relay reports to its peers about another one.
 #[serde_as]
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -100,6 +106,35 @@
         CellDepth::for_relays(self.relay_count())
     }
 
+    /// Returns whether the fleet is large enough for some relays to read for the others.
+    pub fn has_readers(&self) -> bool {
+        self.relay_count() >= MIN_FED_FLEET
+    }
+
+    /// Returns whether this relay reads the targets from the directory for its cell: all relays of a
+    /// small fleet do, and those of a cell with the lowest positions. Relays with different views
+    /// may disagree, which costs a few calls, or leaves a cell without a reader until its relays
+    /// notice that none feeds them.
+    pub fn is_reader(&self) -> bool {
+        if !self.has_readers() {
+            return true;
+        }
+        let depth = self.depth();
+        let lower = self.members.values().filter(|member| {
+            member.position < self.own_position
+                && depth.is_same_cell(self.own_position, member.position)
+        });
+        lower.take(READERS_PER_CELL).count() < READERS_PER_CELL
+    }
+
+    /// Returns about how many relays read the targets from the directory.
+    pub fn reader_count(&self) -> usize {
+        match self.has_readers() {
+            true => self.depth().cell_count() * READERS_PER_CELL,
+            false => self.relay_count(),
+        }
+    }
+
     /// Returns true if the relay at `address` is in the cell of this one.
     pub fn is_same_cell(&self, address: net::SocketAddr) -> bool {
         self.depth()
--- a/crates/relay/src/shell/directory_events.rs
+++ b/crates/relay/src/shell/directory_events.rs
@@ -51,6 +51,7 @@
 ) {
     let mut written = Vec::new();
     let mut removed = Vec::new();
+    let mut is_confirmed = false;
     let mut next_event = Some(event);
     while let Some(event) = next_event {
         match event {
@@ -58,6 +59,7 @@
             directory::DirectoryEvent::Removed { name, revision } => {
                 removed.push((name, revision));
             }
+            directory::DirectoryEvent::Confirmed => is_confirmed = true,
             other => handle_other_event(state, other),
         }
         next_event = events.try_recv().ok();
@@ -69,6 +71,9 @@
             .apply_changes(state.now(), written, removed);
         apply_target_changes(state, changes, "directory");
     }
+    if is_confirmed {
+        state.feed_peers();
+    }
 }
 
 /// Handles an event that does not concern the record of a single target.
@@ -99,7 +104,9 @@
                 .version(state.targets.borrow().revision().get());
             state.record(&record);
         }
-        directory::DirectoryEvent::Written(_) | directory::DirectoryEvent::Removed { .. } => {}
+        directory::DirectoryEvent::Written(_)
+        | directory::DirectoryEvent::Removed { .. }
+        | directory::DirectoryEvent::Confirmed => {}
     }
 }
 
--- a/crates/relay/src/shell/mod.rs
+++ b/crates/relay/src/shell/mod.rs
@@ -4,6 +4,7 @@
 mod buffered;
 mod client;
 mod directory_events;
+mod directory_feed;
 mod forwarder;
 mod head_timeout;
 mod intake;
--- a/crates/relay/src/shell/peer_exchange.rs
+++ b/crates/relay/src/shell/peer_exchange.rs
@@ -64,8 +64,12 @@
         },
         peer_messages::PeerMessage::Targets(delta) => {
             let now = state.now();
+            let (revision, is_confirmed) = (delta.revision, delta.is_confirmed);
             let changes = state.targets.borrow_mut().apply_delta(now, delta);
             directory_events::apply_target_changes(state, changes, directory_events::PEER_SOURCE);
+            if is_confirmed {
+                state.record_feed(revision);
+            }
         }
     }
     Vec::new()
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -22,6 +22,7 @@
 use tokio::time::Instant;
 
 use super::RelaySettings;
+use super::directory_feed;
 use super::prompt_parts;
 use super::stop;
 use super::suspects;
@@ -119,7 +120,8 @@
     pub(super) updates: broadcast::Sender<PeerUpdate>,
     routes: RefCell<Option<ActiveRoutes>>,
     routes_activated_at: Cell<time::Timestamp>,
-    directory_responded_at: Cell<time::Timestamp>,
+    pub(super) directory_responded_at: Cell<time::Timestamp>,
+    pub(super) directory_feed: directory_feed::DirectoryFeed,
     dispatcher: RefCell<dispatch::Dispatcher>,
     pub(super) retry_budgets: RefCell<BTreeMap<ids::ServiceName, dispatch::RetryBudget>>,
     inboxes: RefCell<HashMap<ids::CallId, mpsc::UnboundedSender<dispatch::DispatchEffect>>>,
@@ -155,6 +157,7 @@
             routes: RefCell::new(None),
             routes_activated_at: Cell::default(),
             directory_responded_at: Cell::default(),
+            directory_feed: directory_feed::DirectoryFeed::default(),
             dispatcher: RefCell::new(setup.dispatcher),
             retry_budgets: RefCell::new(BTreeMap::new()),
             inboxes: RefCell::new(HashMap::new()),
--- a/crates/relay/tests/membership.rs
+++ b/crates/relay/tests/membership.rs
@@ -42,6 +42,47 @@
     START + Duration::from_millis(millis)
 }
 
+/// Relays that agree on the fleet: two of each cell read for the others, and all of a small fleet.
+#[parameterized(
+    single = { 1, 1 },
+    small = { 11, 11 },
+    one_cell = { 31, 2 },
+    hundred = { 100, 8 },
+    three_hundred = { 300, 16 },
+    target_size = { 2_600, 128 },
+)]
+fn is_reader_holds_for_few_relays_of_each_cell(relays: usize, expected: usize) {
+    let tables: Vec<_> = (0..relays).map(|own| member_table(own, relays)).collect();
+    let readers: Vec<_> = (0..relays).filter(|own| tables[*own].is_reader()).collect();
+    assert_eq!(readers.len(), expected);
+    assert_eq!(tables[0].reader_count(), expected);
+    for (own, table) in tables.iter().enumerate() {
+        let has_reader = readers
+            .iter()
+            .any(|reader| *reader == own || table.is_same_cell(address(*reader)));
+        assert!(has_reader, "relay {own} has no reader in its cell");
+    }
+}
+
+/// The members of a cell stay known for a while after they are gone; then others take their place.
+#[test]
+fn is_reader_passes_on_when_the_readers_expire() {
+    let relays = 31;
+    let tables: Vec<_> = (0..relays).map(|own| member_table(own, relays)).collect();
+    let is_reader = |own: &usize| tables[*own].is_reader();
+    let (readers, others): (Vec<_>, Vec<_>) = (0..relays).partition(is_reader);
+    let later = after(20_000);
+    let successors = others.iter().filter(|own| {
+        let mut table = member_table(**own, relays);
+        for member in others.iter().filter(|member| member != own) {
+            table.record_received(address(*member), later);
+        }
+        table.remove_expired(later);
+        table.is_reader()
+    });
+    assert_eq!(successors.count(), readers.len());
+}
+
 #[parameterized(
     small = { 31 },
     one_cell = { 47 },
