End streams at their limits, and complete only by the forwarder's word

Two faults, each shown by a test that failed before (platform/tests/relay/faults.rs): - A target that sent an event without end filled the relay's memory until the deadline of the call (bytes_without_end_are_cut_off::in_an_event, not ended after 10 s). An incomplete event of more than 256 KiB now breaks the stream. - A caller that read nothing held its target beyond the deadline, as the forwarder waited for room in the caller's queue (stream_of_a_caller_that_reads_nothing_ends_at_its_deadline). The wait now ends at the deadline.

Found by reading: a response ended as complete whenever its sender was dropped, also by a panic of the forwarder's task. It now ends so only after the forwarder has said it is complete.

--- a/crates/relay/src/protocol/events.rs
+++ b/crates/relay/src/protocol/events.rs
@@ -9,6 +9,10 @@
 /// Prefix of the line with an event's id.
 const ID_FIELD: &[u8] = b"id:";
 
+/// Length beyond which an incomplete event counts as bytes without end: some hundred times the
+/// length of a usual event.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// One complete event.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StreamEvent {
@@ -57,6 +61,12 @@
     pub fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
     }
+
+    /// Returns true if the buffer holds an incomplete event that is longer than any event may be;
+    /// the caller stops reading the stream then, so that the buffer stays bounded.
+    pub fn has_overlong_event(&self) -> bool {
+        self.buffer.len() > MAX_EVENT_BYTES
+    }
 }
 
 fn parse_id(event: &[u8]) -> Option<u64> {
--- a/crates/relay/src/shell/forwarder.rs
+++ b/crates/relay/src/shell/forwarder.rs
@@ -10,7 +10,6 @@
 use http_body_util::BodyExt;
 use hyper::body;
 use kingcupfall_core::time;
-use tokio::sync::mpsc;
 
 use super::buffered;
 use super::client;
@@ -73,7 +72,7 @@
     /// The response of the current target; `None` once its connection has been closed, which stops
     /// the target.
     pub(super) upstream: Option<client::OpenResponse>,
-    pub(super) sender: mpsc::Sender<responses::StreamChunk>,
+    pub(super) sender: responses::StreamSender,
     pub(super) parser: protocol::EventParser,
     pub(super) last_event_id: Option<u64>,
     pub(super) event_count: u64,
@@ -95,7 +94,7 @@
         mut counts: buffered::AttemptCounts,
         placement: dispatch::CallPlacement,
         upstream: client::OpenResponse,
-        sender: mpsc::Sender<responses::StreamChunk>,
+        sender: responses::StreamSender,
     ) -> Self {
         let now = state.now();
         counts.may_have_run += 1;
@@ -212,6 +211,9 @@
                 return Some(end);
             }
         }
+        if self.parser.has_overlong_event() {
+            return self.recover("an event is too long").await;
+        }
         None
     }
 
@@ -238,9 +240,12 @@
         }
         self.record_event(now);
         self.last_event_id = event.id.or(self.last_event_id);
-        match self.sender.send(Ok(event.bytes)).await {
-            Ok(()) => None,
-            Err(_) => Some(StreamEnd::CallerLeft),
+        // A caller that doesn't read must not keep its target beyond the deadline.
+        let deadline = self.state.instant(self.call.demand.deadline);
+        match tokio::time::timeout_at(deadline, self.sender.send(event.bytes)).await {
+            Ok(Ok(())) => None,
+            Ok(Err(responses::StreamInterrupted)) => Some(StreamEnd::CallerLeft),
+            Err(_) => Some(StreamEnd::TimedOut),
         }
     }
 
@@ -390,10 +395,8 @@
             call: self.call.id,
             result,
         });
-        if end != StreamEnd::Completed {
-            // A caller that has left does not see this. Any other caller must not take the stream
-            // for complete.
-            let _ = self.sender.send(Err(responses::StreamInterrupted)).await;
+        if end == StreamEnd::Completed {
+            self.sender.complete();
         }
     }
 }
--- a/crates/relay/src/shell/responses.rs
+++ b/crates/relay/src/shell/responses.rs
@@ -1,8 +1,10 @@
 //! Responses to callers.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::fmt;
 use std::pin;
+use std::rc::Rc;
 use std::task;
 use std::time::Duration;
 
@@ -30,15 +32,68 @@
 
 impl std::error::Error for StreamInterrupted {}
 
-/// Bytes of a stream, or the error that ends it early.
-pub(super) type StreamChunk = Result<Bytes, StreamInterrupted>;
+/// Sends the events of a stream to the response that its caller reads. Dropped without
+/// [`StreamSender::complete`], it interrupts the response, however its task ended.
+#[derive(Debug)]
+pub(super) struct StreamSender {
+    events: mpsc::Sender<Bytes>,
+    is_complete: Rc<Cell<bool>>,
+}
+
+impl StreamSender {
+    /// Queues an event; waits while the caller reads too slowly.
+    ///
+    /// # Errors
+    ///
+    /// [`StreamInterrupted`] if the caller has left.
+    pub(super) async fn send(&self, event: Bytes) -> Result<(), StreamInterrupted> {
+        self.events.send(event).await.map_err(|_| StreamInterrupted)
+    }
+
+    /// Waits until the caller has left.
+    pub(super) async fn closed(&self) {
+        self.events.closed().await;
+    }
+
+    /// Returns whether the caller has left.
+    pub(super) fn is_closed(&self) -> bool {
+        self.events.is_closed()
+    }
+
+    /// Lets the response end as complete once all queued events are read.
+    pub(super) fn complete(&self) {
+        self.is_complete.set(true);
+    }
+}
+
+/// Events of a stream that a caller reads.
+#[derive(Debug)]
+pub struct StreamEvents {
+    events: mpsc::Receiver<Bytes>,
+    is_complete: Rc<Cell<bool>>,
+}
+
+/// Creates a stream's sender, and the body that holds up to `max_queued` events for the caller.
+pub(super) fn stream_channel(max_queued: usize) -> (StreamSender, ResponseBody) {
+    let (sender, receiver) = mpsc::channel(max_queued);
+    let is_complete = Rc::new(Cell::new(false));
+    let sender = StreamSender {
+        events: sender,
+        is_complete: Rc::clone(&is_complete),
+    };
+    let body = ResponseBody::Stream(StreamEvents {
+        events: receiver,
+        is_complete,
+    });
+    (sender, body)
+}
 
 /// Body of a response.
 pub enum ResponseBody {
     /// A body that is completely known.
     Buffered(Full<Bytes>),
     /// A body that is forwarded in chunks.
-    Stream(mpsc::Receiver<StreamChunk>),
+    Stream(StreamEvents),
 }
 
 impl body::Body for ResponseBody {
@@ -53,9 +108,11 @@
             Self::Buffered(buffered) => pin::Pin::new(buffered)
                 .poll_frame(context)
                 .map_err(|infallible: Infallible| match infallible {}),
-            Self::Stream(receiver) => receiver
-                .poll_recv(context)
-                .map(|chunk| chunk.map(|chunk| chunk.map(body::Frame::data))),
+            Self::Stream(stream) => stream.events.poll_recv(context).map(|event| match event {
+                Some(event) => Some(Ok(body::Frame::data(event))),
+                None if stream.is_complete.get() => None,
+                None => Some(Err(StreamInterrupted)),
+            }),
         }
     }
 
--- a/crates/relay/src/shell/stream.rs
+++ b/crates/relay/src/shell/stream.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use http::Response;
-use tokio::sync::mpsc;
 use tokio::task;
 
 use super::buffered;
@@ -17,8 +16,8 @@
 use crate::protocol;
 use crate::telemetry;
 
-/// Chunks that are queued for a caller that reads slowly; beyond that, its target is slowed down.
-const MAX_QUEUED_CHUNKS: usize = 64;
+/// Events that are queued for a caller that reads slowly; beyond that, its target is slowed down.
+const MAX_QUEUED_EVENTS: usize = 64;
 
 /// Urgency of new streams with rank 0. Smaller values, which are more urgent, are for streams that
 /// are resumed at another target.
@@ -126,8 +125,8 @@
     placement: dispatch::CallPlacement,
     upstream: client::OpenResponse,
 ) -> responses::CallResponse {
-    let (sender, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
-    let mut response = Response::new(responses::ResponseBody::Stream(receiver));
+    let (sender, body) = responses::stream_channel(MAX_QUEUED_EVENTS);
+    let mut response = Response::new(body);
     *response.status_mut() = upstream.parts.status;
     *response.headers_mut() = state.protocol.response_headers(&upstream.parts.headers);
 
