Send nothing to targets that announce their departure or ask for a pause (DRAIN, BUDGET)

The 421 of another instance at the address says nothing of the registered one. - After a 503 with Retry-After the relay sends that incarnation nothing for that time: calls go elsewhere, or wait if the pause is short. If all targets of a service pause for longer than a call may wait, it is refused at once, and its caller returns after the pause, spread over half of its length. A stream is not resumed at a copy holder that pauses.

--- a/crates/core/src/work/mod.rs
+++ b/crates/core/src/work/mod.rs
@@ -64,6 +64,11 @@
         Self(value)
     }
 
+    /// Returns the fingerprint's number.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
     /// Hashes the parts of a request; `resource` is the model or the service with its path.
     pub fn of_request(organisation: &ids::OrganisationName, resource: &str, body: &[u8]) -> Self {
         let mut hasher = xxh3::Xxh3::new();
--- a/crates/relay/src/directory/table.rs
+++ b/crates/relay/src/directory/table.rs
@@ -262,6 +262,15 @@
         changes
     }
 
+    /// Applies the departure that a target announced itself.
+    pub fn apply_announced_departure(&mut self, key: &TargetKey) -> Vec<TargetChange> {
+        let departure = TargetDeparture {
+            revision: self.revision,
+            is_final: true,
+        };
+        self.apply_departures(&[(key.clone(), departure)])
+    }
+
     /// Removes records that the directory still lacks at the end of the grace period for another
     /// registration.
     pub fn remove_expired(&mut self, now: time::Timestamp) -> Vec<TargetChange> {
--- a/crates/relay/src/dispatch/admission.rs
+++ b/crates/relay/src/dispatch/admission.rs
@@ -4,6 +4,7 @@
 
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
+use kingcupfall_core::work;
 use kingcupfall_policy::quarantine;
 
 use super::CallDemand;
@@ -29,6 +30,19 @@
 /// `Retry-After` of a call whose service has no known target.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Share of a pause of all targets by which the returns of refused callers are spread.
+const RETURN_SPREAD_SHARE: f64 = 0.5;
+
+/// Number of different times at which refused callers return.
+const RETURN_SLOTS: u64 = 16;
+
+/// Adds a part of `pause` that depends on the request, so that the callers who were refused during
+/// a pause do not all return at its end.
+fn spread_return(pause: Duration, fingerprint: work::RequestFingerprint) -> Duration {
+    let slot = (fingerprint.get() % RETURN_SLOTS) as f64 / RETURN_SLOTS as f64;
+    pause.mul_f64(1.0 + RETURN_SPREAD_SHARE * slot)
+}
+
 impl Dispatcher {
     pub(super) fn handle_arrival(
         &mut self,
@@ -126,8 +140,16 @@
         let Some(demand) = self.waiting.get(call) else {
             return;
         };
+        let max_wait = queue::max_wait(demand);
+        if let Some(pause) = self.service_pause(now, &demand.service)
+            && pause > max_wait
+        {
+            let retry_after = spread_return(pause, demand.fingerprint);
+            let reason = RefusalReason::QueueTooLong;
+            return self.refuse_until(now, call, reason, retry_after, effects);
+        }
         let wait = self.expected_wait(now, demand);
-        if wait <= queue::max_wait(demand) {
+        if wait <= max_wait {
             return;
         }
         self.refuse(now, call, RefusalReason::QueueTooLong, wait, effects);
@@ -169,6 +191,19 @@
         reason: RefusalReason,
         wait: Duration,
         effects: &mut Vec<DispatchEffect>,
+    ) {
+        let retry_after = wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        self.refuse_until(now, call, reason, retry_after, effects);
+    }
+
+    /// Refuses a waiting call whose caller is to return after `retry_after`.
+    fn refuse_until(
+        &mut self,
+        now: time::Timestamp,
+        call: ids::CallId,
+        reason: RefusalReason,
+        retry_after: Duration,
+        effects: &mut Vec<DispatchEffect>,
     ) {
         let Some(demand) = self.waiting.remove(call) else {
             return;
@@ -177,7 +212,6 @@
             self.refused_requests
                 .record(now, demand.fingerprint, demand.first_requested_at);
         }
-        let retry_after = wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         let refusal = CallRefusal {
             reason,
             retry_after,
--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -104,6 +104,13 @@
         /// Whether it accepted a connection.
         is_reachable: bool,
     },
+    /// A target asked for a pause in which it gets no requests of this relay.
+    TargetPaused {
+        /// Incarnation that asked for it.
+        target: directory::TargetKey,
+        /// Length of the pause.
+        pause: Duration,
+    },
     /// A peer reported requests that crashed targets.
     SuspectsReported(Vec<quarantine::SuspectRecord>),
     /// A peer reported crashes that may be due to prompts, or what it learnt of them.
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -149,6 +149,7 @@
                 self.handle_probe(now, &target, is_reachable, &mut effects);
                 self.place_waiting(now, &mut effects);
             }
+            DispatchEvent::TargetPaused { target, pause } => self.pause_target(now, &target, pause),
             DispatchEvent::SuspectsReported(records) => {
                 self.merge_suspects(now, &records, &mut effects);
             }
--- a/crates/relay/src/dispatch/targets.rs
+++ b/crates/relay/src/dispatch/targets.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
@@ -22,6 +23,8 @@
     pub(super) record: Rc<directory::TargetRecord>,
     pub(super) is_leaving: bool,
     pub(super) health: TargetHealth,
+    /// End of the pause that the target asked for.
+    pub(super) paused_until: time::Timestamp,
     /// Whether the target was unhealthy at the last check.
     pub(super) was_unhealthy: bool,
     /// Position of the target, which determines its cell.
@@ -49,6 +52,7 @@
                             record,
                             is_leaving: false,
                             health: TargetHealth::default(),
+                            paused_until: time::Timestamp::ZERO,
                             was_unhealthy: false,
                             position: membership::CellPosition::of(&name),
                         };
@@ -78,6 +82,43 @@
         }
     }
 
+    /// Handles the request of a target to get nothing for some time. A later, shorter pause does not
+    /// end an earlier one.
+    pub(super) fn pause_target(
+        &mut self,
+        now: time::Timestamp,
+        key: &directory::TargetKey,
+        pause: Duration,
+    ) {
+        if let Some(entry) = self.targets.get_mut(&key.name)
+            && entry.record.key == *key
+        {
+            entry.paused_until = entry.paused_until.max(now + pause);
+        }
+    }
+
+    /// Returns whether an incarnation of a target has asked for a pause that has not ended.
+    pub fn is_paused(&self, now: time::Timestamp, key: &directory::TargetKey) -> bool {
+        self.targets
+            .get(&key.name)
+            .is_some_and(|entry| entry.record.key == *key && entry.paused_until > now)
+    }
+
+    /// Returns how long no target of a service accepts work, if all those that stay have asked for
+    /// a pause.
+    pub(super) fn service_pause(
+        &self,
+        now: time::Timestamp,
+        service: &ids::ServiceName,
+    ) -> Option<Duration> {
+        let staying = self
+            .targets
+            .values()
+            .filter(|entry| !entry.is_leaving && entry.record.service == *service);
+        let earliest_end = staying.map(|entry| entry.paused_until).min()?;
+        (earliest_end > now).then(|| earliest_end.since(now))
+    }
+
     /// Returns whether this incarnation of a target accepts new work.
     pub(super) fn accepts_work(&self, key: &directory::TargetKey) -> bool {
         self.targets
@@ -145,6 +186,7 @@
         .filter(|(_, entry)| {
             entry.record.service == *service
                 && !entry.is_leaving
+                && entry.paused_until <= now
                 && !entry.health.is_backed_off(now)
         })
         .collect();
--- a/crates/relay/src/protocol/mod.rs
+++ b/crates/relay/src/protocol/mod.rs
@@ -84,6 +84,15 @@
     Foreign,
 }
 
+/// What a target says of itself in the head of a response, whatever became of the request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TargetNotice {
+    /// Whether the target leaves: it accepts no new work from now on.
+    pub is_leaving: bool,
+    /// Time for which the target wants no requests of this relay.
+    pub pause: Option<Duration>,
+}
+
 /// Response to a request to copy a stream's memory to another target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum MigrationResponse {
@@ -111,6 +120,10 @@
     /// Classifies the head of a response to the request with this id.
     fn classify_response(&self, response: &response::Parts, request_id: &str) -> ResponseClass;
 
+    /// Decodes what a target says of itself in the head of a response. Nothing is taken from the
+    /// response of another target at the same address.
+    fn read_notice(&self, response: &response::Parts) -> TargetNotice;
+
     /// Returns those headers of a target's response that are forwarded to the caller.
     fn response_headers(&self, headers: &HeaderMap) -> HeaderMap;
 
--- a/crates/relay/src/shell/buffered.rs
+++ b/crates/relay/src/shell/buffered.rs
@@ -252,7 +252,7 @@
     if may_retry {
         let timeout = time_left.mul_f64(RETRYABLE_ATTEMPT_SHARE);
         match tokio::time::timeout(timeout, exchange.as_mut()).await {
-            Ok(result) => return attempt_outcome(state, call, result),
+            Ok(result) => return attempt_outcome(state, call, target, result),
             Err(_) if try_acquire_replacement(state, call, target) => {
                 return AttemptOutcome::Abandoned;
             }
@@ -260,7 +260,7 @@
             Err(_) => {}
         }
     }
-    attempt_outcome(state, call, exchange.await)
+    attempt_outcome(state, call, target, exchange.await)
 }
 
 /// Takes a retry from the budget that replaces an attempt at a silent target, if another target is
@@ -279,10 +279,14 @@
 fn attempt_outcome(
     state: &RelayState,
     call: &intake::AcceptedCall,
+    target: &directory::TargetRecord,
     result: client::Result<(response::Parts, Bytes)>,
 ) -> AttemptOutcome {
     match result {
-        Ok((parts, body)) => classify_attempt(state, call, parts, body),
+        Ok((parts, body)) => {
+            state.handle_notice(&target.key, &parts);
+            classify_attempt(state, call, parts, body)
+        }
         Err(client::SendError::Unreachable(_)) => AttemptOutcome::Unreachable,
         Err(client::SendError::Broken(_) | client::SendError::Incomplete(_)) => {
             AttemptOutcome::Unknown(dispatch::AttemptResult::Broken)
--- a/crates/relay/src/shell/memory_migration.rs
+++ b/crates/relay/src/shell/memory_migration.rs
@@ -47,7 +47,10 @@
             .migration_request(&request_id, source.address, target.address);
     let response =
         match client::exchange(source.address, migration_request, MIGRATION_TIMEOUT).await {
-            Ok((parts, body)) => Some(state.protocol.read_migration_response(parts.status, &body)),
+            Ok((parts, body)) => {
+                state.handle_notice(&source.key, &parts);
+                Some(state.protocol.read_migration_response(parts.status, &body))
+            }
             Err(error) => {
                 log::debug!(
                     "can't migrate stream {request_id} from target {}: {error}",
--- a/crates/relay/src/shell/mod.rs
+++ b/crates/relay/src/shell/mod.rs
@@ -9,6 +9,7 @@
 mod head_timeout;
 mod intake;
 mod memory_migration;
+mod notices;
 mod peer_exchange;
 mod peer_links;
 mod peer_messages;
--- a/crates/relay/src/shell/resumption.rs
+++ b/crates/relay/src/shell/resumption.rs
@@ -34,6 +34,9 @@
 /// run it.
 const MAY_BE_CAUSE: &str = "its target ended as it began";
 
+/// Outcome recorded when the target that holds the copy wants no requests.
+const PAUSED: &str = "the copy holder asked for a pause";
+
 /// Result of an attempt to resume a stream. An error is how the attempt ended.
 type Result<T> = result::Result<T, dispatch::AttemptResult>;
 
@@ -45,6 +48,13 @@
         if !self.may_resume_elsewhere().await {
             return false;
         }
+        let is_paused = |dispatcher: &mut dispatch::Dispatcher, now| {
+            dispatcher.is_paused(now, &copy.holder.key)
+        };
+        if self.state.with_dispatcher(is_paused) {
+            self.record_migration_failure(PAUSED);
+            return false;
+        }
         let resumption = dispatch::RepeatKind::Resumption;
         if !self
             .state
@@ -177,6 +187,7 @@
                 client::SendError::TimedOut => dispatch::AttemptResult::TimedOut,
             }
         })?;
+        self.state.handle_notice(&copy.holder.key, &response.parts);
         let class = self
             .state
             .protocol
--- a/crates/relay/src/shell/stream.rs
+++ b/crates/relay/src/shell/stream.rs
@@ -103,6 +103,7 @@
         }
     };
 
+    state.handle_notice(&placement.target.key, &response.parts);
     let class = state
         .protocol
         .classify_response(&response.parts, &call.head.request_id);
