--- a/crates/relay/src/directory/table.rs
+++ b/crates/relay/src/directory/table.rs
@@ -158,6 +158,7 @@
         if since > self.revision || delta.revision < self.revision {
             return Vec::new();
         }
+        self.begin_era(now, delta.revision);
         let changes = self.apply_changes(now, delta.written, delta.removed);
         self.revision = self.revision.max(delta.revision);
         changes
@@ -192,6 +193,7 @@
         if revision < self.revision {
             return Vec::new();
         }
+        self.begin_era(now, revision);
         let listed: BTreeSet<_> = records
             .iter()
             .map(|record| record.key.name.clone())
@@ -295,6 +297,20 @@
         changes
     }
 
+    /// Prepares for the records of a later era of the directory, if `revision` belongs to one.
+    /// Targets that the directory's copy lacks get time to register again, and its records don't
+    /// bring departed incarnations back.
+    fn begin_era(&mut self, now: time::Timestamp, revision: DirectoryRevision) {
+        let is_first = self.revision == DirectoryRevision::default();
+        if is_first || revision.era() <= self.revision.era() {
+            return;
+        }
+        self.directory_regained_at = Some(now);
+        for departure in self.departures.values_mut() {
+            departure.revision = departure.revision.max(revision);
+        }
+    }
+
     /// Returns true if records that disappear now have probably expired while the directory was
     /// unreachable, so that their targets may register again.
     fn is_expiry(&self, now: time::Timestamp, names: &[ids::TargetName]) -> bool {
--- a/crates/relay/src/directory/target.rs
+++ b/crates/relay/src/directory/target.rs
@@ -7,7 +7,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Bits of a revision that hold its number within an era; the directory's counter stays far below.
+const NUMBER_BITS: u32 = 48;
+
 /// Revision of the platform's directory; it grows with each change.
+///
+/// When the directory returns from an older copy of itself, a new era begins and numbers are given
+/// out again. Any revision of a later era is newer.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -15,20 +21,33 @@
 pub struct DirectoryRevision(u64);
 
 impl DirectoryRevision {
-    /// Creates a revision from its number.
+    /// Creates a revision of a directory that has always been in its first era.
     pub const fn new(number: u64) -> Self {
-        Self(number)
+        Self::in_era(0, number)
+    }
+
+    /// Creates the revision with this number in an era.
+    pub const fn in_era(era: u64, number: u64) -> Self {
+        Self(era << NUMBER_BITS | number)
+    }
+
+    /// Returns the revision's era.
+    pub const fn era(self) -> u64 {
+        self.0 >> NUMBER_BITS
     }
 
-    /// Returns the revision's number.
+    /// Returns the revision's number within its era.
     pub const fn get(self) -> u64 {
-        self.0
+        self.0 & ((1 << NUMBER_BITS) - 1)
     }
 }
 
 impl fmt::Display for DirectoryRevision {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(formatter)
+        match self.era() {
+            0 => self.0.fmt(formatter),
+            era => write!(formatter, "{era}/{}", self.get()),
+        }
     }
 }
 
--- a/crates/relay/src/shell/directory_events.rs
+++ b/crates/relay/src/shell/directory_events.rs
@@ -83,6 +83,14 @@
             handle_routes(state, table, text, "directory");
         }
         directory::DirectoryEvent::Listed { revision, targets } => {
+            let known_revision = state.targets.borrow().revision();
+            if revision.era() > known_revision.era() {
+                let record =
+                    telemetry::DecisionRecord::new(telemetry::RecordKind::DirectoryRestored)
+                        .version(known_revision.get())
+                        .count(revision.era());
+                state.record(&record);
+            }
             let changes = state
                 .targets
                 .borrow_mut()
--- a/crates/relay/src/telemetry/records.rs
+++ b/crates/relay/src/telemetry/records.rs
@@ -46,6 +46,8 @@
     DirectoryLost,
     /// The platform's directory responds again.
     DirectoryRegained,
+    /// The platform's directory has returned from an older copy of itself.
+    DirectoryRestored,
     /// The first link to a peer was opened.
     #[serde(rename = "peer_seen")]
     PeerLinked,
@@ -121,6 +123,7 @@
             | Self::TargetLeaving
             | Self::TargetGone
             | Self::DirectoryRegained
+            | Self::DirectoryRestored
             | Self::TargetHealthy
             | Self::PeerLinked
             | Self::Queued
