Try further targets while those tried refuse connections at once

A call now goes on to further targets within half of its target latency. Nothing was sent, so neither max_attempts nor the retry budget are concerned.

--- a/crates/relay/src/shell/buffered.rs
+++ b/crates/relay/src/shell/buffered.rs
@@ -23,9 +23,14 @@
 /// Attempts after which a call is refused if each target responded that it did not run the request.
 const MAX_NOT_RUN_ATTEMPTS: u32 = 3;
 
-/// Attempts after which a call is abandoned if no target could be reached. Nothing was sent, so
+/// Attempts that a call always has if no target can be reached. Nothing was sent, so
 /// `max_attempts` of the route does not apply.
-const MAX_UNREACHABLE_ATTEMPTS: u32 = 4;
+const MIN_UNREACHABLE_ATTEMPTS: u32 = 4;
+
+/// Share of the target latency within which a call may have more such attempts: a target that has
+/// ended refuses a connection within milliseconds, and while the directory does not respond many
+/// that it lists may have ended.
+const UNREACHABLE_TIME_SHARE: f64 = 0.5;
 
 /// Share of the time left that an attempt may take if the call can be retried instead.
 const RETRYABLE_ATTEMPT_SHARE: f64 = 0.45;
@@ -387,7 +392,9 @@
         }
         AttemptOutcome::Unreachable => {
             counts.unreachable += 1;
-            if counts.unreachable < MAX_UNREACHABLE_ATTEMPTS {
+            let waited = state.now().since(call.demand.arrived_at);
+            let max_wait = call.demand.target_latency.mul_f64(UNREACHABLE_TIME_SHARE);
+            if counts.unreachable < MIN_UNREACHABLE_ATTEMPTS || waited < max_wait {
                 return NextStep::Retry;
             }
             end_without_response(counts, dispatch::RefusalReason::NoTarget)
