Read the reports of engines while the store is lost, and migrate streams that would end

Streams survive the reclaim of their engine if its departure is known in time, by migration or from a copy.

The arbiter of each engine now reads its report every 0.3 s while the directory is lost. An engine that drains or leaves within 5 s has announced its departure; peers are told. Reports of another incarnation and malformed ones change nothing, and an engine in a pause is not asked. A report costs a small fraction of a call to the store.

--- a/crates/relay/src/directory/table.rs
+++ b/crates/relay/src/directory/table.rs
@@ -175,6 +175,11 @@
         self.is_directory_lost = true;
     }
 
+    /// Returns whether the directory has stopped responding.
+    pub const fn is_directory_lost(&self) -> bool {
+        self.is_directory_lost
+    }
+
     /// Records that the directory responds again.
     pub fn record_directory_regained(&mut self, now: time::Timestamp) {
         if self.is_directory_lost {
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -373,11 +373,7 @@
         loads: &BTreeMap<ids::TargetName, LoadCount>,
         service: &ids::ServiceName,
     ) -> Vec<placement::CandidateTarget<'_>> {
-        let is_in_cell = |entry: &targets::TargetEntry| {
-            self.cell_depth
-                .is_same_cell(self.settings.position, entry.position)
-        };
-        targets::usable_targets(&self.targets, now, service, is_in_cell)
+        targets::usable_targets(&self.targets, now, service, |entry| self.is_in_cell(entry))
             .into_iter()
             .filter(|(name, _)| {
                 self.denied_until
@@ -396,6 +392,12 @@
             .collect()
     }
 
+    /// Returns whether a target belongs to the cell of this relay.
+    pub(super) fn is_in_cell(&self, entry: &targets::TargetEntry) -> bool {
+        self.cell_depth
+            .is_same_cell(self.settings.position, entry.position)
+    }
+
     /// Returns the load of this relay, including pending reservations.
     pub(super) fn local_loads(&self, now: time::Timestamp) -> BTreeMap<ids::TargetName, LoadCount> {
         self.sum_loads(now, |_| true)
--- a/crates/relay/src/dispatch/reservations.rs
+++ b/crates/relay/src/dispatch/reservations.rs
@@ -151,6 +151,18 @@
         });
     }
 
+    /// Returns the targets of this relay's cell whose arbiter it is, without those that leave or have
+    /// asked for a pause.
+    pub fn arbitrated_targets(&self, now: time::Timestamp) -> Vec<Rc<directory::TargetRecord>> {
+        let entries = self.targets.values().filter(|entry| {
+            !entry.is_leaving && entry.paused_until <= now && self.is_in_cell(entry)
+        });
+        entries
+            .filter(|entry| self.arbiter(&entry.record.key.name).is_none())
+            .map(|entry| Rc::clone(&entry.record))
+            .collect()
+    }
+
     /// Returns the peer that is the arbiter of a target; `None` if it is this relay.
     fn arbiter(&self, target: &ids::TargetName) -> Option<ids::VmName> {
         let rank = |vm: &ids::VmName| membership::CellPosition::of(&format!("{vm}-{target}"));
--- a/crates/relay/src/protocol/mod.rs
+++ b/crates/relay/src/protocol/mod.rs
@@ -93,6 +93,15 @@
     pub pause: Option<Duration>,
 }
 
+/// What a model engine reports of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Start of the incarnation that reports, in Unix milliseconds on its clock, if it states it.
+    pub started_ms: Option<u64>,
+    /// Whether the engine leaves soon.
+    pub is_leaving: bool,
+}
+
 /// Response to a request to copy a stream's memory to another target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum MigrationResponse {
@@ -127,6 +136,12 @@
     /// Returns those headers of a target's response that are forwarded to the caller.
     fn response_headers(&self, headers: &HeaderMap) -> HeaderMap;
 
+    /// Returns the request for the report of the model engine at an address.
+    fn report_request(&self, at: net::SocketAddr) -> Request<Full<Bytes>>;
+
+    /// Decodes the report of a model engine; `None` if it is malformed or the engine has none.
+    fn read_report(&self, status: http::StatusCode, body: &[u8]) -> Option<EngineReport>;
+
     /// Returns the request that makes `source` copy the memory of a stream to `destination`. The
     /// source keeps running the stream.
     fn migration_request(
--- a/crates/relay/src/shell/mod.rs
+++ b/crates/relay/src/shell/mod.rs
@@ -5,6 +5,7 @@
 mod client;
 mod directory_events;
 mod directory_feed;
+mod engine_reports;
 mod forwarder;
 mod head_timeout;
 mod intake;
--- a/crates/relay/src/shell/server.rs
+++ b/crates/relay/src/shell/server.rs
@@ -22,6 +22,7 @@
 use super::ShellError;
 use super::buffered;
 use super::client;
+use super::engine_reports;
 use super::head_timeout;
 use super::intake;
 use super::peer_links;
@@ -72,6 +73,7 @@
         metrics_response,
     ));
     peer_links::start(state, peer_listener);
+    task::spawn_local(engine_reports::poll_reports(Rc::clone(state)));
     Ok(())
 }
 
