--- a/crates/relay/tests/peer_messages.rs
+++ b/crates/relay/tests/peer_messages.rs
@@ -39,3 +39,19 @@
     let decoded = serde_json::from_value::<shell::PeerHeartbeat>(encoded);
     assert!(decoded.is_ok());
 }
+
+/// A relay of the previous version does not say whether the directory has confirmed a delta.
+#[test]
+fn targets_of_an_older_relay_decode_as_unconfirmed() {
+    let delta = directory::TargetDelta {
+        since: None,
+        revision: directory::DirectoryRevision::new(1),
+        written: Vec::new(),
+        removed: Vec::new(),
+        is_confirmed: true,
+    };
+    let mut encoded = serde_json::to_value(delta).unwrap();
+    encoded.as_object_mut().unwrap().remove("f").unwrap();
+    let decoded: directory::TargetDelta = serde_json::from_value(encoded).unwrap();
+    assert!(!decoded.is_confirmed);
+}
