--- a/crates/relay/src/directory/table.rs
+++ b/crates/relay/src/directory/table.rs
@@ -35,6 +35,9 @@
     Usable(Rc<TargetRecord>),
     /// A target accepts no new work from now on.
     Leaving(TargetKey),
+    /// A target's record disappeared, probably because its registration expired during an outage
+    /// of the directory. The target may be used until the end of the grace period.
+    Missing(TargetKey),
     /// A target's record was removed; requests that it runs may still complete.
     Gone(TargetKey),
 }
@@ -388,8 +391,11 @@
             self.remove_record(name, changes);
             return;
         }
-        if let Some(entry) = self.entries.get_mut(name) {
-            entry.missing_since.get_or_insert(now);
+        if let Some(entry) = self.entries.get_mut(name)
+            && entry.missing_since.is_none()
+        {
+            entry.missing_since = Some(now);
+            changes.push(TargetChange::Missing(entry.record.key.clone()));
         }
     }
 
--- a/crates/relay/src/dispatch/targets.rs
+++ b/crates/relay/src/dispatch/targets.rs
@@ -69,6 +69,7 @@
                 }
                 self.handle_departure(&key, effects);
             }
+            directory::TargetChange::Missing(_) => {}
             directory::TargetChange::Gone(key) => {
                 if self
                     .targets
--- a/crates/relay/src/shell/directory_events.rs
+++ b/crates/relay/src/shell/directory_events.rs
@@ -156,6 +156,9 @@
             directory::TargetChange::Leaving(key) => {
                 (telemetry::RecordKind::TargetLeaving, &key.name)
             }
+            directory::TargetChange::Missing(key) => {
+                (telemetry::RecordKind::TargetMissing, &key.name)
+            }
             directory::TargetChange::Gone(key) => (telemetry::RecordKind::TargetGone, &key.name),
         };
         let record = telemetry::DecisionRecord::new(kind)
@@ -176,7 +179,7 @@
     let departures: Vec<_> = {
         let targets = state.targets.borrow();
         let unusable = changes.iter().filter_map(|change| match change {
-            directory::TargetChange::Usable(_) => None,
+            directory::TargetChange::Usable(_) | directory::TargetChange::Missing(_) => None,
             directory::TargetChange::Leaving(key) | directory::TargetChange::Gone(key) => Some(key),
         });
         unusable
--- a/crates/relay/src/telemetry/records.rs
+++ b/crates/relay/src/telemetry/records.rs
@@ -31,6 +31,8 @@
     TargetUsable,
     /// A target accepts no new work from now on.
     TargetLeaving,
+    /// A target's record disappeared and is kept, as its registration may have expired.
+    TargetMissing,
     /// A target's record was removed.
     TargetGone,
     /// A target's record can't be decoded.
@@ -121,6 +123,7 @@
             | Self::RoutesActivated
             | Self::TargetUsable
             | Self::TargetLeaving
+            | Self::TargetMissing
             | Self::TargetGone
             | Self::DirectoryRegained
             | Self::DirectoryRestored
