--- a/crates/relay/tests/directory.rs
+++ b/crates/relay/tests/directory.rs
@@ -122,6 +122,25 @@
     assert_eq!(joined_names(&table), expected);
 }
 
+/// Guards against work for a target whose departure is published late in the grace period.
+#[parameterized(
+    at_its_begin = { 0 },
+    near_its_end = { 2_400 },
+)]
+fn remove_expired_removal_is_not_kept_beyond_the_grace_period(removed_after_ms: u64) {
+    let mut table = table();
+    table.record_directory_lost();
+    let regained_at = START + Duration::from_secs(4);
+    table.record_directory_regained(regained_at);
+    let removed = ("a".parse().unwrap(), directory::DirectoryRevision::new(11));
+    let removed_at = regained_at + Duration::from_millis(removed_after_ms);
+    table.apply_changes(removed_at, Vec::new(), vec![removed]);
+    assert_eq!(joined_names(&table), "abcd");
+
+    table.remove_expired(regained_at + Duration::from_millis(2_600));
+    assert_eq!(joined_names(&table), "bcd");
+}
+
 #[test]
 fn apply_changes_removal_of_most_targets_keeps_them_for_grace_period() {
     let mut table = table();
