--- a/crates/relay/src/directory/table.rs
+++ b/crates/relay/src/directory/table.rs
@@ -291,9 +291,8 @@
             .entries
             .iter()
             .filter(|(_, entry)| {
-                let since = entry.missing_since.max(self.directory_regained_at);
-                entry.missing_since.is_some()
-                    && since.is_some_and(|since| now.since(since) >= REREGISTRATION_GRACE)
+                let missing_since = entry.missing_since;
+                missing_since.is_some_and(|since| now >= self.grace_end(since))
             })
             .map(|(name, _)| name.clone())
             .collect();
@@ -305,6 +304,16 @@
         changes
     }
 
+    /// Returns the time until which a record that has been missing since `missing_since` is kept.
+    /// After an outage it is the same for all records, whenever their removal was seen.
+    fn grace_end(&self, missing_since: time::Timestamp) -> time::Timestamp {
+        let outage_grace_end = self
+            .directory_regained_at
+            .map(|regained_at| regained_at + REREGISTRATION_GRACE)
+            .filter(|grace_end| missing_since < *grace_end);
+        outage_grace_end.unwrap_or(missing_since + REREGISTRATION_GRACE)
+    }
+
     /// Prepares for the records of a later era of the directory, if `revision` belongs to one.
     /// Targets that the directory's copy lacks get time to register again, and its records don't
     /// bring departed incarnations back.
