--- a/crates/core/src/measures/mod.rs
+++ b/crates/core/src/measures/mod.rs
@@ -1,4 +1,10 @@
-//! Counts, sizes and ranks, each a type of its own. Additions and subtractions saturate.
+//! Counts, sizes, ranks and rates, each a type of its own. Additions and subtractions of counts
+//! saturate.
+
+mod rate;
+
+pub use rate::RateError;
+pub use rate::RequestRate;
 
 use std::fmt;
 use std::num;
--- a/crates/relay/src/dispatch/effect.rs
+++ b/crates/relay/src/dispatch/effect.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use kingcupfall_core::ids;
+use kingcupfall_core::measures;
 use kingcupfall_core::work;
 use kingcupfall_policy::quarantine;
 
@@ -114,6 +115,22 @@
     Time,
 }
 
+/// Where a target's limit was heard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LimitSource {
+    /// In a response of the target to this relay.
+    Target,
+}
+
+impl LimitSource {
+    /// Returns the source's name in logs.
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Target => "target",
+        }
+    }
+}
+
 /// An effect for one call, one target or one peer.
 #[derive(Debug, Clone, PartialEq)]
 pub enum DispatchEffect {
@@ -161,6 +178,16 @@
         /// Decayed failure rate of recent attempts, per thousand.
         failures_per_thousand: u64,
     },
+    /// A target's limit changed: write it to the log.
+    LimitChanged {
+        /// Target that named the limit.
+        target: ids::TargetName,
+        /// Requests that the target takes from all relays together; `None` if it has no limit any
+        /// more.
+        limit: Option<measures::RequestRate>,
+        /// Where the limit was heard.
+        source: LimitSource,
+    },
     /// Check after `delay` whether a target accepts connections.
     Probe {
         /// Target to probe.
@@ -211,6 +238,7 @@
             | Self::DropCopy { call, .. }
             | Self::MigrationTarget { call, .. } => Some(*call),
             Self::HealthChanged { .. }
+            | Self::LimitChanged { .. }
             | Self::Probe { .. }
             | Self::SuspectsChanged { .. }
             | Self::PromptsLost { .. }
--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use kingcupfall_core::ids;
+use kingcupfall_core::measures;
+use kingcupfall_core::time;
 use kingcupfall_policy::quarantine;
 
 use super::CallDemand;
@@ -111,6 +113,15 @@
         /// Length of the pause.
         pause: Duration,
     },
+    /// A response stated whether its target limits the requests that it takes.
+    LimitHeard {
+        /// Incarnation that sent the response.
+        target: directory::TargetKey,
+        /// Requests that the target takes from all relays together; `None` without a limit.
+        limit: Option<measures::RequestRate>,
+        /// When the request was sent.
+        sent_at: time::Timestamp,
+    },
     /// A peer reported requests that crashed targets.
     SuspectsReported(Vec<quarantine::SuspectRecord>),
     /// A peer reported crashes that may be due to prompts, or what it learnt of them.
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -150,6 +150,11 @@
                 self.place_waiting(now, &mut effects);
             }
             DispatchEvent::TargetPaused { target, pause } => self.pause_target(now, &target, pause),
+            DispatchEvent::LimitHeard {
+                target,
+                limit,
+                sent_at,
+            } => self.handle_limit(now, &target, limit, sent_at, &mut effects),
             DispatchEvent::SuspectsReported(records) => {
                 self.merge_suspects(now, &records, &mut effects);
             }
--- a/crates/relay/src/dispatch/targets.rs
+++ b/crates/relay/src/dispatch/targets.rs
@@ -10,6 +10,7 @@
 use super::DispatchEffect;
 use super::Dispatcher;
 use super::TargetHealth;
+use super::limits;
 use crate::directory;
 use crate::membership;
 
@@ -25,6 +26,8 @@
     pub(super) health: TargetHealth,
     /// End of the pause that the target asked for.
     pub(super) paused_until: time::Timestamp,
+    /// Limit on the requests that it takes.
+    pub(super) limit: limits::HeardLimit,
     /// Whether the target was unhealthy at the last check.
     pub(super) was_unhealthy: bool,
     /// Position of the target, which determines its cell.
@@ -53,6 +56,7 @@
                             is_leaving: false,
                             health: TargetHealth::default(),
                             paused_until: time::Timestamp::ZERO,
+                            limit: limits::HeardLimit::default(),
                             was_unhealthy: false,
                             position: membership::CellPosition::of(&name),
                         };
--- a/crates/relay/src/protocol/mod.rs
+++ b/crates/relay/src/protocol/mod.rs
@@ -14,6 +14,7 @@
 use http::Request;
 use http::response;
 use http_body_util::Full;
+use kingcupfall_core::measures;
 use kingcupfall_core::work;
 
 use crate::directory;
@@ -84,13 +85,27 @@
     Foreign,
 }
 
+/// What the head of a response says of a limit on the requests that its target takes.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum LimitNotice {
+    /// Nothing: it may be of another target, or can't be decoded.
+    #[default]
+    Unknown,
+    /// The target has no limit.
+    Unlimited,
+    /// The target takes this many requests from all relays together.
+    Limited(measures::RequestRate),
+}
+
 /// What a target says of itself in the head of a response, whatever became of the request.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct TargetNotice {
     /// Whether the target leaves: it accepts no new work from now on.
     pub is_leaving: bool,
     /// Time for which the target wants no requests of this relay.
     pub pause: Option<Duration>,
+    /// Limit on the requests that the target takes.
+    pub limit: LimitNotice,
 }
 
 /// What a model engine reports of itself.
--- a/crates/relay/src/shell/buffered.rs
+++ b/crates/relay/src/shell/buffered.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use http::response;
 use http_body_util::Full;
+use kingcupfall_core::time;
 
 use super::client;
 use super::intake;
@@ -143,6 +144,7 @@
                 | dispatch::DispatchEffect::DropCopy { .. }
                 | dispatch::DispatchEffect::MigrationTarget { .. }
                 | dispatch::DispatchEffect::HealthChanged { .. }
+                | dispatch::DispatchEffect::LimitChanged { .. }
                 | dispatch::DispatchEffect::Probe { .. }
                 | dispatch::DispatchEffect::SuspectsChanged { .. }
                 | dispatch::DispatchEffect::PromptsLost { .. }
@@ -251,13 +253,14 @@
         last_event: None,
     };
     let request = forwarded_request(state, call, &head);
+    let sent_at = state.now();
     let mut exchange = std::pin::pin!(client::exchange(target.address, request, time_left));
     let may_retry = call.route.kind == directory::CallKind::Idempotent
         && counts.may_have_run + 1 < call.route.max_attempts;
     if may_retry {
         let timeout = time_left.mul_f64(RETRYABLE_ATTEMPT_SHARE);
         match tokio::time::timeout(timeout, exchange.as_mut()).await {
-            Ok(result) => return attempt_outcome(state, call, target, result),
+            Ok(result) => return attempt_outcome(state, call, target, sent_at, result),
             Err(_) if try_acquire_replacement(state, call, target) => {
                 return AttemptOutcome::Abandoned;
             }
@@ -265,7 +268,7 @@
             Err(_) => {}
         }
     }
-    attempt_outcome(state, call, target, exchange.await)
+    attempt_outcome(state, call, target, sent_at, exchange.await)
 }
 
 /// Takes a retry from the budget that replaces an attempt at a silent target, if another target is
@@ -285,11 +288,12 @@
     state: &RelayState,
     call: &intake::AcceptedCall,
     target: &directory::TargetRecord,
+    sent_at: time::Timestamp,
     result: client::Result<(response::Parts, Bytes)>,
 ) -> AttemptOutcome {
     match result {
         Ok((parts, body)) => {
-            state.handle_notice(&target.key, &parts);
+            state.handle_notice(&target.key, sent_at, &parts);
             classify_attempt(state, call, parts, body)
         }
         Err(client::SendError::Unreachable(_)) => AttemptOutcome::Unreachable,
@@ -329,7 +333,7 @@
     call: &intake::AcceptedCall,
     target: &directory::TargetRecord,
     outcome: &AttemptOutcome,
-    started_at: kingcupfall_core::time::Timestamp,
+    started_at: time::Timestamp,
 ) {
     let took = state.now().since(started_at);
     let (result, label) = match outcome {
--- a/crates/relay/src/shell/forwarder.rs
+++ b/crates/relay/src/shell/forwarder.rs
@@ -302,6 +302,7 @@
                 dispatch::DispatchEffect::Place { .. }
                 | dispatch::DispatchEffect::Refuse { .. }
                 | dispatch::DispatchEffect::HealthChanged { .. }
+                | dispatch::DispatchEffect::LimitChanged { .. }
                 | dispatch::DispatchEffect::Probe { .. }
                 | dispatch::DispatchEffect::SuspectsChanged { .. }
                 | dispatch::DispatchEffect::PromptsLost { .. }
--- a/crates/relay/src/shell/memory_migration.rs
+++ b/crates/relay/src/shell/memory_migration.rs
@@ -48,7 +48,7 @@
     let response =
         match client::exchange(source.address, migration_request, MIGRATION_TIMEOUT).await {
             Ok((parts, body)) => {
-                state.handle_notice(&source.key, &parts);
+                state.handle_notice(&source.key, started_at, &parts);
                 Some(state.protocol.read_migration_response(parts.status, &body))
             }
             Err(error) => {
--- a/crates/relay/src/shell/mod.rs
+++ b/crates/relay/src/shell/mod.rs
@@ -9,6 +9,7 @@
 mod forwarder;
 mod head_timeout;
 mod intake;
+mod limits;
 mod memory_migration;
 mod notices;
 mod peer_exchange;
--- a/crates/relay/src/shell/notices.rs
+++ b/crates/relay/src/shell/notices.rs
@@ -1,20 +1,39 @@
 //! Handles what targets say of themselves in their responses.
 
 use http::response;
+use kingcupfall_core::time;
 
 use super::directory_events;
 use super::state::RelayState;
 use crate::directory;
 use crate::dispatch;
+use crate::protocol;
 
 /// Source that the decision log names for departures that targets announced themselves.
 const TARGET_SOURCE: &str = "target";
 
 impl RelayState {
-    /// Handles the notice in the head of a target's response: one that leaves gets nothing new from
-    /// here on, nor from peers, and one that asks for a pause gets it.
-    pub(super) fn handle_notice(&self, target: &directory::TargetKey, response: &response::Parts) {
+    /// Handles the notice in the head of a target's response to a request sent at `sent_at`: one that
+    /// leaves gets nothing new from here on, nor from peers, and one that asks for a pause gets it.
+    pub(super) fn handle_notice(
+        &self,
+        target: &directory::TargetKey,
+        sent_at: time::Timestamp,
+        response: &response::Parts,
+    ) {
         let notice = self.protocol.read_notice(response);
+        let limit = match notice.limit {
+            protocol::LimitNotice::Unknown => None,
+            protocol::LimitNotice::Unlimited => Some(None),
+            protocol::LimitNotice::Limited(rate) => Some(Some(rate)),
+        };
+        if let Some(limit) = limit {
+            self.submit(dispatch::DispatchEvent::LimitHeard {
+                target: target.clone(),
+                limit,
+                sent_at,
+            });
+        }
         if let Some(pause) = notice.pause {
             self.submit(dispatch::DispatchEvent::TargetPaused {
                 target: target.clone(),
--- a/crates/relay/src/shell/resumption.rs
+++ b/crates/relay/src/shell/resumption.rs
@@ -167,6 +167,7 @@
         copy: &forwarder::MemoryCopy,
         request: Request<Full<Bytes>>,
     ) -> Result<client::OpenResponse> {
+        let sent_at = self.state.now();
         let outcome = match client::open(copy.holder.address).await {
             Ok(connection) => self.send_resumption(connection, request).await,
             Err(error) => Err(error),
@@ -187,7 +188,8 @@
                 client::SendError::TimedOut => dispatch::AttemptResult::TimedOut,
             }
         })?;
-        self.state.handle_notice(&copy.holder.key, &response.parts);
+        let target = &copy.holder.key;
+        self.state.handle_notice(target, sent_at, &response.parts);
         let class = self
             .state
             .protocol
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -23,6 +23,7 @@
 
 use super::RelaySettings;
 use super::directory_feed;
+use super::limits;
 use super::prompt_parts;
 use super::stop;
 use super::suspects;
@@ -353,6 +354,7 @@
             routes_version: self.routes_version().get(),
             routes_age: now.since(self.routes_activated_at.get()),
             directory_age: now.since(self.directory_responded_at.get()),
+            limited_targets: self.dispatcher.borrow().limited_target_count(),
             targets: self.targets.borrow().records().count(),
             peers: self.peer_mailboxes.borrow().len(),
             waiting_calls,
@@ -401,6 +403,11 @@
                 is_healthy,
                 failures_per_thousand,
             } => return self.record_target_health(&target, is_healthy, failures_per_thousand),
+            dispatch::DispatchEffect::LimitChanged {
+                target,
+                limit,
+                source,
+            } => return limits::record_change(self, &target, limit, source),
             dispatch::DispatchEffect::Probe { target, delay } => {
                 if let Some(state) = self.own.upgrade() {
                     suspects::probe_later(state, target, delay);
--- a/crates/relay/src/shell/stream.rs
+++ b/crates/relay/src/shell/stream.rs
@@ -87,6 +87,7 @@
     };
     let request = buffered::forwarded_request(state, call, &head);
     let deadline = state.instant(call.demand.deadline);
+    let sent_at = state.now();
     let sent = client::send(placement.target.address, request);
     let response = match tokio::time::timeout_at(deadline, sent).await {
         Ok(Ok(response)) => response,
@@ -103,7 +104,7 @@
         }
     };
 
-    state.handle_notice(&placement.target.key, &response.parts);
+    state.handle_notice(&placement.target.key, sent_at, &response.parts);
     let class = state
         .protocol
         .classify_response(&response.parts, &call.head.request_id);
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -107,6 +107,7 @@
     routes_age: Gauge,
     directory_age: Gauge,
     targets: Gauge,
+    limited_targets: Gauge,
     peers: Gauge,
     waiting_calls: Gauge,
     placed_calls: Gauge,
@@ -146,6 +147,7 @@
             routes_age: Gauge::default(),
             directory_age: Gauge::default(),
             targets: Gauge::default(),
+            limited_targets: Gauge::default(),
             peers: Gauge::default(),
             waiting_calls: Gauge::default(),
             placed_calls: Gauge::default(),
@@ -251,6 +253,11 @@
             self.directory_age.clone(),
         );
         registry.register("targets", "Targets that may be used", self.targets.clone());
+        registry.register(
+            "limited_targets",
+            "Targets that limit the requests they take",
+            self.limited_targets.clone(),
+        );
         registry.register("peers", "Peers that are linked", self.peers.clone());
         registry.register(
             "waiting_calls",
@@ -371,6 +378,8 @@
         self.directory_age
             .set(signed(values.directory_age.as_secs()));
         self.targets.set(signed(values.targets as u64));
+        self.limited_targets
+            .set(signed(values.limited_targets as u64));
         self.peers.set(signed(values.peers as u64));
         self.waiting_calls.set(signed(values.waiting_calls as u64));
         self.placed_calls.set(signed(values.placed_calls as u64));
@@ -408,6 +417,8 @@
     pub directory_age: Duration,
     /// Number of targets in the target table.
     pub targets: usize,
+    /// Number of targets that have named a limit on the requests that they take.
+    pub limited_targets: usize,
     /// Number of peers with an open link.
     pub peers: usize,
     /// Number of calls that wait for a target.
--- a/crates/relay/src/telemetry/records.rs
+++ b/crates/relay/src/telemetry/records.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use kingcupfall_core::ids;
+use kingcupfall_core::measures;
 use kingcupfall_core::work;
 use serde::Serialize;
 use serde_with::skip_serializing_none;
@@ -44,6 +45,10 @@
     /// A target that was unhealthy is used normally again.
     #[serde(rename = "target_trusted")]
     TargetHealthy,
+    /// A target named a limit on the requests that it takes, or another limit than before.
+    TargetLimited,
+    /// A target that had named a limit takes any number of requests again.
+    TargetUnlimited,
     /// The platform's directory stopped responding.
     DirectoryLost,
     /// The platform's directory responds again.
@@ -128,6 +133,8 @@
             | Self::DirectoryRegained
             | Self::DirectoryRestored
             | Self::TargetHealthy
+            | Self::TargetLimited
+            | Self::TargetUnlimited
             | Self::PeerLinked
             | Self::Queued
             | Self::Placed
@@ -175,6 +182,8 @@
     pub load_calls: Option<u32>,
     /// Tokens of the target's memory that these calls were expected to need.
     pub load_tokens: Option<u64>,
+    /// Requests per second that the target takes from all relays together.
+    pub limit_per_s: Option<measures::RequestRate>,
     /// Milliseconds since the request arrived, or duration of the attempt, silence or stop that the
     /// record reports.
     pub after_ms: Option<u64>,
@@ -205,6 +214,7 @@
             count: None,
             load_calls: None,
             load_tokens: None,
+            limit_per_s: None,
             after_ms: None,
             retry_after_ms: None,
             first_event_ms: None,
@@ -297,6 +307,12 @@
         self
     }
 
+    /// Sets the requests per second that the target takes.
+    pub const fn limit(mut self, limit: Option<measures::RequestRate>) -> Self {
+        self.limit_per_s = limit;
+        self
+    }
+
     /// Sets the time since the request arrived, or the duration that the record reports.
     pub fn after(mut self, after: Duration) -> Self {
         self.after_ms = Some(millis(after));
--- a/crates/relay/tests/dispatch/main.rs
+++ b/crates/relay/tests/dispatch/main.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod decisions;
 mod fixtures;
+mod limits;
 mod pauses;
 mod prompt_crashes;
 mod prompt_fixtures;
--- a/crates/relay/tests/dispatch/reservations.rs
+++ b/crates/relay/tests/dispatch/reservations.rs
@@ -93,6 +93,7 @@
                 | dispatch::DispatchEffect::Migrate { .. }
                 | dispatch::DispatchEffect::DropCopy { .. }
                 | dispatch::DispatchEffect::HealthChanged { .. }
+                | dispatch::DispatchEffect::LimitChanged { .. }
                 | dispatch::DispatchEffect::Probe { .. }
                 | dispatch::DispatchEffect::SuspectsChanged { .. }
                 | dispatch::DispatchEffect::PromptsLost { .. }
