--- a/crates/policy/src/limit/bucket.rs
+++ b/crates/policy/src/limit/bucket.rs
@@ -9,6 +9,8 @@
 use super::LimitDecision;
 use super::LimitPolicy;
 use super::OrganisationLimit;
+use super::TokenBucket;
+use super::TokenRate;
 
 /// Retry delay returned to callers with too many calls in progress.
 const CONCURRENCY_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -17,9 +19,8 @@
 #[derive(Debug, Clone, Copy)]
 struct BucketState {
     limit: OrganisationLimit,
-    /// Calls that may start now; one token admits one call.
-    tokens: f64,
-    refilled_at: time::Timestamp,
+    /// Calls that may start; one token admits one call.
+    bucket: TokenBucket,
     in_progress: u32,
 }
 
@@ -27,33 +28,33 @@
     fn new(limit: OrganisationLimit) -> Self {
         Self {
             limit,
-            tokens: f64::from(limit.burst),
-            refilled_at: time::Timestamp::ZERO,
+            bucket: TokenBucket::new(time::Timestamp::ZERO, f64::from(limit.burst)),
             in_progress: 0,
         }
     }
 
-    fn refill(&mut self, now: time::Timestamp) {
-        let added_tokens = now.since(self.refilled_at).as_secs_f64() * self.limit.calls_per_s;
-        self.tokens = (self.tokens + added_tokens).min(f64::from(self.limit.burst));
-        self.refilled_at = now;
+    fn rate(&self) -> TokenRate {
+        TokenRate {
+            per_second: self.limit.calls_per_s,
+            burst: f64::from(self.limit.burst),
+        }
     }
 
     fn admit(&mut self, now: time::Timestamp) -> LimitDecision {
-        self.refill(now);
         if self.in_progress >= self.limit.concurrent_calls {
             return LimitDecision::Refuse {
                 retry_after: CONCURRENCY_RETRY_AFTER,
             };
         }
-        if self.tokens < 1.0 {
-            let wait_s = (1.0 - self.tokens) / self.limit.calls_per_s;
+        let tokens = self.bucket.tokens(now, self.rate());
+        if tokens < 1.0 {
+            let wait_s = (1.0 - tokens) / self.limit.calls_per_s;
             return LimitDecision::Refuse {
                 retry_after: Duration::from_secs_f64(wait_s),
             };
         }
 
-        self.tokens -= 1.0;
+        self.bucket.take(now, self.rate(), 1.0);
         self.in_progress += 1;
         LimitDecision::Allow
     }
@@ -80,7 +81,7 @@
         match self.buckets.get_mut(organisation) {
             Some(bucket) => {
                 bucket.limit = limit;
-                bucket.tokens = bucket.tokens.min(f64::from(limit.burst));
+                bucket.bucket.discard_above(f64::from(limit.burst));
             }
             None => {
                 self.buckets
--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -1,6 +1,7 @@
-//! Rate and concurrency limits of organisations at a gateway.
+//! Rate limits, and the rate and concurrency limits of organisations at a gateway.
 
 mod bucket;
+mod tokens;
 mod unlimited;
 
 use std::time::Duration;
@@ -9,6 +10,8 @@
 use kingcupfall_core::time;
 
 pub use bucket::BucketLimit;
+pub use tokens::TokenBucket;
+pub use tokens::TokenRate;
 pub use unlimited::NoLimit;
 
 /// Limits of one organisation at one gateway, as set in the document.
--- a/crates/relay/src/dispatch/admission.rs
+++ b/crates/relay/src/dispatch/admission.rs
@@ -12,6 +12,7 @@
 use super::DispatchEffect;
 use super::Dispatcher;
 use super::RefusalReason;
+use super::limits;
 use super::queue;
 
 /// Minimum `Retry-After` of a refused call.
@@ -148,6 +149,17 @@
             let reason = RefusalReason::QueueTooLong;
             return self.refuse_until(now, call, reason, retry_after, effects);
         }
+        let ahead = self.waiting.count_ahead(now, demand);
+        if let Some(wait) = self.limited_wait(now, &demand.service, ahead) {
+            let wait = match wait {
+                limits::LimitedWait::For(wait) if wait <= max_wait => return,
+                limits::LimitedWait::For(wait) => wait.min(MAX_RETRY_AFTER),
+                limits::LimitedWait::Unknown => NO_TARGET_RETRY_AFTER,
+            };
+            let retry_after = spread_return(wait, demand.fingerprint);
+            let reason = RefusalReason::TargetsLimited;
+            return self.refuse_until(now, call, reason, retry_after, effects);
+        }
         let wait = self.expected_wait(now, demand);
         if wait <= max_wait {
             return;
--- a/crates/relay/src/dispatch/budget.rs
+++ b/crates/relay/src/dispatch/budget.rs
@@ -143,6 +143,19 @@
         (unreported + 1) as f64 <= remaining / known_relays as f64
     }
 
+    /// Returns this relay's share of the requests that all relays received, as far as they reported
+    /// theirs. Each relay counts for one request more, so that none is without a share.
+    pub fn demand_share(
+        &mut self,
+        now: time::Timestamp,
+        bounds: &RetryBounds,
+        relay_count: usize,
+    ) -> f64 {
+        let local = self.usage(now, bounds).requests;
+        let peers = self.peers.values().map(|peer| peer.requests).sum::<usize>();
+        (local + 1) as f64 / (local + peers + relay_count.max(1)) as f64
+    }
+
     /// Returns this relay's usage in the last window, as reported to peers.
     pub fn usage(&mut self, now: time::Timestamp, bounds: &RetryBounds) -> BudgetUsage {
         remove_expired(&mut self.requests, now, bounds.window);
--- a/crates/relay/src/dispatch/effect.rs
+++ b/crates/relay/src/dispatch/effect.rs
@@ -42,6 +42,8 @@
     PartQuarantined(work::PromptPartId),
     /// Its targets refused it, and no further attempt is allowed.
     TargetsRefused,
+    /// Its targets limit the requests that they take.
+    TargetsLimited,
     /// This relay is stopping.
     Stopping,
     /// No routes have been received yet.
@@ -61,6 +63,7 @@
             Self::Quarantined => "quarantined",
             Self::PartQuarantined(_) => "part_quarantined",
             Self::TargetsRefused => "shed",
+            Self::TargetsLimited => "limited",
             Self::Stopping => "stopping",
             Self::NotConfigured => "not_configured",
             Self::Overloaded => "overloaded",
@@ -120,6 +123,8 @@
 pub enum LimitSource {
     /// In a response of the target to this relay.
     Target,
+    /// A peer reported it.
+    Peer,
 }
 
 impl LimitSource {
@@ -127,6 +132,7 @@
     pub const fn label(self) -> &'static str {
         match self {
             Self::Target => "target",
+            Self::Peer => "peer",
         }
     }
 }
--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -6,11 +6,13 @@
 use kingcupfall_core::ids;
 use kingcupfall_core::measures;
 use kingcupfall_core::time;
+use kingcupfall_policy::limit;
 use kingcupfall_policy::quarantine;
 
 use super::CallDemand;
 use super::PeerLoad;
 use super::ReservationMessage;
+use super::TargetLimit;
 use crate::directory;
 use crate::membership;
 
@@ -122,6 +124,10 @@
         /// When the request was sent.
         sent_at: time::Timestamp,
     },
+    /// A peer reported limits of targets.
+    LimitsReported(Vec<TargetLimit>),
+    /// This relay's shares of limits changed.
+    LimitSharesChanged(Vec<(directory::TargetKey, limit::TokenRate)>),
     /// A peer reported requests that crashed targets.
     SuspectsReported(Vec<quarantine::SuspectRecord>),
     /// A peer reported crashes that may be due to prompts, or what it learnt of them.
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -59,7 +59,7 @@
     /// Targets that recently denied a reservation, and the time until which they are not used.
     pub(super) denied_until: BTreeMap<ids::TargetName, time::Timestamp>,
     pub(super) prompt_rates: load::PromptRates,
-    cell_depth: membership::CellDepth,
+    pub(super) cell_depth: membership::CellDepth,
     pub(super) peer_loads: load::PeerLoads,
     pub(super) changed_targets: BTreeSet<ids::TargetName>,
 }
@@ -155,6 +155,11 @@
                 limit,
                 sent_at,
             } => self.handle_limit(now, &target, limit, sent_at, &mut effects),
+            DispatchEvent::LimitsReported(reports) => {
+                self.merge_limits(now, &reports, &mut effects);
+                self.place_waiting(now, &mut effects);
+            }
+            DispatchEvent::LimitSharesChanged(shares) => self.set_limit_shares(now, &shares),
             DispatchEvent::SuspectsReported(records) => {
                 self.merge_suspects(now, &records, &mut effects);
             }
@@ -315,6 +320,7 @@
             events: 0,
         };
         self.placed.insert(call, placed);
+        self.record_request(now, &target.key);
         let Some(limit) = limit else {
             let placement = CallPlacement {
                 target,
@@ -364,6 +370,9 @@
                 self.recent_completions.add(now, &placed);
             }
         }
+        if !was_sent {
+            self.withdraw_request(now, &placed.target.key);
+        }
         if let Some(entry) = self.targets.get_mut(&placed.target.key.name)
             && entry.record.key == placed.target.key
         {
@@ -380,6 +389,7 @@
     ) -> Vec<placement::CandidateTarget<'_>> {
         targets::usable_targets(&self.targets, now, service, |entry| self.is_in_cell(entry))
             .into_iter()
+            .filter(|(_, entry)| entry.limit.allows_request(now))
             .filter(|(name, _)| {
                 self.denied_until
                     .get(*name)
--- a/crates/relay/src/dispatch/reservations.rs
+++ b/crates/relay/src/dispatch/reservations.rs
@@ -291,6 +291,7 @@
                 let Some(placed) = self.placed.remove(&call) else {
                     return;
                 };
+                self.withdraw_request(now, &placed.target.key);
                 self.waiting.insert(call, placed.demand);
                 self.place_waiting(now, effects);
                 self.refuse_infeasible(now, call, effects);
--- a/crates/relay/src/dispatch/targets.rs
+++ b/crates/relay/src/dispatch/targets.rs
@@ -16,7 +16,7 @@
 
 /// Minimum usable targets of a service in a cell for its relays to use no others: with one leaving
 /// and one unhealthy there is still a choice.
-const MIN_CELL_TARGETS: usize = 4;
+pub(super) const MIN_CELL_TARGETS: usize = 4;
 
 /// A target that may be used, or that is leaving and may still run calls of this relay.
 #[derive(Debug)]
--- a/crates/relay/src/membership/cell.rs
+++ b/crates/relay/src/membership/cell.rs
@@ -53,11 +53,16 @@
         1 << self.0
     }
 
-    /// Returns true if both positions are in the same cell at this depth.
-    pub const fn is_same_cell(self, first: CellPosition, second: CellPosition) -> bool {
+    /// Returns the index of the cell that a position is in.
+    pub const fn cell_index(self, position: CellPosition) -> u64 {
         match self.0 {
-            0 => true,
-            bits => (first.0 ^ second.0) >> (u64::BITS - bits) == 0,
+            0 => 0,
+            bits => position.0 >> (u64::BITS - bits),
         }
     }
+
+    /// Returns true if both positions are in the same cell at this depth.
+    pub const fn is_same_cell(self, first: CellPosition, second: CellPosition) -> bool {
+        self.cell_index(first) == self.cell_index(second)
+    }
 }
--- a/crates/relay/src/membership/table.rs
+++ b/crates/relay/src/membership/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::fmt::Display;
 use std::net;
 use std::time::Duration;
 
@@ -135,6 +136,23 @@
         }
     }
 
+    /// Returns the number of relays that share something named `name`, those of this relay's cell or
+    /// all, and how many of them come before this one in an order that all relays agree on.
+    pub fn sharing_rank(&self, name: &impl Display, is_cell_only: bool) -> (usize, usize) {
+        let depth = self.depth();
+        let rank = |address| CellPosition::of(&format!("{address}-{name}"));
+        let own_rank = rank(&self.own_address);
+        let sharers = self.members.iter().filter(|(_, member)| {
+            !is_cell_only || depth.is_same_cell(self.own_position, member.position)
+        });
+        let (mut relays, mut earlier) = (1, 0);
+        for (address, _) in sharers {
+            relays += 1;
+            earlier += usize::from(rank(address) < own_rank);
+        }
+        (relays, earlier)
+    }
+
     /// Returns true if the relay at `address` is in the cell of this one.
     pub fn is_same_cell(&self, address: net::SocketAddr) -> bool {
         self.depth()
--- a/crates/relay/src/shell/budgets.rs
+++ b/crates/relay/src/shell/budgets.rs
@@ -38,6 +38,19 @@
         })
     }
 
+    /// Returns this relay's share of the requests for a service; `None` in a fleet so large that its
+    /// relays do not report theirs to all others.
+    pub(super) fn demand_share(&self, service: &ids::ServiceName) -> Option<f64> {
+        let now = self.now();
+        let relay_count = self.relay_count();
+        let has_one_cell = self.members.borrow().depth().cell_count() == 1;
+        has_one_cell.then(|| {
+            self.with_budget(service, |budget, bounds| {
+                budget.demand_share(now, bounds, relay_count)
+            })
+        })
+    }
+
     /// Returns this relay's usage of each service's retry budget, as sent to peers.
     pub(super) fn budget_usages(&self) -> Vec<(ids::ServiceName, dispatch::BudgetUsage)> {
         let now = self.now();
--- a/crates/relay/src/shell/directory_events.rs
+++ b/crates/relay/src/shell/directory_events.rs
@@ -6,6 +6,7 @@
 use kingcupfall_core::ids;
 use tokio::sync::mpsc;
 
+use super::limits;
 use super::state;
 use super::state::RelayState;
 use crate::directory;
@@ -39,6 +40,7 @@
 fn handle_tick(state: &RelayState) {
     let changes = state.targets.borrow_mut().remove_expired(state.now());
     apply_target_changes(state, changes, "record lapsed");
+    limits::update_shares_regularly(state);
     state.submit(dispatch::DispatchEvent::Tick);
 }
 
--- a/crates/relay/src/shell/peer_exchange.rs
+++ b/crates/relay/src/shell/peer_exchange.rs
@@ -105,6 +105,9 @@
     state.submit(dispatch::DispatchEvent::PromptCrashesReported(
         heartbeat.prompt_crashes,
     ));
+    if !heartbeat.limits.is_empty() {
+        state.submit(dispatch::DispatchEvent::LimitsReported(heartbeat.limits));
+    }
     state.with_dispatcher(|dispatcher, now| {
         for record in &heartbeat.refused_requests {
             dispatcher.merge_refused_request(now, record);
@@ -221,5 +224,6 @@
         budget_usages: state.budget_usages(),
         suspects,
         prompt_crashes,
+        limits: state.with_dispatcher(|dispatcher, now| dispatcher.reported_limits(now)),
     }
 }
--- a/crates/relay/src/shell/peer_messages.rs
+++ b/crates/relay/src/shell/peer_messages.rs
@@ -88,4 +88,7 @@
     /// Crashes that may be due to prompts, and that the sender has not sent on this link yet.
     #[serde(rename = "x", default)]
     pub prompt_crashes: Vec<quarantine::PromptCrash>,
+    /// Limits of targets that the sender knows, or that have ended a short time ago.
+    #[serde(rename = "i", default)]
+    pub limits: Vec<dispatch::TargetLimit>,
 }
--- a/crates/relay/tests/peer_messages.rs
+++ b/crates/relay/tests/peer_messages.rs
@@ -19,17 +19,21 @@
         budget_usages: Vec::new(),
         suspects: Vec::new(),
         prompt_crashes: Vec::new(),
+        limits: Vec::new(),
     };
     serde_json::to_value(heartbeat).unwrap()
 }
 
-/// A relay of the previous version reports no crashes that may be due to prompts.
+/// A relay of an earlier version reports no crashes that may be due to prompts, and no limits.
 #[test]
 fn heartbeat_of_an_older_relay_decodes() {
     let mut encoded = heartbeat();
-    encoded.as_object_mut().unwrap().remove("x").unwrap();
+    let fields = encoded.as_object_mut().unwrap();
+    fields.remove("x").unwrap();
+    fields.remove("i").unwrap();
     let decoded: shell::PeerHeartbeat = serde_json::from_value(encoded).unwrap();
     assert!(decoded.prompt_crashes.is_empty());
+    assert!(decoded.limits.is_empty());
 }
 
 #[test]
