Log failed calls to the store, and the routes that relays request and receive (CONFIG)

The hypotheses of a configuration that is late differ in whether calls to the store fail, how often, and what peers send meanwhile. Failed calls were written at debug level only, requests for routes not at all.

--- a/crates/relay/src/shell/peer_exchange.rs
+++ b/crates/relay/src/shell/peer_exchange.rs
@@ -8,6 +8,7 @@
 use super::peer_links;
 use super::peer_messages;
 use super::state::RelayState;
+use crate::directory;
 use crate::dispatch;
 use crate::membership;
 use crate::telemetry;
@@ -53,6 +54,7 @@
         }
         peer_messages::PeerMessage::Routes(text) => match (state.decode_routes)(&text) {
             Some(table) => {
+                record_routes_received(state, link, &table, text.len());
                 directory_events::handle_routes(
                     state,
                     Rc::new(table),
@@ -131,6 +133,12 @@
         .borrow_mut()
         .should_request(now, own, heartbeat.known)
     {
+        if own.routes < heartbeat.known.routes {
+            let record = telemetry::DecisionRecord::new(telemetry::RecordKind::RoutesRequested)
+                .target_text(link.vm.as_ref().map_or("", |vm| vm.as_str()))
+                .version(heartbeat.known.routes.get());
+            state.record(&record);
+        }
         replies.push(peer_messages::PeerMessage::UpdateRequest(own));
     }
     if is_first_heartbeat && link.is_same_cell {
@@ -166,6 +174,20 @@
     }
 }
 
+fn record_routes_received(
+    state: &RelayState,
+    link: &peer_links::LinkState,
+    table: &directory::RouteTable,
+    text_len: usize,
+) {
+    let peer = link.vm.as_ref().map_or("", |vm| vm.as_str());
+    let record = telemetry::DecisionRecord::new(telemetry::RecordKind::RoutesReceived)
+        .target_text(peer)
+        .version(table.version().get())
+        .count(text_len as u64);
+    state.record(&record);
+}
+
 /// Returns the routes and targets that are newer than the versions a peer knows.
 fn updates_since(
     state: &RelayState,
--- a/crates/relay/src/telemetry/records.rs
+++ b/crates/relay/src/telemetry/records.rs
@@ -27,6 +27,10 @@
     RoutesActivated,
     /// A version of the routes can't be decoded.
     RoutesRejected,
+    /// Newer routes were requested from a peer.
+    RoutesRequested,
+    /// Routes were received from a peer, newer than the active ones or not.
+    RoutesReceived,
     /// A target may be used, or its record changed.
     #[serde(rename = "target_seen")]
     TargetUsable,
@@ -49,6 +53,8 @@
     TargetLimited,
     /// A target that had named a limit takes any number of requests again.
     TargetUnlimited,
+    /// A call to the platform's directory failed.
+    DirectoryCallFailed,
     /// The platform's directory stopped responding.
     DirectoryLost,
     /// The platform's directory responds again.
@@ -118,6 +124,7 @@
             | Self::TargetRejected
             | Self::ReloadFailed
             | Self::TargetUnhealthy
+            | Self::DirectoryCallFailed
             | Self::DirectoryLost
             | Self::PeerLost
             | Self::Omitted => true,
@@ -126,6 +133,8 @@
             | Self::Stopped
             | Self::Reloaded
             | Self::RoutesActivated
+            | Self::RoutesRequested
+            | Self::RoutesReceived
             | Self::TargetUsable
             | Self::TargetLeaving
             | Self::TargetMissing
