Receive one copy of large routes at a time (CONFIG)

Callers saw calls handled by routes that had been replaced. While a configuration of nearly 1 MB arrived at a relay with a narrow link, which takes a second or more, the relay requested the same routes from a peer after 0.4 s, and from a further one each 0.5 s.

Routes that are arriving from the store count as known now, and after a request to a peer no other follows until the routes, at the size of the present ones, should have arrived at 250 kB/s.

--- a/crates/relay/src/shell/peer_exchange.rs
+++ b/crates/relay/src/shell/peer_exchange.rs
@@ -126,21 +126,9 @@
         false => dispatch::DispatchEvent::PeerLost { peer },
     });
 
-    let own = state.known_versions();
-    let mut replies = Vec::new();
-    if state
-        .catch_up
-        .borrow_mut()
-        .should_request(now, own, heartbeat.known)
-    {
-        if own.routes < heartbeat.known.routes {
-            let record = telemetry::DecisionRecord::new(telemetry::RecordKind::RoutesRequested)
-                .target_text(link.vm.as_ref().map_or("", |vm| vm.as_str()))
-                .version(heartbeat.known.routes.get());
-            state.record(&record);
-        }
-        replies.push(peer_messages::PeerMessage::UpdateRequest(own));
-    }
+    let mut replies: Vec<_> = request_updates(state, link, heartbeat.known)
+        .into_iter()
+        .collect();
     if is_first_heartbeat && link.is_same_cell {
         // The previous heartbeat contained no loads, as the peer's cell was not known yet.
         let heartbeat = build_heartbeat(state, link);
@@ -174,20 +162,47 @@
     }
 }
 
+/// Returns a request for what a peer has and this relay lacks, if it is time for one.
+fn request_updates(
+    state: &RelayState,
+    link: &peer_links::LinkState,
+    peer: membership::KnownVersions,
+) -> Option<peer_messages::PeerMessage> {
+    let now = state.now();
+    let own = state.known_versions();
+    let mut catch_up = state.catch_up.borrow_mut();
+    let known = catch_up.known_or_arriving(now, own, peer);
+    if !catch_up.should_request(now, known, peer) {
+        return None;
+    }
+    if known.routes < peer.routes {
+        catch_up.record_routes_requested(now, own.routes, state.routes_size());
+        let record = telemetry::DecisionRecord::new(telemetry::RecordKind::RoutesRequested)
+            .target_text(peer_name(link))
+            .version(peer.routes.get());
+        state.record(&record);
+    }
+    Some(peer_messages::PeerMessage::UpdateRequest(known))
+}
+
 fn record_routes_received(
     state: &RelayState,
     link: &peer_links::LinkState,
     table: &directory::RouteTable,
     text_len: usize,
 ) {
-    let peer = link.vm.as_ref().map_or("", |vm| vm.as_str());
     let record = telemetry::DecisionRecord::new(telemetry::RecordKind::RoutesReceived)
-        .target_text(peer)
+        .target_text(peer_name(link))
         .version(table.version().get())
         .count(text_len as u64);
     state.record(&record);
 }
 
+/// Returns the VM of the peer on a link; nothing before its first heartbeat.
+fn peer_name(link: &peer_links::LinkState) -> &str {
+    link.vm.as_ref().map_or("", |vm| vm.as_str())
+}
+
 /// Returns the routes and targets that are newer than the versions a peer knows.
 fn updates_since(
     state: &RelayState,
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use kingcupfall_core::ids;
+use kingcupfall_core::measures;
 use kingcupfall_core::time;
 use kingcupfall_link::codec;
 use rand::Rng;
@@ -233,6 +234,18 @@
             })
     }
 
+    /// Returns the size of the active routes as they were published; zero before the first ones.
+    pub(super) fn routes_size(&self) -> measures::ByteSize {
+        let routes = self.routes.borrow();
+        let size = routes.as_ref().map_or(0, |routes| routes.text.len());
+        measures::ByteSize::new(size as u64)
+    }
+
+    /// Records that a part of the routes arrived from the platform's directory.
+    pub fn record_routes_read(&self) {
+        self.catch_up.borrow_mut().record_routes_read(self.now());
+    }
+
     /// Makes routes active unless the active ones are at least as new. Returns whether it did.
     pub(super) fn activate_routes(&self, table: Rc<directory::RouteTable>, text: Bytes) -> bool {
         let mut routes = self.routes.borrow_mut();
