Read the configuration again when other calls show that the store was away (CONFIG)

In a fleet of 24 relays a watch of the configuration waits for 15 s, in larger ones for 20 s. If the store loses it without closing the connection, no relay learns of a change for so long, though each reads the servers' entries again as soon as the store is back.

The end of an outage, and a later era of the store, that the reader of the servers' entries or a peer reports, now interrupts the watch of the configuration, which is sent again on a new connection.

--- a/crates/relay/src/shell/directory_feed.rs
+++ b/crates/relay/src/shell/directory_feed.rs
@@ -89,6 +89,10 @@
             .fed_until
             .set(now + FEED_TIMEOUT + jitter);
         self.directory_responded_at.set(now);
-        self.targets.borrow_mut().record_directory_regained(now);
+        let mut targets = self.targets.borrow_mut();
+        if targets.is_directory_lost() {
+            targets.record_directory_regained(now);
+            self.record_directory_return();
+        }
     }
 }
--- a/crates/relay/src/shell/peer_exchange.rs
+++ b/crates/relay/src/shell/peer_exchange.rs
@@ -67,6 +67,9 @@
         peer_messages::PeerMessage::Targets(delta) => {
             let now = state.now();
             let (revision, is_confirmed) = (delta.revision, delta.is_confirmed);
+            if revision.era() > state.targets.borrow().revision().era() {
+                state.record_directory_return();
+            }
             let changes = state.targets.borrow_mut().apply_delta(now, delta);
             directory_events::apply_target_changes(state, changes, directory_events::PEER_SOURCE);
             if is_confirmed {
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -124,6 +124,8 @@
     routes_activated_at: Cell<time::Timestamp>,
     pub(super) directory_responded_at: Cell<time::Timestamp>,
     pub(super) directory_feed: directory_feed::DirectoryFeed,
+    /// Number of times that the platform's directory was seen to be back.
+    directory_returns: watch::Sender<u64>,
     pub(super) limits_shared_at: Cell<time::Timestamp>,
     dispatcher: RefCell<dispatch::Dispatcher>,
     pub(super) retry_budgets: RefCell<BTreeMap<ids::ServiceName, dispatch::RetryBudget>>,
@@ -161,6 +163,7 @@
             routes_activated_at: Cell::default(),
             directory_responded_at: Cell::default(),
             directory_feed: directory_feed::DirectoryFeed::default(),
+            directory_returns: watch::channel(0).0,
             limits_shared_at: Cell::default(),
             dispatcher: RefCell::new(setup.dispatcher),
             retry_budgets: RefCell::new(BTreeMap::new()),
@@ -265,6 +268,17 @@
         self.metrics.record_directory_call_time(kind, took);
     }
 
+    /// Records that the platform's directory was away, or has returned from an older copy, and is
+    /// back.
+    pub fn record_directory_return(&self) {
+        self.directory_returns.send_modify(|count| *count += 1);
+    }
+
+    /// Returns a receiver that changes with each later return of the platform's directory.
+    pub fn directory_returns(&self) -> watch::Receiver<u64> {
+        self.directory_returns.subscribe()
+    }
+
     /// Returns whether the process can serve callers: it has routes and is not stopping.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.routes.borrow().is_some()
