--- a/crates/relay/src/shell/notices.rs
+++ b/crates/relay/src/shell/notices.rs
@@ -8,6 +8,7 @@
 use crate::directory;
 use crate::dispatch;
 use crate::protocol;
+use crate::telemetry;
 
 /// Source that the decision log names for departures that targets announced themselves.
 const TARGET_SOURCE: &str = "target";
@@ -35,6 +36,10 @@
             });
         }
         if let Some(pause) = notice.pause {
+            let record = telemetry::DecisionRecord::new(telemetry::RecordKind::TargetPaused)
+                .target(&target.name)
+                .retry_after(pause);
+            self.record(&record);
             self.submit(dispatch::DispatchEvent::TargetPaused {
                 target: target.clone(),
                 pause,
--- a/crates/relay/src/telemetry/records.rs
+++ b/crates/relay/src/telemetry/records.rs
@@ -53,6 +53,8 @@
     TargetLimited,
     /// A target that had named a limit takes any number of requests again.
     TargetUnlimited,
+    /// A target asked this relay to send nothing for some time.
+    TargetPaused,
     /// A call to the platform's directory failed.
     DirectoryCallFailed,
     /// The platform's directory stopped responding.
@@ -144,6 +146,7 @@
             | Self::TargetHealthy
             | Self::TargetLimited
             | Self::TargetUnlimited
+            | Self::TargetPaused
             | Self::PeerLinked
             | Self::Queued
             | Self::Placed
