--- a/crates/relay/tests/dispatch/limits.rs
+++ b/crates/relay/tests/dispatch/limits.rs
@@ -1,11 +1,13 @@
 //! Targets that limit the requests they take from all relays together.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use kingcupfall_core::ids;
 use kingcupfall_core::measures;
 use kingcupfall_core::time;
 use kingcupfall_core::work;
+use kingcupfall_relay::directory;
 use kingcupfall_relay::dispatch;
 use rand::Rng;
 use rand::SeedableRng;
@@ -53,6 +55,22 @@
     assert_eq!(dispatcher.limited_target_count(), 0);
 }
 
+/// Guards against limits that are forgotten with a target's record.
+#[test]
+fn hear_limit_holds_after_another_registration_of_the_target() {
+    let mut dispatcher = fixtures::dispatcher(&["one"]);
+    let heard_at = fixtures::START + Duration::from_millis(50);
+    hear_limit(&mut dispatcher, heard_at, "one", Some(2.0), fixtures::START);
+    let record = fixtures::engine_record("one");
+    let changes = vec![
+        directory::TargetChange::Gone(record.key.clone()),
+        directory::TargetChange::Usable(Rc::new(record)),
+    ];
+    dispatcher.handle(heard_at, dispatch::DispatchEvent::TargetsChanged(changes));
+    assert_eq!(dispatcher.limited_target_count(), 1);
+    assert_eq!(dispatcher.reported_limits(heard_at).len(), 1);
+}
+
 /// Time for which a fleet is simulated, in steps.
 const SIMULATED_TIME: Duration = Duration::from_secs(40);
 const STEP: Duration = Duration::from_millis(10);
--- a/crates/relay/tests/dispatch/pauses.rs
+++ b/crates/relay/tests/dispatch/pauses.rs
@@ -4,9 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use kingcupfall_core::ids;
 use kingcupfall_core::work;
 use kingcupfall_relay::directory;
 use kingcupfall_relay::dispatch;
+use yare::parameterized;
 
 use crate::fixtures;
 
@@ -84,3 +86,53 @@
     let effects = fixtures::arrive(&mut dispatcher, 1, fixtures::stream_demand(400));
     assert_eq!(fixtures::placed_target(&effects).as_deref(), Some("one"));
 }
+
+/// What happens to a target: it asks for a pause, or its record changes.
+#[derive(Debug, Clone, Copy)]
+enum PauseStep {
+    Pause,
+    Gone,
+    Usable,
+}
+
+/// Guards against pauses that are forgotten with a target's record.
+#[parameterized(
+    record_removed_and_written_again = { &[PauseStep::Pause, PauseStep::Gone, PauseStep::Usable] },
+    response_while_the_record_is_missing = { &[PauseStep::Gone, PauseStep::Pause, PauseStep::Usable] },
+    removed_twice = {
+        &[PauseStep::Pause, PauseStep::Gone, PauseStep::Usable, PauseStep::Gone, PauseStep::Usable]
+    },
+)]
+fn arrive_during_a_pause_is_not_placed_after_another_registration(steps: &[PauseStep]) {
+    let mut dispatcher = fixtures::dispatcher(&["one"]);
+    let record = fixtures::engine_record("one");
+    for step in steps {
+        let change = match step {
+            PauseStep::Pause => {
+                pause(&mut dispatcher, "one", PAUSE);
+                continue;
+            }
+            PauseStep::Gone => directory::TargetChange::Gone(record.key.clone()),
+            PauseStep::Usable => directory::TargetChange::Usable(Rc::new(record.clone())),
+        };
+        let changed = dispatch::DispatchEvent::TargetsChanged(vec![change]);
+        dispatcher.handle(fixtures::START, changed);
+    }
+    let effects = fixtures::arrive(&mut dispatcher, 1, fixtures::stream_demand(400));
+    assert_eq!(fixtures::placed_target(&effects), None);
+    let refusal = fixtures::refusal(&effects).unwrap();
+    assert!(refusal.retry_after >= PAUSE);
+
+    let pause_end = fixtures::START + PAUSE;
+    let demand = dispatch::CallDemand {
+        arrived_at: pause_end,
+        first_requested_at: pause_end,
+        ..fixtures::stream_demand(400)
+    };
+    let arrival = dispatch::DispatchEvent::Arrived {
+        call: ids::CallId::new(2),
+        demand: Box::new(demand),
+    };
+    let effects = dispatcher.handle(pause_end, arrival);
+    assert_eq!(fixtures::placed_target(&effects).as_deref(), Some("one"));
+}
