--- a/crates/relay/src/dispatch/limits.rs
+++ b/crates/relay/src/dispatch/limits.rs
@@ -180,9 +180,9 @@
         effects: &mut Vec<DispatchEffect>,
     ) {
         for report in reports {
-            let entry = self.targets.get(&report.target.name);
+            let terms = self.terms_mut(now, &report.target);
             // What is known already keeps its time, so that reports don't renew each other.
-            if entry.is_none_or(|entry| entry.limit.rate == report.limit) {
+            if terms.is_none_or(|terms| terms.limit.rate == report.limit) {
                 continue;
             }
             let age = u64::try_from(report.age.as_micros()).unwrap_or(u64::MAX);
@@ -208,9 +208,8 @@
         source: LimitSource,
         effects: &mut Vec<DispatchEffect>,
     ) {
-        if let Some(entry) = self.targets.get_mut(&key.name)
-            && entry.record.key == *key
-            && entry.limit.update(rate, sent_at, heard_at)
+        if let Some(terms) = self.terms_mut(heard_at, key)
+            && terms.limit.update(rate, sent_at, heard_at)
         {
             effects.push(DispatchEffect::LimitChanged {
                 target: key.name.clone(),
@@ -225,7 +224,7 @@
         if let Some(entry) = self.targets.get_mut(&key.name)
             && entry.record.key == *key
         {
-            entry.limit.record_request(now);
+            entry.terms.limit.record_request(now);
         }
     }
 
@@ -234,7 +233,7 @@
         if let Some(entry) = self.targets.get_mut(&key.name)
             && entry.record.key == *key
         {
-            entry.limit.withdraw_request(now);
+            entry.terms.limit.withdraw_request(now);
         }
     }
 
@@ -249,8 +248,12 @@
                 && entry.record.key == *key
             {
                 // What has accrued so far did so at the previous share.
-                entry.limit.bucket.take(now, entry.limit.share, 0.0);
-                entry.limit.share = *share;
+                entry
+                    .terms
+                    .limit
+                    .bucket
+                    .take(now, entry.terms.limit.share, 0.0);
+                entry.terms.limit.share = *share;
             }
         }
     }
@@ -258,29 +261,33 @@
     /// Returns the limits that this relay knows, and those that have ended a short time ago.
     pub fn reported_limits(&self, now: time::Timestamp) -> Vec<TargetLimit> {
         let entries = self.targets.values().filter(|entry| {
-            let heard_at = entry.limit.heard_at;
+            let heard_at = entry.terms.limit.heard_at;
             let was_limited = heard_at > time::Timestamp::ZERO;
-            entry.limit.rate.is_some() || was_limited && now.since(heard_at) < LIFT_REPORT_TIME
+            entry.terms.limit.rate.is_some()
+                || was_limited && now.since(heard_at) < LIFT_REPORT_TIME
         });
         entries
             .map(|entry| TargetLimit {
                 target: entry.record.key.clone(),
-                limit: entry.limit.rate,
-                age: now.since(entry.limit.heard_at),
+                limit: entry.terms.limit.rate,
+                age: now.since(entry.terms.limit.heard_at),
             })
             .collect()
     }
 
     /// Returns the number of targets that have named a limit.
     pub fn limited_target_count(&self) -> usize {
-        let limits = self.targets.values().filter_map(|entry| entry.limit.rate);
+        let limits = self
+            .targets
+            .values()
+            .filter_map(|entry| entry.terms.limit.rate);
         limits.count()
     }
 
     /// Returns the limits that this relay knows, and which relays share them.
     pub fn shared_limits(&self) -> Vec<SharedLimit> {
         let limited = self.targets.values().filter_map(|entry| {
-            let limit = entry.limit.rate?;
+            let limit = entry.terms.limit.rate?;
             let service = entry.record.service.clone();
             let is_cell_only = self.is_used_by_cells(&service);
             Some(SharedLimit {
@@ -324,8 +331,8 @@
         let (mut tokens, mut whole_tokens, mut rate_per_s) = (0.0, 0.0, 0.0);
         let mut next_token = None;
         for entry in staying {
-            entry.limit.rate?;
-            let HeardLimit { bucket, share, .. } = entry.limit;
+            entry.terms.limit.rate?;
+            let HeardLimit { bucket, share, .. } = entry.terms.limit;
             let own_tokens = bucket.tokens(now, share);
             tokens += own_tokens;
             whole_tokens += own_tokens.floor().max(0.0);
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -23,6 +23,7 @@
 mod refused;
 mod reservations;
 mod targets;
+mod terms;
 
 pub use budget::BudgetUsage;
 pub use budget::RepeatKind;
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -27,6 +27,7 @@
 use super::refused;
 use super::reservations;
 use super::targets;
+use super::terms;
 use crate::directory;
 use crate::membership;
 
@@ -48,6 +49,7 @@
 pub struct Dispatcher {
     pub(super) settings: DispatchSettings,
     pub(super) targets: BTreeMap<ids::TargetName, targets::TargetEntry>,
+    pub(super) unlisted_terms: terms::UnlistedTerms,
     pub(super) placed: BTreeMap<ids::CallId, calls::PlacedCall>,
     pub(super) waiting: queue::WaitingCalls,
     /// Rates of streams sent to targets, by service.
@@ -70,6 +72,7 @@
         Self {
             settings,
             targets: BTreeMap::new(),
+            unlisted_terms: terms::UnlistedTerms::default(),
             placed: BTreeMap::new(),
             waiting: queue::WaitingCalls::default(),
             start_rates: BTreeMap::new(),
@@ -389,7 +392,7 @@
     ) -> Vec<placement::CandidateTarget<'_>> {
         targets::usable_targets(&self.targets, now, service, |entry| self.is_in_cell(entry))
             .into_iter()
-            .filter(|(_, entry)| entry.limit.allows_request(now))
+            .filter(|(_, entry)| entry.terms.limit.allows_request(now))
             .filter(|(name, _)| {
                 self.denied_until
                     .get(*name)
--- a/crates/relay/src/dispatch/reservations.rs
+++ b/crates/relay/src/dispatch/reservations.rs
@@ -155,7 +155,7 @@
     /// asked for a pause.
     pub fn arbitrated_targets(&self, now: time::Timestamp) -> Vec<Rc<directory::TargetRecord>> {
         let entries = self.targets.values().filter(|entry| {
-            !entry.is_leaving && entry.paused_until <= now && self.is_in_cell(entry)
+            !entry.is_leaving && entry.terms.paused_until <= now && self.is_in_cell(entry)
         });
         entries
             .filter(|entry| self.arbiter(&entry.record.key.name).is_none())
--- a/crates/relay/src/dispatch/targets.rs
+++ b/crates/relay/src/dispatch/targets.rs
@@ -10,7 +10,7 @@
 use super::DispatchEffect;
 use super::Dispatcher;
 use super::TargetHealth;
-use super::limits;
+use super::terms;
 use crate::directory;
 use crate::membership;
 
@@ -24,10 +24,8 @@
     pub(super) record: Rc<directory::TargetRecord>,
     pub(super) is_leaving: bool,
     pub(super) health: TargetHealth,
-    /// End of the pause that the target asked for.
-    pub(super) paused_until: time::Timestamp,
-    /// Limit on the requests that it takes.
-    pub(super) limit: limits::HeardLimit,
+    /// What the target has asked for.
+    pub(super) terms: terms::TargetTerms,
     /// Whether the target was unhealthy at the last check.
     pub(super) was_unhealthy: bool,
     /// Position of the target, which determines its cell.
@@ -51,12 +49,12 @@
                         entry.is_leaving = false;
                     }
                     Some(_) | None => {
+                        let terms = self.unlisted_terms.take(&record.key);
                         let entry = TargetEntry {
                             record,
                             is_leaving: false,
                             health: TargetHealth::default(),
-                            paused_until: time::Timestamp::ZERO,
-                            limit: limits::HeardLimit::default(),
+                            terms,
                             was_unhealthy: false,
                             position: membership::CellPosition::of(&name),
                         };
@@ -79,8 +77,9 @@
                     .targets
                     .get(&key.name)
                     .is_some_and(|entry| entry.record.key == key)
+                    && let Some(entry) = self.targets.remove(&key.name)
                 {
-                    self.targets.remove(&key.name);
+                    self.unlisted_terms.insert(now, key.clone(), entry.terms);
                 }
                 self.handle_departure(&key, effects);
             }
@@ -95,10 +94,8 @@
         key: &directory::TargetKey,
         pause: Duration,
     ) {
-        if let Some(entry) = self.targets.get_mut(&key.name)
-            && entry.record.key == *key
-        {
-            entry.paused_until = entry.paused_until.max(now + pause);
+        if let Some(terms) = self.terms_mut(now, key) {
+            terms.paused_until = terms.paused_until.max(now + pause);
         }
     }
 
@@ -106,7 +103,7 @@
     pub fn is_paused(&self, now: time::Timestamp, key: &directory::TargetKey) -> bool {
         self.targets
             .get(&key.name)
-            .is_some_and(|entry| entry.record.key == *key && entry.paused_until > now)
+            .is_some_and(|entry| entry.record.key == *key && entry.terms.paused_until > now)
     }
 
     /// Returns how long no target of a service accepts work, if all those that stay have asked for
@@ -120,7 +117,7 @@
             .targets
             .values()
             .filter(|entry| !entry.is_leaving && entry.record.service == *service);
-        let earliest_end = staying.map(|entry| entry.paused_until).min()?;
+        let earliest_end = staying.map(|entry| entry.terms.paused_until).min()?;
         (earliest_end > now).then(|| earliest_end.since(now))
     }
 
@@ -191,7 +188,7 @@
         .filter(|(_, entry)| {
             entry.record.service == *service
                 && !entry.is_leaving
-                && entry.paused_until <= now
+                && entry.terms.paused_until <= now
                 && !entry.health.is_backed_off(now)
         })
         .collect();
--- /dev/null
+++ b/crates/relay/src/dispatch/terms.rs
@@ -0,0 +1,101 @@
+//! What targets ask of relays in their responses: pauses, and limits on their requests.
+//!
+//! It holds for the incarnation that asked. A record that disappears and is written again, as after
+//! an outage of the platform's directory, changes nothing in it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use kingcupfall_core::time;
+
+use super::Dispatcher;
+use super::limits;
+use crate::directory;
+
+/// Time for which the terms of an incarnation without a record are kept: the longest pause.
+const RETENTION_TIME: Duration = Duration::from_secs(600);
+
+/// Maximum number of incarnations without a record whose terms are kept.
+const MAX_UNLISTED: usize = 1_024;
+
+/// What one incarnation of a target has asked for.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct TargetTerms {
+    /// End of the pause that the target asked for.
+    pub(super) paused_until: time::Timestamp,
+    /// Limit on the requests that it takes.
+    pub(super) limit: limits::HeardLimit,
+}
+
+/// Terms of an incarnation that has no record now.
+#[derive(Debug)]
+struct UnlistedEntry {
+    terms: TargetTerms,
+    unlisted_at: time::Timestamp,
+}
+
+/// Terms of incarnations that have no record now, but may be registered again.
+#[derive(Debug, Default)]
+pub(super) struct UnlistedTerms {
+    entries: BTreeMap<directory::TargetKey, UnlistedEntry>,
+}
+
+impl UnlistedTerms {
+    /// Keeps the terms of an incarnation whose record was removed.
+    pub(super) fn insert(
+        &mut self,
+        now: time::Timestamp,
+        key: directory::TargetKey,
+        terms: TargetTerms,
+    ) {
+        self.entries
+            .retain(|_, entry| now.since(entry.unlisted_at) < RETENTION_TIME);
+        if self.entries.len() >= MAX_UNLISTED {
+            let oldest = self
+                .entries
+                .iter()
+                .min_by_key(|(_, entry)| entry.unlisted_at);
+            if let Some(key) = oldest.map(|(key, _)| key.clone()) {
+                self.entries.remove(&key);
+            }
+        }
+        let entry = UnlistedEntry {
+            terms,
+            unlisted_at: now,
+        };
+        self.entries.insert(key, entry);
+    }
+
+    /// Returns the terms of an incarnation whose record is written, and forgets them here.
+    pub(super) fn take(&mut self, key: &directory::TargetKey) -> TargetTerms {
+        let entry = self.entries.remove(key);
+        entry.map(|entry| entry.terms).unwrap_or_default()
+    }
+
+    fn get_mut(
+        &mut self,
+        now: time::Timestamp,
+        key: &directory::TargetKey,
+    ) -> Option<&mut TargetTerms> {
+        if !self.entries.contains_key(key) {
+            self.insert(now, key.clone(), TargetTerms::default());
+        }
+        self.entries.get_mut(key).map(|entry| &mut entry.terms)
+    }
+}
+
+impl Dispatcher {
+    /// Returns the terms of an incarnation, whether it has a record now or not; `None` if another
+    /// incarnation has replaced it.
+    pub(super) fn terms_mut(
+        &mut self,
+        now: time::Timestamp,
+        key: &directory::TargetKey,
+    ) -> Option<&mut TargetTerms> {
+        match self.targets.get_mut(&key.name) {
+            Some(entry) if entry.record.key == *key => Some(&mut entry.terms),
+            Some(_) => None,
+            None => self.unlisted_terms.get_mut(now, key),
+        }
+    }
+}
