--- a/crates/relay/src/shell/mod.rs
+++ b/crates/relay/src/shell/mod.rs
@@ -19,6 +19,7 @@
 mod rerun;
 mod responses;
 mod resumption;
+mod routes;
 mod server;
 mod settings;
 mod silence;
--- /dev/null
+++ b/crates/relay/src/shell/routes.rs
@@ -0,0 +1,59 @@
+//! The routes that are active, and what arrives of newer ones.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use kingcupfall_core::measures;
+
+use super::state::RelayState;
+use crate::directory;
+
+/// The active routes, with the text that they were decoded from.
+#[derive(Debug, Clone)]
+pub(super) struct ActiveRoutes {
+    pub(super) table: Rc<directory::RouteTable>,
+    pub(super) text: Bytes,
+}
+
+impl RelayState {
+    /// Returns the active routes, or `None` before the first ones are known.
+    pub(super) fn routes(&self) -> Option<ActiveRoutes> {
+        self.routes.borrow().clone()
+    }
+
+    /// Returns the version of the active routes; the default version before the first ones are
+    /// known.
+    pub fn routes_version(&self) -> directory::RouteTableVersion {
+        let routes = self.routes.borrow();
+        routes
+            .as_ref()
+            .map_or_else(directory::RouteTableVersion::default, |routes| {
+                routes.table.version()
+            })
+    }
+
+    /// Returns the size of the active routes as they were published; zero before the first ones.
+    pub(super) fn routes_size(&self) -> measures::ByteSize {
+        let routes = self.routes.borrow();
+        let size = routes.as_ref().map_or(0, |routes| routes.text.len());
+        measures::ByteSize::new(size as u64)
+    }
+
+    /// Records that a part of the routes arrived from the platform's directory.
+    pub fn record_routes_read(&self) {
+        self.catch_up.borrow_mut().record_routes_read(self.now());
+    }
+
+    /// Makes routes active unless the active ones are at least as new. Returns whether it did.
+    pub(super) fn activate_routes(&self, table: Rc<directory::RouteTable>, text: Bytes) -> bool {
+        let mut routes = self.routes.borrow_mut();
+        let is_newer = routes
+            .as_ref()
+            .is_none_or(|known| known.table.version() < table.version());
+        if is_newer {
+            *routes = Some(ActiveRoutes { table, text });
+            self.routes_activated_at.set(self.now());
+        }
+        is_newer
+    }
+}
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -10,7 +10,6 @@
 
 use bytes::Bytes;
 use kingcupfall_core::ids;
-use kingcupfall_core::measures;
 use kingcupfall_core::time;
 use kingcupfall_link::codec;
 use rand::Rng;
@@ -26,6 +25,7 @@
 use super::directory_feed;
 use super::limits;
 use super::prompt_parts;
+use super::routes;
 use super::stop;
 use super::suspects;
 use crate::directory;
@@ -92,13 +92,6 @@
     pub seed: u64,
 }
 
-/// The active routes, with the text that they were decoded from.
-#[derive(Debug, Clone)]
-pub(super) struct ActiveRoutes {
-    pub(super) table: Rc<directory::RouteTable>,
-    pub(super) text: Bytes,
-}
-
 /// State that the tasks of the process share.
 pub struct RelayState {
     pub(super) settings: RefCell<RelaySettings>,
@@ -120,8 +113,8 @@
     pub(super) catch_up: RefCell<membership::CatchUpScheduler>,
     /// Updates that are sent on many links.
     pub(super) updates: broadcast::Sender<PeerUpdate>,
-    routes: RefCell<Option<ActiveRoutes>>,
-    routes_activated_at: Cell<time::Timestamp>,
+    pub(super) routes: RefCell<Option<routes::ActiveRoutes>>,
+    pub(super) routes_activated_at: Cell<time::Timestamp>,
     pub(super) directory_responded_at: Cell<time::Timestamp>,
     pub(super) directory_feed: directory_feed::DirectoryFeed,
     /// Number of times that the platform's directory was seen to be back.
@@ -221,47 +214,6 @@
         *self.stop_phase.borrow() > StopPhase::Serving
     }
 
-    /// Returns the active routes, or `None` before the first ones are known.
-    pub(super) fn routes(&self) -> Option<ActiveRoutes> {
-        self.routes.borrow().clone()
-    }
-
-    /// Returns the version of the active routes; the default version before the first ones are
-    /// known.
-    pub fn routes_version(&self) -> directory::RouteTableVersion {
-        let routes = self.routes.borrow();
-        routes
-            .as_ref()
-            .map_or_else(directory::RouteTableVersion::default, |routes| {
-                routes.table.version()
-            })
-    }
-
-    /// Returns the size of the active routes as they were published; zero before the first ones.
-    pub(super) fn routes_size(&self) -> measures::ByteSize {
-        let routes = self.routes.borrow();
-        let size = routes.as_ref().map_or(0, |routes| routes.text.len());
-        measures::ByteSize::new(size as u64)
-    }
-
-    /// Records that a part of the routes arrived from the platform's directory.
-    pub fn record_routes_read(&self) {
-        self.catch_up.borrow_mut().record_routes_read(self.now());
-    }
-
-    /// Makes routes active unless the active ones are at least as new. Returns whether it did.
-    pub(super) fn activate_routes(&self, table: Rc<directory::RouteTable>, text: Bytes) -> bool {
-        let mut routes = self.routes.borrow_mut();
-        let is_newer = routes
-            .as_ref()
-            .is_none_or(|known| known.table.version() < table.version());
-        if is_newer {
-            *routes = Some(ActiveRoutes { table, text });
-            self.routes_activated_at.set(self.now());
-        }
-        is_newer
-    }
-
     /// Records that the platform's directory responded to a call, and how long that took.
     pub fn record_directory_response(&self, kind: &'static str, took: Duration) {
         self.directory_responded_at.set(self.now());
