--- a/crates/relay/src/dispatch/limits.rs
+++ b/crates/relay/src/dispatch/limits.rs
@@ -113,6 +113,11 @@
 }
 
 impl HeardLimit {
+    /// Returns whether the target has a limit.
+    pub(super) const fn is_limited(&self) -> bool {
+        self.rate.is_some()
+    }
+
     /// Returns whether the target takes a request of this relay at `now`.
     pub(super) fn allows_request(&self, now: time::Timestamp) -> bool {
         self.rate.is_none() || self.bucket.tokens(now, self.share) >= 1.0
@@ -248,12 +253,9 @@
                 && entry.record.key == *key
             {
                 // What has accrued so far did so at the previous share.
-                entry
-                    .terms
-                    .limit
-                    .bucket
-                    .take(now, entry.terms.limit.share, 0.0);
-                entry.terms.limit.share = *share;
+                let limit = &mut entry.terms.limit;
+                limit.bucket.take(now, limit.share, 0.0);
+                limit.share = *share;
             }
         }
     }
--- a/crates/relay/src/dispatch/targets.rs
+++ b/crates/relay/src/dispatch/targets.rs
@@ -78,6 +78,7 @@
                     .get(&key.name)
                     .is_some_and(|entry| entry.record.key == key)
                     && let Some(entry) = self.targets.remove(&key.name)
+                    && entry.terms.apply(now)
                 {
                     self.unlisted_terms.insert(now, key.clone(), entry.terms);
                 }
--- a/crates/relay/src/dispatch/terms.rs
+++ b/crates/relay/src/dispatch/terms.rs
@@ -27,6 +27,13 @@
     pub(super) limit: limits::HeardLimit,
 }
 
+impl TargetTerms {
+    /// Returns whether there is anything that the target still asks for.
+    pub(super) fn apply(&self, now: time::Timestamp) -> bool {
+        self.paused_until > now || self.limit.is_limited()
+    }
+}
+
 /// Terms of an incarnation that has no record now.
 #[derive(Debug)]
 struct UnlistedEntry {
