Decode evacuations, cold targets, homes, pause targets and slowdowns

Cause: parts that are built side by side need the same types. Change: the configuration, server entries, settings and the header Server-Load are decoded into fields that nothing uses yet; evacuations themselves come with their part. Measured: settings, protocol and decoder tests of platform/ and the core's tests pass.

--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -9,6 +9,7 @@
 pub use names::ModelName;
 pub use names::NameError;
 pub use names::OrganisationName;
+pub use names::RegionName;
 pub use names::ServiceName;
 pub use names::TargetName;
 pub use names::VmName;
--- a/crates/core/src/ids/names.rs
+++ b/crates/core/src/ids/names.rs
@@ -89,6 +89,10 @@
     /// Name of an availability zone.
     ZoneName
 }
+text_name! {
+    /// Name of a region, which has one or more availability zones.
+    RegionName
+}
 text_name! {
     /// Name of a VM.
     VmName
--- a/crates/relay/src/directory/mod.rs
+++ b/crates/relay/src/directory/mod.rs
@@ -6,6 +6,7 @@
 
 pub use routes::CallKind;
 pub use routes::CallerLimits;
+pub use routes::ColdRule;
 pub use routes::EngineCapabilities;
 pub use routes::OrganisationRule;
 pub use routes::RouteRule;
--- a/crates/relay/src/directory/routes.rs
+++ b/crates/relay/src/directory/routes.rs
@@ -92,6 +92,11 @@
     pub can_resume: bool,
     /// Whether requests are accepted without a key.
     pub is_anonymous: bool,
+    /// Longest pause between two events of a stream with which its response is still on time;
+    /// `None` if the route states none.
+    pub target_gap: Option<Duration>,
+    /// Regions whose targets may run the requests; `None` if all may.
+    pub homes: Option<Rc<[ids::RegionName]>>,
 }
 
 /// Capacity and features of the model engines of a service.
@@ -107,6 +112,15 @@
     pub can_copy: bool,
 }
 
+/// How long the targets of a service are cold after their start, and what they tolerate meanwhile.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdRule {
+    /// Time for which a target is cold after its start.
+    pub time: Duration,
+    /// Requests that a cold target tolerates from all relays together.
+    pub rate: measures::RequestRate,
+}
+
 /// A service that routes can refer to.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServiceRule {
@@ -114,6 +128,8 @@
     pub name: ids::ServiceName,
     /// Capabilities of its model engines; `None` for a service without model engines.
     pub engine: Option<EngineCapabilities>,
+    /// Limit on the requests to its cold targets; `None` if they have none.
+    pub cold: Option<ColdRule>,
 }
 
 /// An organisation whose keys callers may use.
@@ -123,6 +139,8 @@
     pub name: ids::OrganisationName,
     /// Priority of its requests, which overrides that of their route; `None` keeps the route's.
     pub rank: Option<u8>,
+    /// Regions whose targets may run its requests; `None` if all may.
+    pub homes: Option<Rc<[ids::RegionName]>>,
 }
 
 /// Size and time limits for callers' connections.
--- a/crates/relay/src/directory/target.rs
+++ b/crates/relay/src/directory/target.rs
@@ -2,10 +2,13 @@
 
 use std::fmt;
 use std::net;
+use std::time::Duration;
 
 use kingcupfall_core::ids;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
 
 /// Bits of a revision that hold its number within an era; the directory's counter stays far below.
 const NUMBER_BITS: u32 = 48;
@@ -78,6 +81,7 @@
 }
 
 /// Registration record of a target.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TargetRecord {
     /// Incarnation that registered the record.
@@ -101,4 +105,8 @@
     /// Directory revision at which the record was written.
     #[serde(rename = "r")]
     pub revision: DirectoryRevision,
+    /// Time for which the target was still cold when the record was written.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "w", default)]
+    pub cold_for: Duration,
 }
--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -56,6 +56,11 @@
     pub fingerprint: work::RequestFingerprint,
     /// Parts of its prompt that other requests may share, in order; empty without a prompt.
     pub prompt_parts: Rc<[work::PromptPartId]>,
+    /// Longest pause between two events with which a stream is still on time, if its route states
+    /// one.
+    pub target_gap: Option<Duration>,
+    /// Availability zones whose targets may run the call; `None` if all may.
+    pub allowed_zones: Option<Rc<[ids::ZoneName]>>,
     /// Targets that are not tried again.
     pub tried: Vec<ids::TargetName>,
 }
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod budget;
 mod calls;
+mod cold;
 mod copies;
 mod crashes;
 mod effect;
@@ -30,6 +31,7 @@
 pub use budget::RetryBounds;
 pub use budget::RetryBudget;
 pub use calls::CallDemand;
+pub use cold::ColdBounds;
 pub use crashes::CrashVerdict;
 pub use effect::CallPlacement;
 pub use effect::CallRefusal;
--- a/crates/relay/src/protocol/mod.rs
+++ b/crates/relay/src/protocol/mod.rs
@@ -97,6 +97,20 @@
     Limited(measures::RequestRate),
 }
 
+/// Load that a target states in the head of a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetLoad {
+    /// Requests that it runs, from all relays.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it runs concurrently at most.
+    pub slots: u32,
+    /// Time that work takes on its machine at this moment, in percent of the usual time; `None` if
+    /// it does not state it. Other work on the machine changes it several times a second.
+    pub slowdown_percent: Option<u32>,
+}
+
 /// What a target says of itself in the head of a response, whatever became of the request.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct TargetNotice {
@@ -106,6 +120,8 @@
     pub pause: Option<Duration>,
     /// Limit on the requests that the target takes.
     pub limit: LimitNotice,
+    /// Load of the target, if it states it.
+    pub load: Option<TargetLoad>,
 }
 
 /// What a model engine reports of itself.
--- a/crates/relay/src/shell/intake.rs
+++ b/crates/relay/src/shell/intake.rs
@@ -340,6 +340,8 @@
         deadline: arrived_at + timeout,
         fingerprint,
         prompt_parts: head.prompt_parts.as_ref().into(),
+        target_gap: route.target_gap,
+        allowed_zones: None,
         tried: Vec::new(),
     }
 }
--- a/crates/relay/src/shell/settings.rs
+++ b/crates/relay/src/shell/settings.rs
@@ -1,5 +1,6 @@
 //! Settings that the process starts with.
 
+use std::collections::BTreeMap;
 use std::net;
 use std::time::Duration;
 
@@ -33,4 +34,10 @@
     pub memory_limit: measures::ByteSize,
     /// Limit of file descriptors of the process.
     pub descriptor_limit: u32,
+    /// Region of each availability zone.
+    pub zones: BTreeMap<ids::ZoneName, ids::RegionName>,
+    /// Whether operators may evacuate availability zones.
+    pub follows_evacuations: bool,
+    /// Bounds on the requests that a cold target gets in one second.
+    pub cold_bounds: dispatch::ColdBounds,
 }
--- a/crates/relay/tests/directory.rs
+++ b/crates/relay/tests/directory.rs
@@ -20,6 +20,7 @@
         slots: 6,
         state: directory::TargetState::Ready,
         revision: directory::DirectoryRevision::new(revision),
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/crates/relay/tests/dispatch/fixtures.rs
+++ b/crates/relay/tests/dispatch/fixtures.rs
@@ -55,6 +55,7 @@
         slots: 24,
         state: directory::TargetState::Ready,
         revision: directory::DirectoryRevision::new(1),
+        cold_for: Duration::ZERO,
     }
 }
 
@@ -77,6 +78,8 @@
         deadline: START + Duration::from_secs(39),
         fingerprint: work::RequestFingerprint::new(7),
         prompt_parts: Rc::new([]),
+        target_gap: None,
+        allowed_zones: None,
         tried: Vec::new(),
     }
 }
--- a/crates/relay/tests/restored_directory.rs
+++ b/crates/relay/tests/restored_directory.rs
@@ -27,6 +27,7 @@
         slots: 6,
         state: directory::TargetState::Ready,
         revision: revision(era, number),
+        cold_for: Duration::ZERO,
     }
 }
 
