Leave memory to urgent short streams at engines that long streams fill

Change: a long stream of a less urgent rank is placed only where memory for one short stream stays free, as long as such streams arrive.

--- a/crates/relay/src/dispatch/admission.rs
+++ b/crates/relay/src/dispatch/admission.rs
@@ -59,6 +59,7 @@
         {
             demand.first_requested_at = demand.first_requested_at.min(first_requested_at);
         }
+        self.urgent_streams.record_arrival(now, &demand);
         if let Err(refusal) = self.admit(now, &demand) {
             effects.push(DispatchEffect::Refuse { call, refusal });
             return;
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod crashes;
 mod effect;
 mod event;
+mod headroom;
 mod health;
 mod limits;
 mod load;
--- a/crates/relay/src/dispatch/placement.rs
+++ b/crates/relay/src/dispatch/placement.rs
@@ -11,6 +11,7 @@
 use super::LoadLimit;
 use super::TargetHealth;
 use super::calls;
+use super::headroom;
 use super::queue;
 use crate::directory;
 
@@ -65,12 +66,13 @@
     pub(super) record: &'a Rc<directory::TargetRecord>,
     pub(super) load: LoadCount,
     pub(super) health: &'a TargetHealth,
+    pub(super) urgent_streams: &'a headroom::UrgentStreams,
 }
 
 impl CandidateTarget<'_> {
     /// Returns whether the target has capacity for a call.
     pub(super) fn has_capacity(&self, now: time::Timestamp, demand: &CallDemand) -> bool {
-        match start_limit(now, demand, self.record) {
+        match start_limit(now, demand, self.record, self.urgent_streams) {
             Some(limit) => limit.has_capacity(self.load, calls::initial_load(demand)),
             None => self.load.calls < self.record.slots.max(1) * MAX_PLAIN_CALLS_PER_SLOT,
         }
@@ -161,13 +163,15 @@
     now: time::Timestamp,
     demand: &CallDemand,
     record: &directory::TargetRecord,
+    urgent_streams: &headroom::UrgentStreams,
 ) -> Option<LoadLimit> {
     let engine = demand.engine.as_ref()?;
     let share = match queue::is_behind_target(now, demand) {
         true => BEHIND_TARGET_FORECAST_SHARE,
         false => MAX_FORECAST_SHARE,
     };
-    let memory = engine.memory.get() as f64 * share;
+    let headroom = urgent_streams.headroom_tokens(now, demand);
+    let memory = engine.memory.get().saturating_sub(headroom) as f64 * share;
     let backlog = demand.target_latency.as_secs_f64() * PREFILL_TOKENS_PER_S * MAX_BACKLOG_SHARE;
     Some(LoadLimit {
         slots: record.slots,
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -20,6 +20,7 @@
 use super::ReservationRequest;
 use super::calls;
 use super::crashes;
+use super::headroom;
 use super::load;
 use super::placement;
 use super::prompt_crashes;
@@ -61,6 +62,7 @@
     /// Targets that recently denied a reservation, and the time until which they are not used.
     pub(super) denied_until: BTreeMap<ids::TargetName, time::Timestamp>,
     pub(super) prompt_rates: load::PromptRates,
+    pub(super) urgent_streams: headroom::UrgentStreams,
     pub(super) cell_depth: membership::CellDepth,
     pub(super) peer_loads: load::PeerLoads,
     pub(super) changed_targets: BTreeSet<ids::TargetName>,
@@ -82,6 +84,7 @@
             reservations: reservations::PendingReservations::default(),
             denied_until: BTreeMap::new(),
             prompt_rates: load::PromptRates::default(),
+            urgent_streams: headroom::UrgentStreams::default(),
             cell_depth: membership::CellDepth::default(),
             peer_loads: load::PeerLoads::default(),
             changed_targets: BTreeSet::new(),
@@ -307,7 +310,7 @@
         effects: &mut Vec<DispatchEffect>,
     ) {
         let load = calls::initial_load(&demand);
-        let limit = placement::start_limit(now, &demand, &target);
+        let limit = placement::start_limit(now, &demand, &target, &self.urgent_streams);
         let placed = calls::PlacedCall {
             demand: Box::new(demand),
             target: Rc::clone(&target),
@@ -405,6 +408,7 @@
                     record: &entry.record,
                     load,
                     health: &entry.health,
+                    urgent_streams: &self.urgent_streams,
                 }
             })
             .collect()
--- a/crates/relay/tests/dispatch/main.rs
+++ b/crates/relay/tests/dispatch/main.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod decisions;
 mod fixtures;
+mod headroom;
 mod limits;
 mod pauses;
 mod prompt_crashes;
