Leave room only where long streams can wait for it

Change: a long stream leaves room if its target latency is at least twice that of the short streams.

--- a/crates/relay/src/dispatch/headroom.rs
+++ b/crates/relay/src/dispatch/headroom.rs
@@ -21,6 +21,10 @@
 /// Rate of urgent short streams at this relay, per second, from which long streams leave room.
 const MIN_ARRIVALS_PER_S: f64 = 0.1;
 
+/// Ratio of the target latencies from which a long stream leaves room. One that has to start as soon
+/// as the short ones would be late in their place.
+const MIN_LATENCY_RATIO: u32 = 2;
+
 /// Weight of one stream in the average size.
 const SIZE_WEIGHT: f64 = 0.1;
 
@@ -32,6 +36,7 @@
 #[derive(Debug, Clone, Copy)]
 struct ShortStreams {
     rank: u8,
+    target_latency: Duration,
     tokens: f64,
     arrivals: load::DecayingRate,
 }
@@ -54,12 +59,14 @@
             .entry(demand.service.clone())
             .or_insert(ShortStreams {
                 rank: demand.rank,
+                target_latency: demand.target_latency,
                 tokens,
                 arrivals: load::DecayingRate::default(),
             });
         let is_idle = streams.arrivals.per_second(now, ARRIVAL_WINDOW) < MIN_ARRIVALS_PER_S;
         if demand.rank < streams.rank || is_idle {
             streams.rank = demand.rank;
+            streams.target_latency = demand.target_latency;
         }
         if demand.rank == streams.rank {
             streams.tokens += SIZE_WEIGHT * (tokens - streams.tokens);
@@ -74,7 +81,9 @@
         }
         let streams = self.services.get(&demand.service).filter(|streams| {
             let rate = streams.arrivals.per_second(now, ARRIVAL_WINDOW);
-            streams.rank < demand.rank && rate >= MIN_ARRIVALS_PER_S
+            streams.rank < demand.rank
+                && demand.target_latency >= streams.target_latency * MIN_LATENCY_RATIO
+                && rate >= MIN_ARRIVALS_PER_S
         });
         streams.map_or(0, |streams| (streams.tokens * STREAMS_PER_ENGINE) as u64)
     }
--- a/crates/relay/tests/dispatch/headroom.rs
+++ b/crates/relay/tests/dispatch/headroom.rs
@@ -16,6 +16,10 @@
 const LONG_RANK: u8 = 2;
 const URGENT_RANK: u8 = 0;
 
+/// Target latencies of long streams that can wait, and of short streams.
+const LONG_LATENCY: Duration = Duration::from_millis(4_000);
+const SHORT_LATENCY: Duration = Duration::from_millis(1_500);
+
 /// Returns the requirements of a long stream without a copy, which would also take memory.
 fn long_demand() -> dispatch::CallDemand {
     let demand = fixtures::stream_demand(750);
@@ -28,7 +32,7 @@
                 ..engine
             })
         }),
-        target_latency: Duration::from_millis(4_000),
+        target_latency: LONG_LATENCY,
         ..demand
     }
 }
@@ -37,7 +41,7 @@
     dispatch::CallDemand {
         rank,
         prompt_tokens: 2_200,
-        target_latency: Duration::from_millis(1_500),
+        target_latency: SHORT_LATENCY,
         ..fixtures::stream_demand(10)
     }
 }
@@ -69,12 +73,17 @@
 /// Guards against long streams that fill all memory while more urgent short streams arrive, and
 /// against memory that stays free where nobody needs it.
 #[parameterized(
-    urgent_short_streams = { Some(URGENT_RANK), true },
-    less_urgent_short_streams = { Some(LONG_RANK + 1), false },
-    equally_urgent_short_streams = { Some(LONG_RANK), false },
-    no_short_streams = { None, false },
+    urgent_short_streams = { Some(URGENT_RANK), LONG_LATENCY, true },
+    less_urgent_short_streams = { Some(LONG_RANK + 1), LONG_LATENCY, false },
+    equally_urgent_short_streams = { Some(LONG_RANK), LONG_LATENCY, false },
+    long_streams_that_cannot_wait = { Some(URGENT_RANK), SHORT_LATENCY, false },
+    no_short_streams = { None, LONG_LATENCY, false },
 )]
-fn arrive_long_streams_leave_room(short_rank: Option<u8>, leaves_room: bool) {
+fn arrive_long_streams_leave_room(
+    short_rank: Option<u8>,
+    long_latency: Duration,
+    leaves_room: bool,
+) {
     let mut dispatcher = fixtures::dispatcher(&["one", "two"]);
     let mut now = fixtures::START;
     for number in 1..=20 {
@@ -85,7 +94,11 @@
     }
     let mut placed = 0;
     for number in 100..130 {
-        placed += usize::from(serve(&mut dispatcher, now, number, long_demand()));
+        let demand = dispatch::CallDemand {
+            target_latency: long_latency,
+            ..long_demand()
+        };
+        placed += usize::from(serve(&mut dispatcher, now, number, demand));
     }
     // Each engine has memory for six prompts of 3,000 tokens, or five beside a short stream.
     assert_eq!(placed, if leaves_room { 10 } else { 12 });
