Follow evacuated zones, and keep requests in the allowed regions

Targets of an evacuated zone get no call, reservation, migration, copy or resumption; streams there go on, copies there are dropped. Zones allowed for a call are derived at intake and honoured wherever a target is chosen. Records, a field for the zone, and two gauges.

Measured: the two new tests over sockets that need an evacuation failed on the code before, with 8 of 8 requests at the evacuated target; they pass now, as do the 191 tests of the relay crate.

--- a/crates/relay/src/directory/mod.rs
+++ b/crates/relay/src/directory/mod.rs
@@ -1,9 +1,12 @@
 //! Routes, organisations and targets, as published in the platform's directory.
 
+mod evacuations;
 mod routes;
 mod table;
 mod target;
 
+pub use evacuations::EvacuationTable;
+pub use evacuations::ZoneEvacuation;
 pub use routes::CallKind;
 pub use routes::CallerLimits;
 pub use routes::ColdRule;
@@ -26,6 +29,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use kingcupfall_core::ids;
 
 /// Event that a reader of the platform's directory reports to the process.
 #[derive(Debug, Clone)]
@@ -49,10 +53,19 @@
     /// A target's record was removed, or its new content can't be decoded.
     Removed {
         /// Name under which the target was registered.
-        name: kingcupfall_core::ids::TargetName,
+        name: ids::TargetName,
         /// Directory revision at which the record was removed or replaced.
         revision: DirectoryRevision,
     },
+    /// The complete list of evacuated availability zones was read.
+    EvacuationsListed {
+        /// Directory revision that the list corresponds to.
+        revision: DirectoryRevision,
+        /// Evacuated zones, each with the revision at which its evacuation was written.
+        zones: Vec<(ids::ZoneName, DirectoryRevision)>,
+    },
+    /// A zone was evacuated, or its evacuation was withdrawn.
+    EvacuationChanged(ZoneEvacuation),
     /// All changes of targets up to the directory's last response have been reported.
     Confirmed,
     /// The directory stopped responding.
--- a/crates/relay/src/dispatch/admission.rs
+++ b/crates/relay/src/dispatch/admission.rs
@@ -95,11 +95,7 @@
                 retry_after: MAX_RETRY_AFTER,
             });
         }
-        let has_target = self
-            .targets
-            .values()
-            .any(|entry| !entry.is_leaving && entry.record.service == demand.service);
-        match has_target {
+        match self.has_target(demand) {
             true => Ok(()),
             false => Err(CallRefusal {
                 reason: RefusalReason::NoTarget,
@@ -108,6 +104,31 @@
         }
     }
 
+    /// Returns whether a target may run a call, regardless of load.
+    fn has_target(&self, demand: &CallDemand) -> bool {
+        let mut targets = self.targets.values();
+        targets.any(|entry| entry.may_run(demand))
+    }
+
+    /// Refuses waiting calls whose targets are all in evacuated zones. Without evacuations, calls
+    /// whose targets have left wait for others.
+    pub(super) fn refuse_without_target(&mut self, effects: &mut Vec<DispatchEffect>) {
+        if self.evacuated_zones.is_empty() {
+            return;
+        }
+        for call in self.waiting.calls() {
+            let demand = self.waiting.get(call);
+            if demand.is_some_and(|demand| !self.has_target(demand)) {
+                self.waiting.remove(call);
+                let refusal = CallRefusal {
+                    reason: RefusalReason::NoTarget,
+                    retry_after: NO_TARGET_RETRY_AFTER,
+                };
+                effects.push(DispatchEffect::Refuse { call, refusal });
+            }
+        }
+    }
+
     /// Refuses waiting calls whose requests or prompt parts are quarantined.
     pub(super) fn refuse_quarantined(
         &mut self,
@@ -142,7 +163,7 @@
             return;
         };
         let max_wait = queue::max_wait(demand);
-        if let Some(pause) = self.service_pause(now, &demand.service)
+        if let Some(pause) = self.service_pause(now, demand)
             && pause > max_wait
         {
             let retry_after = spread_return(pause, demand.fingerprint);
@@ -150,7 +171,7 @@
             return self.refuse_until(now, call, reason, retry_after, effects);
         }
         let ahead = self.waiting.count_ahead(now, demand);
-        if let Some(wait) = self.limited_wait(now, &demand.service, ahead) {
+        if let Some(wait) = self.limited_wait(now, demand, ahead) {
             let wait = match wait {
                 limits::LimitedWait::For(wait) if wait <= max_wait => return,
                 limits::LimitedWait::For(wait) => wait.min(MAX_RETRY_AFTER),
--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -65,6 +65,14 @@
     pub tried: Vec<ids::TargetName>,
 }
 
+impl CallDemand {
+    /// Returns whether targets of a zone may run the call.
+    pub fn allows_zone(&self, zone: &ids::ZoneName) -> bool {
+        let allowed = self.allowed_zones.as_ref();
+        allowed.is_none_or(|zones| zones.contains(zone))
+    }
+}
+
 /// When an attempt was sent, its first event was received, and its target was last heard from.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct AttemptTimes {
--- a/crates/relay/src/dispatch/crashes.rs
+++ b/crates/relay/src/dispatch/crashes.rs
@@ -367,7 +367,7 @@
         };
         if self.lost_attempts.has_ended(key) {
             self.record_crash(now, key, &[lost_attempt], effects);
-        } else if self.accepts_work(key) {
+        } else if self.is_staying(key) {
             let needs_probe = kind == LossKind::Abrupt || self.is_suspect(now, attempt.fingerprint);
             // A target that leaves ends as planned, whatever runs there.
             self.lost_attempts.record(key, lost_attempt);
--- a/crates/relay/src/dispatch/effect.rs
+++ b/crates/relay/src/dispatch/effect.rs
@@ -161,11 +161,11 @@
         /// Target that is leaving. The call may have another one by the time it learns of this.
         target: directory::TargetKey,
     },
-    /// The copy holder of the call is gone or leaving: drop the copy.
+    /// The copy holder of the call is gone or leaving, or its zone is evacuated: drop the copy.
     DropCopy {
         /// Call whose copy is lost.
         call: ids::CallId,
-        /// Copy holder that is gone or leaving. The call may have another one by then.
+        /// Copy holder that may not be used. The call may have another one by then.
         holder: directory::TargetKey,
     },
     /// Reply to [`MigrationRequested`](super::DispatchEvent::MigrationRequested).
--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -1,5 +1,6 @@
 //! Events that the dispatcher handles.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -134,6 +135,8 @@
     PromptCrashesReported(Vec<quarantine::PromptCrash>),
     /// Targets became usable, began to leave or are gone.
     TargetsChanged(Vec<directory::TargetChange>),
+    /// The set of evacuated availability zones changed to this one.
+    EvacuationsChanged(BTreeSet<ids::ZoneName>),
     /// A peer reported its load at all targets.
     PeerLoadsReplaced {
         /// Reporting peer.
--- a/crates/relay/src/dispatch/limits.rs
+++ b/crates/relay/src/dispatch/limits.rs
@@ -17,6 +17,7 @@
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
+use super::CallDemand;
 use super::DispatchEffect;
 use super::Dispatcher;
 use super::LimitSource;
@@ -307,7 +308,7 @@
     fn is_used_by_cells(&self, service: &ids::ServiceName) -> bool {
         let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
         for entry in self.targets.values() {
-            if entry.record.service == *service && !entry.is_leaving {
+            if entry.record.service == *service && entry.takes_work() {
                 let cell = self.cell_depth.cell_index(entry.position);
                 *counts.entry(cell).or_default() += 1;
             }
@@ -318,18 +319,15 @@
                 .all(|count| *count >= targets::MIN_CELL_TARGETS)
     }
 
-    /// Returns when the last of `ahead` waiting calls can be sent, if all targets of their service
+    /// Returns when the last of `ahead` waiting calls can be sent, if all targets that may run them
     /// limit their requests and take fewer now.
     pub(super) fn limited_wait(
         &self,
         now: time::Timestamp,
-        service: &ids::ServiceName,
+        demand: &CallDemand,
         ahead: usize,
     ) -> Option<LimitedWait> {
-        let staying = self
-            .targets
-            .values()
-            .filter(|entry| !entry.is_leaving && entry.record.service == *service);
+        let staying = self.targets.values().filter(|entry| entry.may_run(demand));
         let (mut tokens, mut whole_tokens, mut rate_per_s) = (0.0, 0.0, 0.0);
         let mut next_token = None;
         for entry in staying {
--- a/crates/relay/src/dispatch/migrations.rs
+++ b/crates/relay/src/dispatch/migrations.rs
@@ -25,7 +25,7 @@
             return None;
         }
         let loads = self.local_loads(now);
-        let candidates = self.candidates(now, &loads, &placed.demand.service);
+        let candidates = self.candidates(now, &loads, &placed.demand);
         let copy_holder = copies::choose_copy_holder(&placed.demand, &placed.target, &candidates);
         if let Some(holder) = &copy_holder {
             self.changed_targets.insert(holder.key.name.clone());
@@ -68,7 +68,7 @@
         let loads = self.local_loads(now);
         let placed = self.placed.get(&call)?;
         let engine = placed.demand.engine.as_ref()?;
-        let mut candidates = self.candidates(now, &loads, &placed.demand.service);
+        let mut candidates = self.candidates(now, &loads, &placed.demand);
         candidates.retain(|candidate| !tried.contains(&candidate.record.key.name));
         let tokens = placed.used_tokens();
         let target =
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod copies;
 mod crashes;
 mod effect;
+mod evacuation;
 mod event;
 mod health;
 mod limits;
--- a/crates/relay/src/dispatch/placement.rs
+++ b/crates/relay/src/dispatch/placement.rs
@@ -148,7 +148,7 @@
             return false;
         }
         let loads = self.local_loads(now);
-        let candidates = self.candidates(now, &loads, &demand.service);
+        let candidates = self.candidates(now, &loads, demand);
         candidates.iter().any(|candidate| {
             let name = &candidate.record.key.name;
             name != current && !demand.tried.contains(name) && candidate.has_capacity(now, demand)
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -50,6 +50,7 @@
     pub(super) settings: DispatchSettings,
     pub(super) targets: BTreeMap<ids::TargetName, targets::TargetEntry>,
     pub(super) unlisted_terms: terms::UnlistedTerms,
+    pub(super) evacuated_zones: BTreeSet<ids::ZoneName>,
     pub(super) placed: BTreeMap<ids::CallId, calls::PlacedCall>,
     pub(super) waiting: queue::WaitingCalls,
     /// Rates of streams sent to targets, by service.
@@ -73,6 +74,7 @@
             settings,
             targets: BTreeMap::new(),
             unlisted_terms: terms::UnlistedTerms::default(),
+            evacuated_zones: BTreeSet::new(),
             placed: BTreeMap::new(),
             waiting: queue::WaitingCalls::default(),
             start_rates: BTreeMap::new(),
@@ -175,6 +177,9 @@
                 }
                 self.place_waiting(now, &mut effects);
             }
+            DispatchEvent::EvacuationsChanged(zones) => {
+                self.handle_evacuations(now, zones, &mut effects);
+            }
             DispatchEvent::PeerLoadsReplaced { peer, loads } => {
                 self.peer_loads.replace(peer, loads)
             }
@@ -196,6 +201,7 @@
                 self.record_completions(now, &mut effects);
                 self.review_parts(now, PartSource::Time, &mut effects);
                 self.expire_reservations(now, &mut effects);
+                self.refuse_without_target(&mut effects);
                 self.place_waiting(now, &mut effects);
                 self.refuse_overdue(now, &mut effects);
             }
@@ -287,8 +293,8 @@
                 return None;
             }
             let candidates = candidates
-                .entry(&demand.service)
-                .or_insert_with(|| self.candidates(now, &loads, &demand.service));
+                .entry((&demand.service, &demand.allowed_zones))
+                .or_insert_with(|| self.candidates(now, &loads, demand));
             let (target, present_load) =
                 placement::choose_target(now, &self.settings.zone, demand, candidates)?;
             Some((index, target, present_load))
@@ -383,14 +389,14 @@
         }
     }
 
-    /// Returns the targets of a service that accept work, with the load of all relays.
+    /// Returns the targets that accept work and may run a call, with the load of all relays.
     pub(super) fn candidates(
         &self,
         now: time::Timestamp,
         loads: &BTreeMap<ids::TargetName, LoadCount>,
-        service: &ids::ServiceName,
+        demand: &CallDemand,
     ) -> Vec<placement::CandidateTarget<'_>> {
-        targets::usable_targets(&self.targets, now, service, |entry| self.is_in_cell(entry))
+        targets::usable_targets(&self.targets, now, demand, |entry| self.is_in_cell(entry))
             .into_iter()
             .filter(|(_, entry)| entry.terms.limit.allows_request(now))
             .filter(|(name, _)| {
--- a/crates/relay/src/dispatch/reservations.rs
+++ b/crates/relay/src/dispatch/reservations.rs
@@ -151,11 +151,11 @@
         });
     }
 
-    /// Returns the targets of this relay's cell whose arbiter it is, without those that leave or have
-    /// asked for a pause.
+    /// Returns the targets of this relay's cell whose arbiter it is, without those that leave, have
+    /// asked for a pause or are in an evacuated zone.
     pub fn arbitrated_targets(&self, now: time::Timestamp) -> Vec<Rc<directory::TargetRecord>> {
         let entries = self.targets.values().filter(|entry| {
-            !entry.is_leaving && entry.terms.paused_until <= now && self.is_in_cell(entry)
+            entry.takes_work() && entry.terms.paused_until <= now && self.is_in_cell(entry)
         });
         entries
             .filter(|entry| self.arbiter(&entry.record.key.name).is_none())
--- a/crates/relay/src/dispatch/targets.rs
+++ b/crates/relay/src/dispatch/targets.rs
@@ -7,6 +7,7 @@
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
 
+use super::CallDemand;
 use super::DispatchEffect;
 use super::Dispatcher;
 use super::TargetHealth;
@@ -23,6 +24,8 @@
 pub(super) struct TargetEntry {
     pub(super) record: Rc<directory::TargetRecord>,
     pub(super) is_leaving: bool,
+    /// Whether the target's zone is evacuated.
+    pub(super) is_evacuated: bool,
     pub(super) health: TargetHealth,
     /// What the target has asked for.
     pub(super) terms: terms::TargetTerms,
@@ -43,16 +46,19 @@
             directory::TargetChange::Usable(record) => {
                 self.handle_registration(now, &record.key, effects);
                 let name = record.key.name.clone();
+                let is_evacuated = self.evacuated_zones.contains(&record.zone);
                 match self.targets.get_mut(&name) {
                     Some(entry) if entry.record.key == record.key => {
                         entry.record = record;
                         entry.is_leaving = false;
+                        entry.is_evacuated = is_evacuated;
                     }
                     Some(_) | None => {
                         let terms = self.unlisted_terms.take(&record.key);
                         let entry = TargetEntry {
                             record,
                             is_leaving: false,
+                            is_evacuated,
                             health: TargetHealth::default(),
                             terms,
                             was_unhealthy: false,
@@ -107,23 +113,28 @@
             .is_some_and(|entry| entry.record.key == *key && entry.terms.paused_until > now)
     }
 
-    /// Returns how long no target of a service accepts work, if all those that stay have asked for
-    /// a pause.
+    /// Returns how long no target that may run a call accepts work, if all of them have asked for a
+    /// pause.
     pub(super) fn service_pause(
         &self,
         now: time::Timestamp,
-        service: &ids::ServiceName,
+        demand: &CallDemand,
     ) -> Option<Duration> {
-        let staying = self
-            .targets
-            .values()
-            .filter(|entry| !entry.is_leaving && entry.record.service == *service);
+        let staying = self.targets.values().filter(|entry| entry.may_run(demand));
         let earliest_end = staying.map(|entry| entry.terms.paused_until).min()?;
         (earliest_end > now).then(|| earliest_end.since(now))
     }
 
     /// Returns whether this incarnation of a target accepts new work.
     pub(super) fn accepts_work(&self, key: &directory::TargetKey) -> bool {
+        self.targets
+            .get(&key.name)
+            .is_some_and(|entry| entry.record.key == *key && entry.takes_work())
+    }
+
+    /// Returns whether this incarnation of a target is registered and does not leave, whether it
+    /// accepts new work or not.
+    pub(super) fn is_staying(&self, key: &directory::TargetKey) -> bool {
         self.targets
             .get(&key.name)
             .is_some_and(|entry| entry.record.key == *key && !entry.is_leaving)
@@ -176,19 +187,18 @@
     }
 }
 
-/// Returns the targets of a service that accept work: those of the own cell, whose total load is
+/// Returns the targets that accept work and may run a call: those of the own cell, whose total load is
 /// known, or all if the cell has too few.
 pub(super) fn usable_targets<'a>(
     targets: &'a BTreeMap<ids::TargetName, TargetEntry>,
     now: time::Timestamp,
-    service: &ids::ServiceName,
+    demand: &CallDemand,
     is_in_cell: impl Fn(&TargetEntry) -> bool,
 ) -> Vec<(&'a ids::TargetName, &'a TargetEntry)> {
     let usable: Vec<_> = targets
         .iter()
         .filter(|(_, entry)| {
-            entry.record.service == *service
-                && !entry.is_leaving
+            entry.may_run(demand)
                 && entry.terms.paused_until <= now
                 && !entry.health.is_backed_off(now)
         })
--- a/crates/relay/src/shell/directory_events.rs
+++ b/crates/relay/src/shell/directory_events.rs
@@ -6,6 +6,7 @@
 use kingcupfall_core::ids;
 use tokio::sync::mpsc;
 
+use super::evacuations;
 use super::limits;
 use super::state;
 use super::state::RelayState;
@@ -40,6 +41,7 @@
 fn handle_tick(state: &RelayState) {
     let changes = state.targets.borrow_mut().remove_expired(state.now());
     apply_target_changes(state, changes, "record lapsed");
+    evacuations::remove_expired(state);
     limits::update_shares_regularly(state);
     state.submit(dispatch::DispatchEvent::Tick);
 }
@@ -99,6 +101,12 @@
                 .apply_list(state.now(), revision, targets);
             apply_target_changes(state, changes, "list");
         }
+        directory::DirectoryEvent::EvacuationsListed { revision, zones } => {
+            evacuations::handle_list(state, revision, &zones);
+        }
+        directory::DirectoryEvent::EvacuationChanged(update) => {
+            evacuations::handle_change(state, update);
+        }
         directory::DirectoryEvent::Lost => {
             state.targets.borrow_mut().record_directory_lost();
             let record = telemetry::DecisionRecord::new(telemetry::RecordKind::DirectoryLost)
--- a/crates/relay/src/shell/intake.rs
+++ b/crates/relay/src/shell/intake.rs
@@ -181,7 +181,11 @@
         .and_then(|organisation| organisation.rank)
         .unwrap_or(route.rank);
     let fingerprint = request_fingerprint(&caller_name, &parts, &body);
-    let demand = call_demand(table, &route, service, &head, arrived_at, rank, fingerprint);
+    let allowed_zones = state.allowed_zones(&route, organisation.as_deref());
+    let demand = dispatch::CallDemand {
+        allowed_zones,
+        ..call_demand(table, &route, service, &head, arrived_at, rank, fingerprint)
+    };
     let stop_plan = state.stop_plan.get();
     if stop_plan.is_some_and(|plan| !plan.accepts(route.kind, demand.deadline)) {
         let reason = dispatch::RefusalReason::Stopping;
--- a/crates/relay/src/shell/memory_migration.rs
+++ b/crates/relay/src/shell/memory_migration.rs
@@ -79,7 +79,7 @@
     });
 }
 
-/// Discards a copy at each target that may hold it. Until it expires, a copy takes memory away from
+/// Discards a copy at each target that may hold it, except in evacuated zones, where it expires. Until it expires, a copy takes memory away from
 /// streams without counting as load.
 pub(super) fn discard_copy(
     state: &Rc<RelayState>,
@@ -87,6 +87,9 @@
     addresses: &[net::SocketAddr],
 ) {
     for address in addresses.iter().copied() {
+        if state.with_dispatcher(|dispatcher, _| dispatcher.is_address_evacuated(address)) {
+            continue;
+        }
         let Some(discard_request) = state.protocol.discard_request(&handle, address) else {
             log::warn!(
                 "can't discard copy {handle:?}, leaving it to expire: its handle is not a valid path"
--- a/crates/relay/src/shell/mod.rs
+++ b/crates/relay/src/shell/mod.rs
@@ -6,6 +6,7 @@
 mod directory_events;
 mod directory_feed;
 mod engine_reports;
+mod evacuations;
 mod forwarder;
 mod head_timeout;
 mod intake;
--- a/crates/relay/src/shell/peer_exchange.rs
+++ b/crates/relay/src/shell/peer_exchange.rs
@@ -5,6 +5,7 @@
 use kingcupfall_link::codec;
 
 use super::directory_events;
+use super::evacuations;
 use super::peer_links;
 use super::peer_messages;
 use super::state::RelayState;
@@ -49,6 +50,9 @@
             let changes = state.targets.borrow_mut().apply_departures(&departures);
             directory_events::apply_target_changes(state, changes, directory_events::PEER_SOURCE);
         }
+        peer_messages::PeerMessage::Evacuations(updates) => {
+            evacuations::merge_from_peer(state, &updates);
+        }
         peer_messages::PeerMessage::Suspects(records) => {
             state.submit(dispatch::DispatchEvent::SuspectsReported(records));
         }
@@ -99,6 +103,7 @@
         }
         link.is_same_cell = members.is_same_cell(heartbeat.address);
     }
+    evacuations::merge_from_peer(state, &heartbeat.evacuations);
     let changes = state
         .targets
         .borrow_mut()
@@ -265,5 +270,6 @@
         suspects,
         prompt_crashes,
         limits: state.with_dispatcher(|dispatcher, now| dispatcher.reported_limits(now)),
+        evacuations: state.evacuations.borrow().entries(),
     }
 }
--- a/crates/relay/src/shell/peer_messages.rs
+++ b/crates/relay/src/shell/peer_messages.rs
@@ -49,6 +49,9 @@
     /// Targets that changed since the version that the receiver knew.
     #[serde(rename = "t")]
     Targets(directory::TargetDelta),
+    /// Evacuations of availability zones that changed.
+    #[serde(rename = "e")]
+    Evacuations(Vec<directory::ZoneEvacuation>),
     /// Requests all routes and targets that are newer than these versions.
     #[serde(rename = "w")]
     UpdateRequest(membership::KnownVersions),
@@ -91,4 +94,7 @@
     /// Limits of targets that the sender knows, or that have ended a short time ago.
     #[serde(rename = "i", default)]
     pub limits: Vec<dispatch::TargetLimit>,
+    /// All that the sender knows of evacuated availability zones, withdrawn ones included.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub evacuations: Vec<directory::ZoneEvacuation>,
 }
--- a/crates/relay/src/shell/resumption.rs
+++ b/crates/relay/src/shell/resumption.rs
@@ -37,6 +37,10 @@
 /// Outcome recorded when the target that holds the copy wants no requests.
 const PAUSED: &str = "the copy holder asked for a pause";
 
+/// Outcome recorded when the target that holds the copy is in an evacuated zone, or in one that the
+/// call does not allow.
+const NOT_ALLOWED: &str = "the zone of the copy holder gets no work";
+
 /// Result of an attempt to resume a stream. An error is how the attempt ended.
 type Result<T> = result::Result<T, dispatch::AttemptResult>;
 
@@ -55,6 +59,13 @@
             self.record_migration_failure(PAUSED);
             return false;
         }
+        let may_receive = |dispatcher: &mut dispatch::Dispatcher, _| {
+            dispatcher.may_receive(&copy.holder, &self.call.demand)
+        };
+        if !self.state.with_dispatcher(may_receive) {
+            self.record_migration_failure(NOT_ALLOWED);
+            return false;
+        }
         let resumption = dispatch::RepeatKind::Resumption;
         if !self
             .state
--- a/crates/relay/src/shell/routes.rs
+++ b/crates/relay/src/shell/routes.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use kingcupfall_core::ids;
 use kingcupfall_core::measures;
 
 use super::state::RelayState;
@@ -39,6 +40,37 @@
         measures::ByteSize::new(size as u64)
     }
 
+    /// Returns the availability zones whose targets may run an organisation's calls of a route;
+    /// `None` if all may. Zones without a known region are not among them. Where the settings state
+    /// no regions at all, there is nothing to compare with, and all zones are allowed.
+    pub(super) fn allowed_zones(
+        &self,
+        route: &directory::RouteRule,
+        organisation: Option<&directory::OrganisationRule>,
+    ) -> Option<Rc<[ids::ZoneName]>> {
+        let organisation_homes = organisation.and_then(|rule| rule.homes.as_ref());
+        let homes: Vec<_> = [route.homes.as_ref(), organisation_homes]
+            .into_iter()
+            .flatten()
+            .collect();
+        if homes.is_empty() {
+            return None;
+        }
+        let settings = self.settings.borrow();
+        if settings.zones.is_empty() {
+            log::debug!(
+                "the settings have no regions, ignoring those of route {}",
+                route.name
+            );
+            return None;
+        }
+        let allowed = settings
+            .zones
+            .iter()
+            .filter(|(_, region)| homes.iter().all(|homes| homes.contains(region)));
+        Some(allowed.map(|(zone, _)| zone.clone()).collect())
+    }
+
     /// Records that a part of the routes arrived from the platform's directory.
     pub fn record_routes_read(&self) {
         self.catch_up.borrow_mut().record_routes_read(self.now());
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -100,6 +100,7 @@
     /// Counters and histograms.
     pub metrics: telemetry::RelayMetrics,
     pub(super) targets: RefCell<directory::TargetTable>,
+    pub(super) evacuations: RefCell<directory::EvacuationTable>,
     pub(super) stop_phase: watch::Sender<StopPhase>,
     /// Set once the process has been requested to stop.
     pub(super) stop_plan: Cell<Option<stop::StopPlan>>,
@@ -143,6 +144,7 @@
             decode_routes: setup.decode_routes,
             metrics: telemetry::RelayMetrics::new(),
             targets: RefCell::new(directory::TargetTable::default()),
+            evacuations: RefCell::default(),
             stop_phase,
             stop_plan: Cell::new(None),
             open_connections: Cell::new(0),
@@ -336,6 +338,8 @@
             routes_age: now.since(self.routes_activated_at.get()),
             directory_age: now.since(self.directory_responded_at.get()),
             limited_targets: self.dispatcher.borrow().limited_target_count(),
+            evacuated_zones: self.dispatcher.borrow().evacuated_zone_count(),
+            evacuated_streams: self.dispatcher.borrow().evacuated_stream_count(),
             targets: self.targets.borrow().records().count(),
             peers: self.peer_mailboxes.borrow().len(),
             waiting_calls,
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -108,6 +108,8 @@
     directory_age: Gauge,
     targets: Gauge,
     limited_targets: Gauge,
+    evacuated_zones: Gauge,
+    evacuated_streams: Gauge,
     peers: Gauge,
     waiting_calls: Gauge,
     placed_calls: Gauge,
@@ -148,6 +150,8 @@
             directory_age: Gauge::default(),
             targets: Gauge::default(),
             limited_targets: Gauge::default(),
+            evacuated_zones: Gauge::default(),
+            evacuated_streams: Gauge::default(),
             peers: Gauge::default(),
             waiting_calls: Gauge::default(),
             placed_calls: Gauge::default(),
@@ -258,6 +262,16 @@
             "Targets that limit the requests they take",
             self.limited_targets.clone(),
         );
+        registry.register(
+            "evacuated_zones",
+            "Availability zones that are evacuated",
+            self.evacuated_zones.clone(),
+        );
+        registry.register(
+            "evacuated_streams",
+            "Streams of this relay that still run in evacuated zones",
+            self.evacuated_streams.clone(),
+        );
         registry.register("peers", "Peers that are linked", self.peers.clone());
         registry.register(
             "waiting_calls",
@@ -380,6 +394,10 @@
         self.targets.set(signed(values.targets as u64));
         self.limited_targets
             .set(signed(values.limited_targets as u64));
+        self.evacuated_zones
+            .set(signed(values.evacuated_zones as u64));
+        self.evacuated_streams
+            .set(signed(values.evacuated_streams as u64));
         self.peers.set(signed(values.peers as u64));
         self.waiting_calls.set(signed(values.waiting_calls as u64));
         self.placed_calls.set(signed(values.placed_calls as u64));
@@ -419,6 +437,10 @@
     pub targets: usize,
     /// Number of targets that have named a limit on the requests that they take.
     pub limited_targets: usize,
+    /// Number of evacuated availability zones.
+    pub evacuated_zones: usize,
+    /// Number of this relay's streams that still run in evacuated zones.
+    pub evacuated_streams: usize,
     /// Number of peers with an open link.
     pub peers: usize,
     /// Number of calls that wait for a target.
--- a/crates/relay/src/telemetry/records.rs
+++ b/crates/relay/src/telemetry/records.rs
@@ -63,6 +63,10 @@
     DirectoryRegained,
     /// The platform's directory has returned from an older copy of itself.
     DirectoryRestored,
+    /// An availability zone is evacuated: nothing is sent to its targets any more.
+    ZoneEvacuated,
+    /// The evacuation of an availability zone was withdrawn.
+    EvacuationWithdrawn,
     /// The first link to a peer was opened.
     #[serde(rename = "peer_seen")]
     PeerLinked,
@@ -143,6 +147,8 @@
             | Self::TargetGone
             | Self::DirectoryRegained
             | Self::DirectoryRestored
+            | Self::ZoneEvacuated
+            | Self::EvacuationWithdrawn
             | Self::TargetHealthy
             | Self::TargetLimited
             | Self::TargetUnlimited
@@ -179,6 +185,8 @@
     pub organisation: Option<Box<str>>,
     /// Name of the target concerned, or VM of the peer concerned.
     pub target: Option<Box<str>>,
+    /// Name of the availability zone concerned.
+    pub zone: Option<Box<str>>,
     /// Name of the target that holds or is to hold a copy of the stream's memory.
     pub copy: Option<Box<str>>,
     /// Result, source or reason of the decision.
@@ -219,6 +227,7 @@
             route: None,
             organisation: None,
             target: None,
+            zone: None,
             copy: None,
             outcome: None,
             version: None,
@@ -282,6 +291,12 @@
         self
     }
 
+    /// Sets the availability zone.
+    pub fn zone(mut self, zone: &ids::ZoneName) -> Self {
+        self.zone = Some(zone.as_str().into());
+        self
+    }
+
     /// Sets the target that holds or is to hold a copy.
     pub fn copy(mut self, target: Option<&ids::TargetName>) -> Self {
         self.copy = target.map(|target| target.as_str().into());
--- a/crates/relay/tests/dispatch/main.rs
+++ b/crates/relay/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod decisions;
+mod evacuation;
 mod fixtures;
 mod limits;
 mod pauses;
--- a/crates/relay/tests/peer_messages.rs
+++ b/crates/relay/tests/peer_messages.rs
@@ -20,20 +20,24 @@
         suspects: Vec::new(),
         prompt_crashes: Vec::new(),
         limits: Vec::new(),
+        evacuations: Vec::new(),
     };
     serde_json::to_value(heartbeat).unwrap()
 }
 
-/// A relay of an earlier version reports no crashes that may be due to prompts, and no limits.
+/// A relay of an earlier version reports no crashes that may be due to prompts, no limits and no
+/// evacuations. Without evacuations, a heartbeat is the same as that of such a relay.
 #[test]
 fn heartbeat_of_an_older_relay_decodes() {
     let mut encoded = heartbeat();
     let fields = encoded.as_object_mut().unwrap();
+    assert!(!fields.contains_key("e"));
     fields.remove("x").unwrap();
     fields.remove("i").unwrap();
     let decoded: shell::PeerHeartbeat = serde_json::from_value(encoded).unwrap();
     assert!(decoded.prompt_crashes.is_empty());
     assert!(decoded.limits.is_empty());
+    assert!(decoded.evacuations.is_empty());
 }
 
 #[test]
