Expect no capacity from streams in zones that a call may not use

Cause: the estimate of a call's wait counted the ends of all streams of its service, also in evacuated zones and outside of the allowed ones, so that a call waited for capacity that it could not get. Change: it counts those at targets that may receive the call. Measured: the new test failed before the change and passes after it; the tests of the relay and the platform crates passed with the change, before the test was added.

--- a/crates/relay/src/dispatch/admission.rs
+++ b/crates/relay/src/dispatch/admission.rs
@@ -267,7 +267,10 @@
         let mut times_left: Vec<_> = self
             .placed
             .values()
-            .filter(|placed| placed.demand.service == demand.service)
+            .filter(|placed| {
+                // What ends where the call may not run frees nothing for it.
+                placed.demand.service == demand.service && self.may_receive(&placed.target, demand)
+            })
             .map(|placed| placed.expected_time_left(now))
             .collect();
         times_left.sort();
--- a/crates/relay/tests/dispatch/evacuation.rs
+++ b/crates/relay/tests/dispatch/evacuation.rs
@@ -205,3 +205,34 @@
     let refusal = fixtures::refusal(&fixtures::arrive(&mut dispatcher, 3, allow(&["b"])));
     assert_eq!(refusal.unwrap().reason, dispatch::RefusalReason::NoTarget);
 }
+
+/// Guards against calls that wait for capacity in an evacuated zone: what runs in the other zone takes
+/// longer than a call may wait, and what runs in the evacuated zone would have ended.
+#[test]
+fn arrive_does_not_wait_for_streams_in_an_evacuated_zone() {
+    let mut dispatcher = dispatcher();
+    evacuate(&mut dispatcher, &["a"]);
+    for call in 1..=5 {
+        let demand = fixtures::stream_demand(4_000);
+        let effects = fixtures::arrive(&mut dispatcher, call, demand);
+        assert_eq!(fixtures::placed_target(&effects).as_deref(), Some("far"));
+        let call = ids::CallId::new(call);
+        dispatcher.handle(fixtures::START, dispatch::DispatchEvent::Started { call });
+    }
+    evacuate(&mut dispatcher, &[]);
+    assert_eq!(placed(&mut dispatcher, 6).as_deref(), Some("near"));
+    evacuate(&mut dispatcher, &["a"]);
+    let now = fixtures::START + Duration::from_secs(60);
+    let demand = dispatch::CallDemand {
+        arrived_at: now,
+        first_requested_at: now,
+        deadline: now + Duration::from_secs(39),
+        ..fixtures::stream_demand(400)
+    };
+    let arrival = dispatch::DispatchEvent::Arrived {
+        call: ids::CallId::new(7),
+        demand: Box::new(demand),
+    };
+    let refusal = fixtures::refusal(&dispatcher.handle(now, arrival)).unwrap();
+    assert_eq!(refusal.reason, dispatch::RefusalReason::QueueTooLong);
+}
