End the grace of a lost evacuation on time, and tell peers when it is written again

Cause: each list of the new era began the grace period of a lost evacuation anew, so that a reader whose watches fail could keep it for ever. An evacuation that was written again within the period was sent to peers with the next heartbeat only, up to 0.8 s later, when a peer that the store rejects may have withdrawn it. Change: the period runs from the first list of the era, and an evacuation that is written again is broadcast like a change.

The test was not run against the code before the change.

--- a/crates/relay/src/directory/evacuations.rs
+++ b/crates/relay/src/directory/evacuations.rs
@@ -11,8 +11,8 @@
 
 use super::DirectoryRevision;
 
-/// Time for which an evacuation stays in force that the directory lacks after its return from an
-/// older copy of itself: the operator writes it again, the platform states within about two seconds.
+/// Time after the first list of an era for which an evacuation stays in force that the directory
+/// lacks after its return from an older copy of itself: the operator writes it again, the platform states within about two seconds.
 const REWRITE_GRACE: Duration = Duration::from_millis(2_500);
 
 /// Maximum number of zones that are known. A deployment has a few; the limit bounds what malformed
@@ -46,7 +46,7 @@
 #[derive(Debug, Default)]
 pub struct EvacuationTable {
     zones: BTreeMap<ids::ZoneName, ZoneState>,
-    /// Revision of the last list, and when it was read.
+    /// Revision of the last list, and when the first one of its era was read.
     listed: Option<(DirectoryRevision, time::Timestamp)>,
 }
 
@@ -65,7 +65,8 @@
 
     /// Applies the complete list of evacuated zones as of `revision`, each with the revision at
     /// which it was written. Zones that the list lacks are withdrawn. Ignores a list that is older
-    /// than the last one. Returns the zones whose state changed.
+    /// than the last one. Returns the zones whose state changed, or was confirmed within the grace
+    /// period after the directory's return.
     pub fn apply_list(
         &mut self,
         now: time::Timestamp,
@@ -75,7 +76,11 @@
         if self.listed.is_some_and(|(listed, _)| revision < listed) {
             return Vec::new();
         }
-        self.listed = Some((revision, now));
+        let era_began = match self.listed {
+            Some((listed, at)) if listed.era() == revision.era() => at,
+            Some(_) | None => now,
+        };
+        self.listed = Some((revision, era_began));
         let mut changes = Vec::new();
         for (zone, written) in evacuated {
             // The pages of a list are not one snapshot, so an item may be newer than the list.
@@ -97,7 +102,7 @@
             let is_restored = state.revision.era() < revision.era();
             let state = match state.is_evacuated && is_restored {
                 true => ZoneState {
-                    withdrawn_by: Some((revision, now + REWRITE_GRACE)),
+                    withdrawn_by: Some((revision, era_began + REWRITE_GRACE)),
                     ..state
                 },
                 false => withdrawn(revision),
@@ -108,7 +113,7 @@
     }
 
     /// Applies changes of single zones, from the directory or from a peer. Returns the zones whose
-    /// state changed.
+    /// state changed, or was confirmed within the grace period after the directory's return.
     pub fn apply_changes(
         &mut self,
         now: time::Timestamp,
@@ -168,8 +173,9 @@
             .collect()
     }
 
-    /// Replaces the state of a zone unless the known one is newer, and returns it if it differs in
-    /// whether the zone is evacuated.
+    /// Replaces the state of a zone unless the known one is newer. Returns it if it differs in whether
+    /// the zone is evacuated, or if it ends a grace period: peers in theirs have to learn of that
+    /// sooner than from a heartbeat.
     fn set(&mut self, zone: &ids::ZoneName, state: ZoneState) -> Option<ZoneEvacuation> {
         let known = self.zones.get(zone).copied();
         let is_outdated = known.is_some_and(|known| known.revision > state.revision);
@@ -178,7 +184,9 @@
         }
         self.zones.insert(zone.clone(), state);
         let was_evacuated = known.is_some_and(|known| known.is_evacuated);
-        (was_evacuated != state.is_evacuated).then(|| entry(zone, state))
+        let had_grace = known.is_some_and(|known| known.withdrawn_by.is_some());
+        let is_written_again = had_grace && state.withdrawn_by.is_none();
+        (was_evacuated != state.is_evacuated || is_written_again).then(|| entry(zone, state))
     }
 }
 
--- a/crates/relay/tests/evacuations.rs
+++ b/crates/relay/tests/evacuations.rs
@@ -89,8 +89,9 @@
     assert!(is_evacuated(&table));
 }
 
-/// Guards against requests to a zone whose evacuation the directory has lost until the operator
-/// writes it again, and against one that stays for ever because the operator did not.
+/// The list is read twice. Guards against requests to a zone whose evacuation the directory has lost until the operator
+/// writes it again, against peers that are not told of that in time, and against an evacuation that
+/// stays for ever because the operator did not write it.
 #[parameterized(
     written_again = { true },
     not_written_again = { false },
@@ -101,8 +102,10 @@
     list(&mut table, 2, 40, None);
     assert!(is_evacuated(&table));
     assert_eq!(table.remove_expired(START + REWRITE_TIME), []);
+    table.apply_list(START + REWRITE_TIME, revision(2, 40), &[]);
     if is_written_again {
-        assert_eq!(apply(&mut table, START, update(2, 41, true)), 0);
+        assert_eq!(apply(&mut table, START, update(2, 41, true)), 1);
+        assert_eq!(apply(&mut table, START, update(2, 42, true)), 0);
     }
     let changes = table.remove_expired(START + LATER);
     assert_eq!(changes.is_empty(), is_written_again);
