--- a/crates/relay/src/dispatch/admission.rs
+++ b/crates/relay/src/dispatch/admission.rs
@@ -96,11 +96,7 @@
                 retry_after: MAX_RETRY_AFTER,
             });
         }
-        let has_target = self
-            .targets
-            .values()
-            .any(|entry| !entry.is_leaving && entry.record.service == demand.service);
-        match has_target {
+        match self.has_target(demand) {
             true => Ok(()),
             false => Err(CallRefusal {
                 reason: RefusalReason::NoTarget,
@@ -109,6 +105,31 @@
         }
     }
 
+    /// Returns whether a target may run a call, regardless of load.
+    fn has_target(&self, demand: &CallDemand) -> bool {
+        let mut targets = self.targets.values();
+        targets.any(|entry| entry.may_run(demand))
+    }
+
+    /// Refuses waiting calls whose targets are all in evacuated zones. Without evacuations, calls
+    /// whose targets have left wait for others.
+    pub(super) fn refuse_without_target(&mut self, effects: &mut Vec<DispatchEffect>) {
+        if self.evacuated_zones.is_empty() {
+            return;
+        }
+        for call in self.waiting.calls() {
+            let demand = self.waiting.get(call);
+            if demand.is_some_and(|demand| !self.has_target(demand)) {
+                self.waiting.remove(call);
+                let refusal = CallRefusal {
+                    reason: RefusalReason::NoTarget,
+                    retry_after: NO_TARGET_RETRY_AFTER,
+                };
+                effects.push(DispatchEffect::Refuse { call, refusal });
+            }
+        }
+    }
+
     /// Refuses waiting calls whose requests or prompt parts are quarantined.
     pub(super) fn refuse_quarantined(
         &mut self,
@@ -143,7 +164,7 @@
             return;
         };
         let max_wait = queue::max_wait(demand);
-        if let Some(pause) = self.service_pause(now, &demand.service)
+        if let Some(pause) = self.service_pause(now, demand)
             && pause > max_wait
         {
             let retry_after = spread_return(pause, demand.fingerprint);
@@ -151,7 +172,7 @@
             return self.refuse_until(now, call, reason, retry_after, effects);
         }
         let ahead = self.waiting.count_ahead(now, demand);
-        if let Some(wait) = self.limited_wait(now, &demand.service, ahead) {
+        if let Some(wait) = self.limited_wait(now, demand, ahead) {
             let wait = match wait {
                 limits::LimitedWait::For(wait) if wait <= max_wait => return,
                 limits::LimitedWait::For(wait) => wait.min(MAX_RETRY_AFTER),
@@ -247,7 +268,10 @@
         let mut times_left: Vec<_> = self
             .placed
             .values()
-            .filter(|placed| placed.demand.service == demand.service)
+            .filter(|placed| {
+                // What ends where the call may not run frees nothing for it.
+                placed.demand.service == demand.service && self.may_receive(&placed.target, demand)
+            })
             .map(|placed| placed.expected_time_left(now))
             .collect();
         times_left.sort();
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod copies;
 mod crashes;
 mod effect;
+mod evacuation;
 mod event;
 mod headroom;
 mod health;
