--- a/crates/relay/src/dispatch/cold.rs
+++ b/crates/relay/src/dispatch/cold.rs
@@ -107,10 +107,18 @@
     /// Takes the cold time from a record, unless a record of the same or a later revision has been
     /// received before.
     pub(super) fn receive(&mut self, now: time::Timestamp, record: &directory::TargetRecord) {
-        if self.revision.is_none_or(|known| record.revision > known) {
-            self.revision = Some(record.revision);
-            self.until = now + record.cold_for;
+        if self.revision.is_some_and(|known| record.revision <= known) {
+            return;
         }
+        // The first record of an era may come from a copy that is older than what is known.
+        let era = self.revision.map(directory::DirectoryRevision::era);
+        let is_new_era = era.is_some_and(|era| record.revision.era() > era);
+        let least = match is_new_era {
+            true => self.until,
+            false => time::Timestamp::ZERO,
+        };
+        self.revision = Some(record.revision);
+        self.until = least.max(now + record.cold_for);
     }
 
     /// Returns whether the target takes a request of this relay.
--- a/crates/relay/tests/dispatch/main.rs
+++ b/crates/relay/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the dispatcher's decisions, without a network.
 
 mod cold;
+mod cold_fleets;
 mod crashes;
 mod decisions;
 mod fixtures;
