Forget silent relays after an hour in any case

Cause: relays that were all replaced twice within a minute would have been counted among the sharers for good, as the live ones were then less than half. Change: an upper limit of an hour. Tests for the first 3 s of a relay and for cells.

--- a/crates/relay/src/membership/known_fleet.rs
+++ b/crates/relay/src/membership/known_fleet.rs
@@ -1,9 +1,9 @@
 //! The relays among which bounds are shared that have to hold even if relays can't reach each other.
 //!
 //! A relay that is not heard any more may run on behind a broken link and use its share. Its share is
-//! therefore not given to others before it has been silent for some time, and never while this relay
-//! hears less than half of the fleet: at most two parts of a fleet can each hear half of it, and
-//! shares leave room for two.
+//! therefore not given to others before it has been silent for some time, and for much longer while
+//! this relay hears less than half of the fleet: at most two parts of a fleet can each hear half of
+//! it, and shares leave room for two.
 
 use std::collections::BTreeMap;
 use std::fmt::Display;
@@ -18,6 +18,10 @@
 /// Time for which a silent relay keeps its share: four times that after which it counts as gone.
 const RETENTION_TIME: Duration = Duration::from_secs(60);
 
+/// The same while less than half of the fleet is heard. Without an end, relays that were all replaced
+/// twice in a minute would be counted for good.
+const MAX_RETENTION_TIME: Duration = Duration::from_secs(3_600);
+
 /// Age from which a relay uses its shares: after several heartbeats of several peers, both know of
 /// each other.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -70,13 +74,15 @@
         *last_heard = at.max(*last_heard);
     }
 
-    /// Removes relays that have been silent for long, if `live_relays`, this one included, are at
-    /// least half of all.
+    /// Removes relays that have been silent for long: for longer if `live_relays`, this one included,
+    /// are less than half of all.
     pub(super) fn remove_silent(&mut self, now: time::Timestamp, live_relays: usize) {
-        if live_relays * 2 > self.last_heard.len() {
-            self.last_heard
-                .retain(|_, last_heard| now.since(*last_heard) < RETENTION_TIME);
-        }
+        let retention = match live_relays * 2 > self.last_heard.len() {
+            true => RETENTION_TIME,
+            false => MAX_RETENTION_TIME,
+        };
+        self.last_heard
+            .retain(|_, last_heard| now.since(*last_heard) < retention);
     }
 
     /// Returns the place of this relay among those that share a bound of the target `name`: all of
--- a/crates/relay/tests/membership.rs
+++ b/crates/relay/tests/membership.rs
@@ -186,3 +186,38 @@
         assert!(!scheduler.should_request(after(step * 100), own, peer));
     }
 }
+
+/// Guards against relays that send cold targets a share of what they know just after their start, when
+/// they know few others and few know them.
+#[test]
+fn cold_rank_is_unknown_before_contact_with_the_fleet() {
+    let at = |millis| time::Timestamp::ZERO + Duration::from_millis(millis);
+    let seeds = [address(1), address(2)];
+    let mut table = membership::MemberTable::new(address(3));
+    table.add_seeds(&seeds);
+    assert_eq!(table.cold_rank(at(4_000), &"target", false), None);
+    table.record_received(address(1), at(1_000));
+    assert_eq!(table.cold_rank(at(2_900), &"target", false), None);
+    let place = table.cold_rank(at(3_000), &"target", false).unwrap();
+    assert_eq!(place.relays, 3);
+    let mut seed = membership::MemberTable::new(address(1));
+    seed.add_seeds(&seeds);
+    assert!(seed.cold_rank(at(3_000), &"target", false).is_some());
+}
+
+/// Guards against shares of a large fleet's cold target that go to relays which do not use it.
+#[test]
+fn cold_rank_of_a_cell_orders_its_relays() {
+    let relays = 100;
+    let tables = (0..relays).map(|own| member_table(own, relays));
+    let places = tables.filter_map(|table| table.cold_rank(START, &"target", true));
+    let mut ranks: Vec<_> = places
+        .map(|place| {
+            assert!(place.relays < relays);
+            place.rank
+        })
+        .collect();
+    ranks.sort_unstable();
+    assert!(!ranks.is_empty());
+    assert_eq!(ranks, (0..ranks.len()).collect::<Vec<_>>());
+}
