--- a/crates/relay/src/dispatch/evacuation.rs
+++ b/crates/relay/src/dispatch/evacuation.rs
@@ -36,10 +36,16 @@
         zones: BTreeSet<ids::ZoneName>,
         effects: &mut Vec<DispatchEffect>,
     ) {
-        self.evacuated_zones = zones;
+        let previous = std::mem::replace(&mut self.evacuated_zones, zones);
         for entry in self.targets.values_mut() {
             entry.is_evacuated = self.evacuated_zones.contains(&entry.record.zone);
         }
+        // Targets that got no requests for a while may have lost their caches.
+        let withdrawn: Vec<_> = previous
+            .difference(&self.evacuated_zones)
+            .cloned()
+            .collect();
+        effects.extend(self.mark_cold(now, &withdrawn));
         self.drop_evacuated_copies(effects);
         self.refuse_without_target(effects);
         self.place_waiting(now, effects);
--- a/crates/relay/src/dispatch/targets.rs
+++ b/crates/relay/src/dispatch/targets.rs
@@ -49,12 +49,14 @@
                 let is_evacuated = self.evacuated_zones.contains(&record.zone);
                 match self.targets.get_mut(&name) {
                     Some(entry) if entry.record.key == record.key => {
+                        entry.terms.cold.receive(now, &record);
                         entry.record = record;
                         entry.is_leaving = false;
                         entry.is_evacuated = is_evacuated;
                     }
                     Some(_) | None => {
-                        let terms = self.unlisted_terms.take(&record.key);
+                        let mut terms = self.unlisted_terms.take(&record.key);
+                        terms.cold.receive(now, &record);
                         let entry = TargetEntry {
                             record,
                             is_leaving: false,
--- a/crates/relay/src/shell/directory_events.rs
+++ b/crates/relay/src/shell/directory_events.rs
@@ -137,6 +137,7 @@
 ) {
     let version = table.version();
     let routes = table.len();
+    let cold_rules = table.cold_rules();
     if !state.activate_routes(table, text) {
         return;
     }
@@ -145,6 +146,7 @@
         .version(version.get())
         .count(routes as u64);
     state.record(&record);
+    state.submit(dispatch::DispatchEvent::ColdRulesChanged(cold_rules));
 }
 
 /// Reports changed targets to the decision log, to peers and to the dispatcher. Changes that came
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -137,7 +137,8 @@
     /// Creates the state of a relay that knows no routes and no targets yet.
     pub fn new(setup: RelaySetup) -> Rc<Self> {
         let (stop_phase, _) = watch::channel(StopPhase::Serving);
-        let members = RefCell::new(membership::MemberTable::new(setup.settings.peer_address));
+        let mut members = membership::MemberTable::new(setup.settings.peer_address);
+        members.add_seeds(&setup.settings.seeds);
         Rc::new_cyclic(|own| Self {
             settings: RefCell::new(setup.settings),
             protocol: setup.protocol,
@@ -151,7 +152,7 @@
             caller_server: Cell::new(None),
             open_calls: Cell::new(0),
             peer_mailboxes: RefCell::new(BTreeMap::new()),
-            members,
+            members: RefCell::new(members),
             catch_up: RefCell::default(),
             updates: broadcast::channel(MAX_QUEUED_UPDATES).0,
             routes: RefCell::new(None),
@@ -340,6 +341,7 @@
             limited_targets: self.dispatcher.borrow().limited_target_count(),
             evacuated_zones: self.dispatcher.borrow().evacuated_zone_count(),
             evacuated_streams: self.dispatcher.borrow().evacuated_stream_count(),
+            cold_targets: self.dispatcher.borrow().cold_target_count(),
             targets: self.targets.borrow().records().count(),
             peers: self.peer_mailboxes.borrow().len(),
             waiting_calls,
@@ -393,6 +395,9 @@
                 limit,
                 source,
             } => return limits::record_change(self, &target, limit, source),
+            dispatch::DispatchEffect::ColdChanged(changes) => {
+                return limits::record_cold_changes(self, &changes);
+            }
             dispatch::DispatchEffect::Probe { target, delay } => {
                 if let Some(state) = self.own.upgrade() {
                     suspects::probe_later(state, target, delay);
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -110,6 +110,7 @@
     limited_targets: Gauge,
     evacuated_zones: Gauge,
     evacuated_streams: Gauge,
+    cold_targets: Gauge,
     peers: Gauge,
     waiting_calls: Gauge,
     placed_calls: Gauge,
@@ -152,6 +153,7 @@
             limited_targets: Gauge::default(),
             evacuated_zones: Gauge::default(),
             evacuated_streams: Gauge::default(),
+            cold_targets: Gauge::default(),
             peers: Gauge::default(),
             waiting_calls: Gauge::default(),
             placed_calls: Gauge::default(),
@@ -272,6 +274,11 @@
             "Streams of this relay that still run in evacuated zones",
             self.evacuated_streams.clone(),
         );
+        registry.register(
+            "cold_targets",
+            "Targets whose requests are limited because they are cold",
+            self.cold_targets.clone(),
+        );
         registry.register("peers", "Peers that are linked", self.peers.clone());
         registry.register(
             "waiting_calls",
@@ -398,6 +405,7 @@
             .set(signed(values.evacuated_zones as u64));
         self.evacuated_streams
             .set(signed(values.evacuated_streams as u64));
+        self.cold_targets.set(signed(values.cold_targets as u64));
         self.peers.set(signed(values.peers as u64));
         self.waiting_calls.set(signed(values.waiting_calls as u64));
         self.placed_calls.set(signed(values.placed_calls as u64));
@@ -441,6 +449,8 @@
     pub evacuated_zones: usize,
     /// Number of this relay's streams that still run in evacuated zones.
     pub evacuated_streams: usize,
+    /// Number of targets that are cold and whose requests are limited for it.
+    pub cold_targets: usize,
     /// Number of peers with an open link.
     pub peers: usize,
     /// Number of calls that wait for a target.
--- a/crates/relay/tests/dispatch/evacuation.rs
+++ b/crates/relay/tests/dispatch/evacuation.rs
@@ -8,6 +8,7 @@
 use kingcupfall_relay::dispatch;
 use yare::parameterized;
 
+use crate::cold;
 use crate::fixtures;
 
 /// Returns the record of an engine in a zone.
@@ -236,3 +237,16 @@
     let refusal = fixtures::refusal(&dispatcher.handle(now, arrival)).unwrap();
     assert_eq!(refusal.reason, dispatch::RefusalReason::QueueTooLong);
 }
+
+/// Guards against a zone that is flooded when it is taken back: its targets count as cold, others
+/// don't.
+#[test]
+fn withdrawal_limits_the_targets_of_the_zone() {
+    let mut dispatcher = dispatcher();
+    cold::set_rule(&mut dispatcher, fixtures::START, 30.0);
+    evacuate(&mut dispatcher, &["b"]);
+    assert_eq!(dispatcher.cold_target_count(), 0);
+    evacuate(&mut dispatcher, &[]);
+    assert_eq!(dispatcher.cold_target_count(), 1);
+    assert!(dispatcher.shared_cold_limits()[0].target.name.as_str() == "far");
+}
