Place streams by learnt target speeds and a pause forecast

Cause: placement uses one speed for all targets.

Change: each relay estimates how slow targets are from the events of its streams, reports this in heartbeats, and combines it with the reports of the peers of its cell. Costs that are times are multiplied by the target's factor relative to the median of its service. Streams and prompts that would cause a pause beyond the route's limit cost extra, scaled by the largest slowdown that targets of the service reported within ten seconds. Copies and migrations prefer targets without this risk. Placement records and metrics state the factor and the risk.

--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -9,6 +9,7 @@
 
 use super::LoadCount;
 use super::crashes;
+use super::speeds;
 use crate::directory;
 
 /// Share of a stream's expected output that is reserved when it starts. Streams at a target end at
@@ -94,6 +95,8 @@
     pub(super) load_at_placement: LoadCount,
     pub(super) has_started: bool,
     pub(super) events: u64,
+    /// Observation of the target's speed.
+    pub(super) speed_window: speeds::SpeedWindow,
 }
 
 impl PlacedCall {
@@ -119,6 +122,7 @@
         self.sent_at = now;
         self.first_event_at = None;
         self.heard_at = now;
+        self.speed_window = speeds::SpeedWindow::default();
     }
 
     /// Restores the times of the attempt before a migration that failed.
@@ -127,6 +131,7 @@
             self.sent_at = times.sent_at;
             self.first_event_at = times.first_event_at;
             self.heard_at = times.heard_at;
+            self.speed_window = speeds::SpeedWindow::default();
         }
     }
 
--- a/crates/relay/src/dispatch/copies.rs
+++ b/crates/relay/src/dispatch/copies.rs
@@ -4,6 +4,7 @@
 
 use super::LoadLimit;
 use super::calls;
+use super::forecast;
 use super::placement;
 use crate::directory;
 
@@ -30,7 +31,7 @@
     let engine = demand.engine.as_ref()?;
     let tokens = calls::initial_forecast_tokens(demand);
     let max_share = MAX_COPY_MEMORY_SHARE;
-    least_loaded(source, candidates, max_share, |candidate| {
+    least_loaded(demand, source, candidates, max_share, |candidate| {
         candidate.forecast_share(engine, tokens)
     })
 }
@@ -57,6 +58,7 @@
 ) -> Option<Rc<directory::TargetRecord>> {
     let engine = demand.engine.as_ref()?;
     least_loaded(
+        demand,
         source,
         candidates,
         MAX_MIGRATION_MEMORY_SHARE,
@@ -66,9 +68,15 @@
     )
 }
 
-/// Returns the least loaded target, preferring the source's zone, where a migration takes half as
-/// long.
+/// Returns whether prompts may make pauses of the stream too long at a target.
+fn has_pause_risk(demand: &super::CallDemand, candidate: &placement::CandidateTarget<'_>) -> bool {
+    forecast::pause_risk(demand, candidate.speed, candidate.load) > 0.0
+}
+
+/// Returns the least loaded target, preferring those where no pause of the stream becomes too long,
+/// and the source's zone, where a migration takes half as long.
 fn least_loaded(
+    demand: &super::CallDemand,
     source: &directory::TargetRecord,
     candidates: &[placement::CandidateTarget<'_>],
     max_share: f64,
@@ -84,8 +92,9 @@
         .min_by(|first, second| {
             let is_first_remote = first.record.zone != source.zone;
             let is_second_remote = second.record.zone != source.zone;
-            is_first_remote
-                .cmp(&is_second_remote)
+            has_pause_risk(demand, first)
+                .cmp(&has_pause_risk(demand, second))
+                .then(is_first_remote.cmp(&is_second_remote))
                 .then(memory_share(first).total_cmp(&memory_share(second)))
         })
         .map(|candidate| Rc::clone(candidate.record))
--- a/crates/relay/src/dispatch/effect.rs
+++ b/crates/relay/src/dispatch/effect.rs
@@ -10,6 +10,7 @@
 use kingcupfall_policy::quarantine;
 
 use super::LoadCount;
+use super::PlacementForecast;
 use super::ReservationMessage;
 use crate::directory;
 
@@ -23,6 +24,8 @@
     /// Known load of all relays at the target when it was chosen, without this call; after a
     /// migration, that of the peers only.
     pub load: LoadCount,
+    /// Speed of the target and risk of a late stream there; the default for a plain service.
+    pub forecast: PlacementForecast,
 }
 
 /// Why a call is refused; it was not sent to any target that may have run it.
--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -12,6 +12,7 @@
 use super::CallDemand;
 use super::PeerLoad;
 use super::ReservationMessage;
+use super::SpeedReport;
 use super::TargetLimit;
 use crate::directory;
 use crate::membership;
@@ -128,6 +129,20 @@
     LimitsReported(Vec<TargetLimit>),
     /// This relay's shares of limits changed.
     LimitSharesChanged(Vec<(directory::TargetKey, limit::TokenRate)>),
+    /// A response stated how much other work slows the target's machine down at this moment.
+    SlowdownHeard {
+        /// Incarnation that sent the response.
+        target: directory::TargetKey,
+        /// Duration of work on its machine, in percent of the usual duration.
+        percent: u32,
+    },
+    /// A peer reported what it observed of the speeds of targets.
+    SpeedsReported {
+        /// Reporting peer.
+        peer: ids::VmName,
+        /// Its recent observations.
+        reports: Vec<SpeedReport>,
+    },
     /// A peer reported requests that crashed targets.
     SuspectsReported(Vec<quarantine::SuspectRecord>),
     /// A peer reported crashes that may be due to prompts, or what it learnt of them.
--- a/crates/relay/src/dispatch/load.rs
+++ b/crates/relay/src/dispatch/load.rs
@@ -193,6 +193,12 @@
         rate.add(now, PROMPT_RATE_WINDOW, tokens as f64);
     }
 
+    /// Returns the rate at one target, in tokens per second.
+    pub(super) fn rate(&self, now: time::Timestamp, target: &ids::TargetName) -> u64 {
+        let rate = self.rates.get(target);
+        rate.map_or(0, |rate| rate.per_second(now, PROMPT_RATE_WINDOW) as u64)
+    }
+
     /// Returns the rates that are not zero.
     pub(super) fn per_second(
         &self,
--- a/crates/relay/src/dispatch/migrations.rs
+++ b/crates/relay/src/dispatch/migrations.rs
@@ -103,10 +103,12 @@
         self.record_request(now, &target.key);
         let copy_holder = self.assign_copy_holder(now, call);
         let load = self.peer_loads.sum(&target.key.name);
+        let forecast = self.placement_forecast(call, &target.key, load);
         let placement = CallPlacement {
             target,
             copy_holder,
             load,
+            forecast,
         };
         effects.push(DispatchEffect::Place { call, placement });
     }
--- a/crates/relay/src/dispatch/placement.rs
+++ b/crates/relay/src/dispatch/placement.rs
@@ -11,7 +11,9 @@
 use super::LoadLimit;
 use super::TargetHealth;
 use super::calls;
+use super::forecast;
 use super::queue;
+use super::speeds;
 use crate::directory;
 
 /// Maximum share of an engine's memory that running streams may be forecast to need: all of it, as
@@ -28,7 +30,7 @@
 
 /// Prompt tokens per second that an engine processes beside running streams: half of its rate
 /// without streams, as steps alternate with prompt chunks.
-const PREFILL_TOKENS_PER_S: f64 = 7_000.0;
+pub(super) const PREFILL_TOKENS_PER_S: f64 = 7_000.0;
 
 /// Delay of concurrent streams per prompt token: the deployments' specifications state 14 tokens
 /// per millisecond.
@@ -41,7 +43,10 @@
 const STEP_S_PER_STREAM: f64 = 0.000_12;
 
 /// Time that a prompt chunk adds to a step, about the duration of the step itself.
-const STEP_S_PER_CHUNK: f64 = 0.008;
+pub(super) const STEP_S_PER_CHUNK: f64 = 0.008;
+
+/// Tokens of a prompt that an engine processes in one step, from the same specifications.
+pub(super) const CHUNK_TOKENS: f64 = 112.0;
 
 /// Cost of full memory, where streams are preempted; grows with the square of the share in use.
 const FULL_MEMORY_COST_S: f64 = 2.0;
@@ -65,6 +70,7 @@
     pub(super) record: &'a Rc<directory::TargetRecord>,
     pub(super) load: LoadCount,
     pub(super) health: &'a TargetHealth,
+    pub(super) speed: speeds::TargetSpeed,
 }
 
 impl CandidateTarget<'_> {
@@ -103,13 +109,13 @@
         demand: &CallDemand,
         engine: &directory::EngineCapabilities,
     ) -> f64 {
-        let prompt_s = demand.prompt_tokens as f64 * PREFILL_DELAY_PER_TOKEN_S;
+        let relative_factor = self.speed.relative_factor;
+        let prompt_s = demand.prompt_tokens as f64 * PREFILL_DELAY_PER_TOKEN_S * relative_factor;
         let delay_of_others_s = prompt_s * f64::from(self.load.long_streams);
-        let backlog_s = self.load.backlog_tokens as f64 / PREFILL_TOKENS_PER_S;
-        let prefill_share = (self.load.prompt_tokens_per_s as f64 / PREFILL_TOKENS_PER_S).min(1.0);
-        let step_s = BASE_STEP_S
-            + STEP_S_PER_STREAM * f64::from(self.load.calls)
-            + STEP_S_PER_CHUNK * prefill_share;
+        let prefill_rate = PREFILL_TOKENS_PER_S / relative_factor;
+        let backlog_s = self.load.backlog_tokens as f64 / prefill_rate;
+        let prefill_share = (self.load.prompt_tokens_per_s as f64 / prefill_rate).min(1.0);
+        let step_s = (step_s(self.load.calls) + STEP_S_PER_CHUNK * prefill_share) * relative_factor;
         let generation_s = demand.output_tokens as f64 * step_s;
         let forecast_share = self.forecast_share(engine, calls::initial_forecast_tokens(demand));
         let zone_cost_s = match self.record.zone == *zone {
@@ -120,6 +126,7 @@
             + backlog_s
             + generation_s
             + forecast_share * forecast_share * FULL_MEMORY_COST_S
+            + forecast::late_streams_cost_s(demand, self.speed, self.load, generation_s)
             + zone_cost_s
     }
 
@@ -156,6 +163,11 @@
     }
 }
 
+/// Returns the duration in seconds of a step with `calls` streams and without prompts.
+pub(super) fn step_s(calls: u32) -> f64 {
+    BASE_STEP_S + STEP_S_PER_STREAM * f64::from(calls)
+}
+
 /// Returns the load limit of an engine that takes a call; `None` for a plain service.
 pub(super) fn start_limit(
     now: time::Timestamp,
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -16,6 +16,7 @@
 use super::LoadCount;
 use super::PartSource;
 use super::PeerLoad;
+use super::PlacementForecast;
 use super::RefusedRequest;
 use super::ReservationRequest;
 use super::calls;
@@ -26,6 +27,7 @@
 use super::queue;
 use super::refused;
 use super::reservations;
+use super::speeds;
 use super::targets;
 use super::terms;
 use crate::directory;
@@ -63,6 +65,7 @@
     pub(super) prompt_rates: load::PromptRates,
     pub(super) cell_depth: membership::CellDepth,
     pub(super) peer_loads: load::PeerLoads,
+    pub(super) speeds: speeds::SpeedTable,
     pub(super) changed_targets: BTreeSet<ids::TargetName>,
 }
 
@@ -84,6 +87,7 @@
             prompt_rates: load::PromptRates::default(),
             cell_depth: membership::CellDepth::default(),
             peer_loads: load::PeerLoads::default(),
+            speeds: speeds::SpeedTable::default(),
             changed_targets: BTreeSet::new(),
         }
     }
@@ -101,6 +105,7 @@
                     placed.heard_at = now;
                     self.changed_targets.insert(placed.target.key.name.clone());
                 }
+                self.observe_first_event(now, call);
                 self.record_stream_event(now, call, &mut effects);
             }
             DispatchEvent::Progressed { call, events } => {
@@ -108,6 +113,7 @@
                     placed.events = events;
                     placed.heard_at = now;
                 }
+                self.observe_events(now, call);
                 self.record_stream_event(now, call, &mut effects);
             }
             DispatchEvent::AttemptEnded { call, result } => {
@@ -163,6 +169,12 @@
                 self.place_waiting(now, &mut effects);
             }
             DispatchEvent::LimitSharesChanged(shares) => self.set_limit_shares(now, &shares),
+            DispatchEvent::SlowdownHeard { target, percent } => {
+                self.record_slowdown(now, &target, percent);
+            }
+            DispatchEvent::SpeedsReported { peer, reports } => {
+                self.speeds.merge_reports(now, &peer, reports);
+            }
             DispatchEvent::SuspectsReported(records) => {
                 self.merge_suspects(now, &records, &mut effects);
             }
@@ -185,10 +197,14 @@
             DispatchEvent::ReservationReceived { peer, message } => {
                 self.handle_reservation_message(now, peer, message, &mut effects);
             }
-            DispatchEvent::PeerLost { peer } => self.peer_loads.remove(&peer),
+            DispatchEvent::PeerLost { peer } => {
+                self.peer_loads.remove(&peer);
+                self.speeds.remove_peer(&peer);
+            }
             DispatchEvent::CellDepthChanged(depth) => self.cell_depth = depth,
             DispatchEvent::Stopping => self.refuse_waiting_streams(now, &mut effects),
             DispatchEvent::Tick => {
+                self.refresh_speeds(now);
                 self.report_health_changes(now, &mut effects);
                 self.prompt_rates.remove_idle(now);
                 self.refused_requests.remove_expired(now);
@@ -321,6 +337,7 @@
             load_at_placement: present_load,
             has_started: false,
             events: 0,
+            speed_window: speeds::SpeedWindow::default(),
         };
         self.placed.insert(call, placed);
         self.record_request(now, &target.key);
@@ -329,6 +346,7 @@
                 target,
                 copy_holder: None,
                 load: present_load,
+                forecast: PlacementForecast::default(),
             };
             return effects.push(DispatchEffect::Place { call, placement });
         };
@@ -363,13 +381,16 @@
         let purpose = self.reservations.purpose(call);
         let was_sent = !purpose.is_some_and(reservations::ReservationPurpose::is_start);
         self.reservations.remove(call);
-        let Some(placed) = self.placed.remove(&call) else {
+        let Some(mut placed) = self.placed.remove(&call) else {
             return;
         };
         self.record_freed_targets(&placed);
         if was_sent {
             self.assess_result(now, &placed.attempt(), result, effects);
             if matches!(result, AttemptResult::Succeeded { .. }) {
+                if let Some(factor) = placed.speed_window.take_first_event() {
+                    self.speeds.add_sample(now, &placed.target.key, factor);
+                }
                 self.recent_completions.add(now, &placed);
             }
         }
@@ -405,6 +426,7 @@
                     record: &entry.record,
                     load,
                     health: &entry.health,
+                    speed: entry.speed,
                 }
             })
             .collect()
--- a/crates/relay/src/dispatch/reservations.rs
+++ b/crates/relay/src/dispatch/reservations.rs
@@ -262,10 +262,13 @@
                     .placed
                     .get(&call)
                     .map(|placed| placed.load_at_placement);
+                let load = load.unwrap_or_default();
+                let forecast = self.placement_forecast(call, &pending.target.key, load);
                 let placement = CallPlacement {
                     target: pending.target,
                     copy_holder,
-                    load: load.unwrap_or_default(),
+                    load,
+                    forecast,
                 };
                 effects.push(DispatchEffect::Place { call, placement });
             }
--- a/crates/relay/src/dispatch/targets.rs
+++ b/crates/relay/src/dispatch/targets.rs
@@ -10,6 +10,7 @@
 use super::DispatchEffect;
 use super::Dispatcher;
 use super::TargetHealth;
+use super::speeds;
 use super::terms;
 use crate::directory;
 use crate::membership;
@@ -30,6 +31,10 @@
     pub(super) was_unhealthy: bool,
     /// Position of the target, which determines its cell.
     pub(super) position: membership::CellPosition,
+    /// Speed that placement assumes.
+    pub(super) speed: speeds::TargetSpeed,
+    /// Whether the speed is based on observations of this target.
+    pub(super) is_speed_known: bool,
 }
 
 impl Dispatcher {
@@ -57,6 +62,8 @@
                             terms,
                             was_unhealthy: false,
                             position: membership::CellPosition::of(&name),
+                            speed: speeds::TargetSpeed::default(),
+                            is_speed_known: false,
                         };
                         self.targets.insert(name, entry);
                     }
--- a/crates/relay/src/shell/buffered.rs
+++ b/crates/relay/src/shell/buffered.rs
@@ -199,6 +199,18 @@
         .count(call.demand.tried.len() as u64)
         .load(placement.load.calls, placement.load.forecast_tokens)
         .after(waited);
+    let record = match &call.demand.engine {
+        Some(_) => {
+            let dispatch::PlacementForecast {
+                factor_thousandths,
+                risk_thousandths,
+            } = placement.forecast;
+            let metrics = &state.metrics;
+            metrics.record_placement_forecast(factor_thousandths, risk_thousandths);
+            record.forecast(factor_thousandths, risk_thousandths)
+        }
+        None => record,
+    };
     state.record(&record);
 }
 
--- a/crates/relay/src/shell/notices.rs
+++ b/crates/relay/src/shell/notices.rs
@@ -35,6 +35,13 @@
                 sent_at,
             });
         }
+        let slowdown_percent = notice.load.and_then(|load| load.slowdown_percent);
+        if let Some(percent) = slowdown_percent {
+            self.submit(dispatch::DispatchEvent::SlowdownHeard {
+                target: target.clone(),
+                percent,
+            });
+        }
         if let Some(pause) = notice.pause {
             let record = telemetry::DecisionRecord::new(telemetry::RecordKind::TargetPaused)
                 .target(&target.name)
--- a/crates/relay/src/shell/peer_exchange.rs
+++ b/crates/relay/src/shell/peer_exchange.rs
@@ -121,6 +121,12 @@
     state.record_peer_usages(&heartbeat.vm, &heartbeat.budget_usages);
     // Only peers of the same cell share their load and decide on reservations.
     let peer = heartbeat.vm;
+    if link.is_same_cell {
+        state.submit(dispatch::DispatchEvent::SpeedsReported {
+            peer: peer.clone(),
+            reports: heartbeat.speeds,
+        });
+    }
     state.submit(match link.is_same_cell {
         true => dispatch::DispatchEvent::PeerLoadsReplaced {
             peer,
@@ -239,6 +245,10 @@
         true => state.with_dispatcher(|dispatcher, now| dispatcher.loads(now)),
         false => Vec::new(),
     };
+    let speeds = match link.is_same_cell {
+        true => state.with_dispatcher(|dispatcher, now| dispatcher.speed_reports(now)),
+        false => Vec::new(),
+    };
     let (refused_requests, refused_sent) = state.with_dispatcher(|dispatcher, now| {
         dispatcher.refused_requests_after(now, link.refused_sent)
     });
@@ -265,5 +275,6 @@
         suspects,
         prompt_crashes,
         limits: state.with_dispatcher(|dispatcher, now| dispatcher.reported_limits(now)),
+        speeds,
     }
 }
--- a/crates/relay/src/shell/peer_messages.rs
+++ b/crates/relay/src/shell/peer_messages.rs
@@ -91,4 +91,8 @@
     /// Limits of targets that the sender knows, or that have ended a short time ago.
     #[serde(rename = "i", default)]
     pub limits: Vec<dispatch::TargetLimit>,
+    /// What the sender observed of the speeds of targets within the last seconds; empty for a peer
+    /// of another cell.
+    #[serde(rename = "f", default)]
+    pub speeds: Vec<dispatch::SpeedReport>,
 }
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -335,6 +335,7 @@
             routes_version: self.routes_version().get(),
             routes_age: now.since(self.routes_activated_at.get()),
             directory_age: now.since(self.directory_responded_at.get()),
+            known_speeds: self.dispatcher.borrow().known_speed_count(),
             limited_targets: self.dispatcher.borrow().limited_target_count(),
             targets: self.targets.borrow().records().count(),
             peers: self.peer_mailboxes.borrow().len(),
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -18,6 +18,12 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.18, 0.3, 0.6, 1.0, 1.8, 4.0, 10.0, 20.0, 40.0,
 ];
 
+/// Upper bounds of the buckets of targets' factors, which are times relative to the usual time.
+const FACTOR_BUCKETS: [f64; 8] = [0.35, 0.5, 0.7, 1.0, 1.4, 2.0, 4.0, 10.0];
+
+/// Upper bounds of the buckets of risks from 0 to 1.
+const RISK_BUCKETS: [f64; 5] = [0.0, 0.25, 0.5, 0.75, 1.0];
+
 /// Maximum number of organisations, routes and services (each) with their own label value; further
 /// ones share one, which bounds the number of time series.
 const MAX_LABEL_VALUES: usize = 600;
@@ -102,12 +108,15 @@
     first_event_times: LatencyFamily<ClassLabels>,
     event_gaps: Histogram,
     migration_times: Histogram,
+    placement_factors: Histogram,
+    placement_risks: Histogram,
     lost_lines: Gauge,
     routes_version: Gauge,
     routes_age: Gauge,
     directory_age: Gauge,
     targets: Gauge,
     limited_targets: Gauge,
+    known_speeds: Gauge,
     peers: Gauge,
     waiting_calls: Gauge,
     placed_calls: Gauge,
@@ -142,12 +151,15 @@
             first_event_times: Family::new_with_constructor(latency_histogram),
             event_gaps: latency_histogram(),
             migration_times: latency_histogram(),
+            placement_factors: Histogram::new(FACTOR_BUCKETS),
+            placement_risks: Histogram::new(RISK_BUCKETS),
             lost_lines: Gauge::default(),
             routes_version: Gauge::default(),
             routes_age: Gauge::default(),
             directory_age: Gauge::default(),
             targets: Gauge::default(),
             limited_targets: Gauge::default(),
+            known_speeds: Gauge::default(),
             peers: Gauge::default(),
             waiting_calls: Gauge::default(),
             placed_calls: Gauge::default(),
@@ -232,6 +244,16 @@
             "Time of a memory move",
             self.migration_times.clone(),
         );
+        registry.register(
+            "placement_speed_factor",
+            "Time that work takes at the target of a placed stream, relative to the usual time",
+            self.placement_factors.clone(),
+        );
+        registry.register(
+            "placement_pause_risk",
+            "Risk that a pause of a placed stream is too long, from 0 to 1",
+            self.placement_risks.clone(),
+        );
         registry.register(
             "lost_log_lines",
             "Log lines without room",
@@ -258,6 +280,11 @@
             "Targets that limit the requests they take",
             self.limited_targets.clone(),
         );
+        registry.register(
+            "known_speeds",
+            "Targets whose speed has been observed recently",
+            self.known_speeds.clone(),
+        );
         registry.register("peers", "Peers that are linked", self.peers.clone());
         registry.register(
             "waiting_calls",
@@ -365,6 +392,16 @@
         self.migration_times.observe(took.as_secs_f64());
     }
 
+    /// Records the speed of a placed stream's target and the risk of a pause that is too long, in
+    /// thousandths.
+    pub fn record_placement_forecast(&self, factor_thousandths: u32, risk_thousandths: u32) {
+        let observe = |histogram: &Histogram, thousandths: u32| {
+            histogram.observe(f64::from(thousandths) / 1_000.0);
+        };
+        observe(&self.placement_factors, factor_thousandths);
+        observe(&self.placement_risks, risk_thousandths);
+    }
+
     /// Records the time between two events of a stream.
     pub fn record_event_gap(&self, gap: Duration) {
         self.event_gaps.observe(gap.as_secs_f64());
@@ -380,6 +417,7 @@
         self.targets.set(signed(values.targets as u64));
         self.limited_targets
             .set(signed(values.limited_targets as u64));
+        self.known_speeds.set(signed(values.known_speeds as u64));
         self.peers.set(signed(values.peers as u64));
         self.waiting_calls.set(signed(values.waiting_calls as u64));
         self.placed_calls.set(signed(values.placed_calls as u64));
@@ -419,6 +457,8 @@
     pub targets: usize,
     /// Number of targets that have named a limit on the requests that they take.
     pub limited_targets: usize,
+    /// Number of targets whose speed has been observed recently.
+    pub known_speeds: usize,
     /// Number of peers with an open link.
     pub peers: usize,
     /// Number of calls that wait for a target.
--- a/crates/relay/src/telemetry/records.rs
+++ b/crates/relay/src/telemetry/records.rs
@@ -194,6 +194,10 @@
     pub load_calls: Option<u32>,
     /// Tokens of the target's memory that these calls were expected to need.
     pub load_tokens: Option<u64>,
+    /// Time that work takes at the target, in thousandths of the usual time.
+    pub speed_thousandths: Option<u32>,
+    /// Risk that a pause between two events is too long at the target, in thousandths.
+    pub pause_risk_thousandths: Option<u32>,
     /// Requests per second that the target takes from all relays together.
     pub limit_per_s: Option<measures::RequestRate>,
     /// Milliseconds since the request arrived, or duration of the attempt, silence or stop that the
@@ -226,6 +230,8 @@
             count: None,
             load_calls: None,
             load_tokens: None,
+            speed_thousandths: None,
+            pause_risk_thousandths: None,
             limit_per_s: None,
             after_ms: None,
             retry_after_ms: None,
@@ -319,6 +325,13 @@
         self
     }
 
+    /// Sets the forecast for which a target was chosen, in thousandths.
+    pub const fn forecast(mut self, speed: u32, pause_risk: u32) -> Self {
+        self.speed_thousandths = Some(speed);
+        self.pause_risk_thousandths = Some(pause_risk);
+        self
+    }
+
     /// Sets the requests per second that the target takes.
     pub const fn limit(mut self, limit: Option<measures::RequestRate>) -> Self {
         self.limit_per_s = limit;
--- a/crates/relay/tests/dispatch/main.rs
+++ b/crates/relay/tests/dispatch/main.rs
@@ -8,3 +8,5 @@
 mod prompt_crashes;
 mod prompt_fixtures;
 mod reservations;
+mod speed_model;
+mod speeds;
--- a/crates/relay/tests/peer_messages.rs
+++ b/crates/relay/tests/peer_messages.rs
@@ -20,6 +20,7 @@
         suspects: Vec::new(),
         prompt_crashes: Vec::new(),
         limits: Vec::new(),
+        speeds: Vec::new(),
     };
     serde_json::to_value(heartbeat).unwrap()
 }
