--- a/crates/relay/tests/dispatch/fixtures.rs
+++ b/crates/relay/tests/dispatch/fixtures.rs
@@ -61,13 +61,18 @@
 
 /// Returns the requirements of a stream with a long prompt.
 pub fn stream_demand(output_tokens: u64) -> dispatch::CallDemand {
+    stream_demand_with_memory(output_tokens, MEMORY_TOKENS)
+}
+
+/// Returns the requirements of a stream with a long prompt at engines with this much memory.
+pub fn stream_demand_with_memory(output_tokens: u64, memory_tokens: u64) -> dispatch::CallDemand {
     dispatch::CallDemand {
         service: "report".parse().unwrap(),
         rank: 0,
         prompt_tokens: 3_000,
         output_tokens,
         engine: Some(Rc::new(directory::EngineCapabilities {
-            memory: measures::TokenCount::new(MEMORY_TOKENS),
+            memory: measures::TokenCount::new(memory_tokens),
             event_tokens: 4,
             can_migrate: true,
             can_copy: true,
--- a/crates/relay/tests/dispatch/speed_model.rs
+++ b/crates/relay/tests/dispatch/speed_model.rs
@@ -1,13 +1,10 @@
-//! A service of engines of different speeds in simulated time, with the relays that place streams
-//! there. Engines process prompts in order of arrival; memory is not simulated, as placements stay
-//! within it, and no engine leaves.
+//! Engines of different speeds in simulated time, and relays that place streams there. Prompts are
+//! processed in order of arrival; no engine leaves, and placements are trusted to fit into memory.
 
 use std::collections::BTreeMap;
-use std::rc::Rc;
 use std::time::Duration;
 
 use kingcupfall_core::ids;
-use kingcupfall_core::measures;
 use kingcupfall_core::time;
 use kingcupfall_core::work;
 use kingcupfall_relay::directory;
@@ -18,98 +15,91 @@
 
 use crate::fixtures;
 
-/// Longest pause with which a stream is on time.
-const TARGET_GAP: Duration = Duration::from_millis(180);
-
-/// Memory of an engine in tokens.
-const MEMORY_TOKENS: u64 = 27_000;
-
+const TARGET_GAP_MS: u64 = 180;
 const EVENT_TOKENS: u64 = 4;
 const CHUNK_TOKENS: u64 = 112;
 
 /// Long and short streams that arrive in a millisecond.
-const LONG_STREAMS_PER_MS: f64 = 0.022;
-const SHORT_STREAMS_PER_MS: f64 = 0.025;
+const ARRIVAL_RATES: [(bool, f64); 2] = [(true, 0.022), (false, 0.025)];
 
 /// Interval at which it is drawn anew whether a machine is slow, share of slow ones, and how slow.
 const SLOWDOWN_INTERVAL_MS: u64 = 600;
 const SLOW_MACHINE_SHARE: f64 = 0.15;
 const SLOWDOWN_PERCENT: u32 = 250;
 
-/// Intervals of the dispatchers' ticks and of the relays' heartbeats.
 const TICK_INTERVAL_MS: u64 = 50;
 const HEARTBEAT_INTERVAL_MS: u64 = 500;
 
-/// Interval between reports of progress that is too long for a sample of the speed.
+/// Interval between reports of progress from which no speed can be learnt.
 const UNLEARNABLE_INTERVAL_MS: u64 = 2_500;
 
-/// Streams that arrive before this time are not counted, as no relay knows a speed yet.
+/// Streams that arrive earlier are not counted, as the service has not reached its usual load.
 const WARM_UP_MS: u64 = 4_000;
 
+/// Returns the requirements of a long or a short stream of the load.
+pub fn demand(is_long: bool) -> dispatch::CallDemand {
+    dispatch::CallDemand {
+        prompt_tokens: if is_long { 3_000 } else { 2_200 },
+        target_gap: Some(Duration::from_millis(TARGET_GAP_MS)),
+        ..fixtures::stream_demand_with_memory(if is_long { 760 } else { 8 }, 27_000)
+    }
+}
+
 struct RunningStream {
     call: ids::CallId,
     relay: usize,
-    is_long: bool,
     arrived_ms: u64,
     prompt_left: u64,
     tokens: u64,
     total_tokens: u64,
+    first_event_ms: u64,
     last_event_ms: u64,
     reported_ms: u64,
     longest_gap_ms: u64,
-    first_event_ms: Option<u64>,
 }
 
 struct SimulatedEngine {
     factor: f64,
     is_machine_slow: bool,
     streams: Vec<RunningStream>,
-    /// End of the present step in milliseconds, and whether it processes a prompt chunk.
-    step: Option<(f64, bool)>,
+    /// End of the present step in milliseconds.
+    step_end_ms: Option<f64>,
 }
 
 impl SimulatedEngine {
     fn start_step(&mut self, start_ms: f64) {
-        if self.streams.is_empty() {
-            self.step = None;
-            return;
-        }
-        let decoding = self.streams.iter().filter(|stream| stream.prompt_left == 0);
-        let decoding_count = decoding.count();
-        let has_chunk = decoding_count < self.streams.len();
-        let chunk_ms = if has_chunk { 8.0 } else { 0.0 };
-        let slowdown = match self.is_machine_slow {
-            true => f64::from(SLOWDOWN_PERCENT) / 100.0,
-            false => 1.0,
+        let is_decoding = |stream: &&RunningStream| stream.prompt_left == 0;
+        let decoding = self.streams.iter().filter(is_decoding).count();
+        let chunk_ms = if decoding < self.streams.len() {
+            8.0
+        } else {
+            0.0
+        };
+        let slow = if self.is_machine_slow {
+            SLOWDOWN_PERCENT
+        } else {
+            100
+        };
+        let step_ms = (7.0 + 0.12 * decoding as f64 + chunk_ms) * self.factor;
+        self.step_end_ms = match self.streams.is_empty() {
+            true => None,
+            false => Some(start_ms + step_ms * f64::from(slow) / 100.0),
         };
-        let step_ms = (7.0 + 0.12 * decoding_count as f64 + chunk_ms) * self.factor * slowdown;
-        self.step = Some((start_ms + step_ms, has_chunk));
     }
 }
 
-/// What the callers of the counted streams got.
+/// Numbers of streams, by what their callers got.
 #[derive(Debug, Default)]
 pub struct ServiceOutcome {
     pub long_streams: u32,
+    /// Long streams with a pause longer than allowed.
     pub late_long_streams: u32,
-    pub long_streams_on_fast_engines: u32,
     pub short_streams: u32,
+    /// Short streams whose first event came too late.
     pub late_short_streams: u32,
     pub refusals: u32,
 }
 
-impl ServiceOutcome {
-    /// Returns the share of long streams with a pause longer than allowed.
-    pub fn late_long_share(&self) -> f64 {
-        f64::from(self.late_long_streams) / f64::from(self.long_streams.max(1))
-    }
-
-    /// Returns the share of short streams whose first event came too late.
-    pub fn late_short_share(&self) -> f64 {
-        f64::from(self.late_short_streams) / f64::from(self.short_streams.max(1))
-    }
-}
-
 /// Engines and relays.
 pub struct SpeedModel {
     now_ms: u64,
@@ -118,13 +108,12 @@
     engines: BTreeMap<ids::TargetName, SimulatedEngine>,
     names: Vec<ids::VmName>,
     relays: Vec<dispatch::Dispatcher>,
-    arrivals: BTreeMap<ids::CallId, (usize, u64, dispatch::CallDemand)>,
     outcome: ServiceOutcome,
 }
 
 impl SpeedModel {
-    /// Creates a model whose engines have these factors; its relays learn them, or learn nothing
-    /// and know no longest pause.
+    /// Creates engines with these factors. Their relays learn the factors and the slowdowns, or
+    /// neither.
     pub fn new(seed: u64, relay_count: usize, factors: &[f64], learns: bool) -> Self {
         let engine_names: Vec<_> = (0..factors.len()).map(|i| format!("engine-{i}")).collect();
         let engine_refs: Vec<&str> = engine_names.iter().map(String::as_str).collect();
@@ -134,33 +123,39 @@
                 factor: *factor,
                 is_machine_slow: false,
                 streams: Vec::new(),
-                step: None,
+                step_end_ms: None,
             };
             (name.parse().unwrap(), engine)
         });
-        let mut model = Self {
+        let relays = relay_names.iter();
+        Self {
             now_ms: 0,
             rng: rngs::SmallRng::seed_from_u64(seed),
             learns,
             engines: engines.collect(),
-            names: relay_names.iter().map(|n| n.parse().unwrap()).collect(),
-            relays: relay_names
+            names: relay_names
                 .iter()
+                .map(|name| name.parse().unwrap())
+                .collect(),
+            relays: relays
                 .map(|name| fixtures::dispatcher_for(name, &engine_refs))
                 .collect(),
-            arrivals: BTreeMap::new(),
             outcome: ServiceOutcome::default(),
-        };
-        model.exchange_heartbeats();
-        model
+        }
     }
 
     /// Runs the load for some time and returns what callers got.
     pub fn run(mut self, duration_ms: u64) -> ServiceOutcome {
+        self.exchange_heartbeats();
         let mut next_call = 0;
         while self.now_ms < duration_ms {
             self.now_ms += 1;
-            self.draw_slowdowns();
+            for (index, engine) in self.engines.values_mut().enumerate() {
+                // Machines change at different times.
+                if (self.now_ms + index as u64 * 13).is_multiple_of(SLOWDOWN_INTERVAL_MS) {
+                    engine.is_machine_slow = self.rng.random_bool(SLOW_MACHINE_SHARE);
+                }
+            }
             if self.now_ms.is_multiple_of(TICK_INTERVAL_MS) {
                 for relay in 0..self.relays.len() {
                     self.handle(relay, dispatch::DispatchEvent::Tick);
@@ -169,10 +164,11 @@
             if self.now_ms.is_multiple_of(HEARTBEAT_INTERVAL_MS) {
                 self.exchange_heartbeats();
             }
-            for (is_long, rate) in [(true, LONG_STREAMS_PER_MS), (false, SHORT_STREAMS_PER_MS)] {
+            for (is_long, rate) in ARRIVAL_RATES {
                 if self.rng.random_bool(rate) {
-                    next_call += 1;
-                    self.arrive(ids::CallId::new(next_call), is_long);
+                    // The parity of its number tells whether a call is long.
+                    next_call += 2;
+                    self.arrive(ids::CallId::new(next_call + u64::from(is_long)), is_long);
                 }
             }
             self.finish_steps();
@@ -180,61 +176,35 @@
         self.outcome
     }
 
-    fn now(&self) -> time::Timestamp {
-        fixtures::START + Duration::from_millis(self.now_ms)
-    }
-
-    fn draw_slowdowns(&mut self) {
-        for (index, engine) in self.engines.values_mut().enumerate() {
-            // Machines change at different times.
-            if (self.now_ms + index as u64 * 13).is_multiple_of(SLOWDOWN_INTERVAL_MS) {
-                engine.is_machine_slow = self.rng.random_bool(SLOW_MACHINE_SHARE);
-            }
-        }
-    }
-
     fn arrive(&mut self, call: ids::CallId, is_long: bool) {
-        let output_tokens = if is_long { 760 } else { 8 };
-        let demand = dispatch::CallDemand {
-            prompt_tokens: if is_long { 3_000 } else { 2_200 },
-            engine: Some(Rc::new(directory::EngineCapabilities {
-                memory: measures::TokenCount::new(MEMORY_TOKENS),
-                event_tokens: EVENT_TOKENS,
-                can_migrate: true,
-                can_copy: true,
-            })),
-            arrived_at: self.now(),
-            first_requested_at: self.now(),
-            deadline: self.now() + Duration::from_secs(39),
-            fingerprint: work::RequestFingerprint::new(call.get()),
-            target_gap: self.learns.then_some(TARGET_GAP),
-            ..fixtures::stream_demand(output_tokens)
-        };
+        let now = self.now();
+        let mut demand = Box::new(demand(is_long));
+        demand.arrived_at = now;
+        demand.first_requested_at = now;
+        demand.deadline = now + Duration::from_secs(39);
+        demand.fingerprint = work::RequestFingerprint::new(call.get());
+        demand.target_gap = demand.target_gap.filter(|_| self.learns);
         let relay = self.rng.random_range(0..self.relays.len());
-        let arrival = (relay, self.now_ms, demand.clone());
-        self.arrivals.insert(call, arrival);
-        let demand = Box::new(demand);
         self.handle(relay, dispatch::DispatchEvent::Arrived { call, demand });
     }
 
+    fn now(&self) -> time::Timestamp {
+        fixtures::START + Duration::from_millis(self.now_ms)
+    }
+
     fn handle(&mut self, relay: usize, event: dispatch::DispatchEvent) {
         let now = self.now();
         for effect in self.relays[relay].handle(now, event) {
             match effect {
                 dispatch::DispatchEffect::Place { call, placement } => {
-                    self.start_stream(call, &placement.target.key);
-                }
-                dispatch::DispatchEffect::Refuse { call, .. } => {
-                    let (_, arrived_ms, _) = self.arrivals.remove(&call).unwrap();
-                    self.outcome.refusals += u32::from(arrived_ms >= WARM_UP_MS);
+                    self.start_stream(relay, call, &placement.target.key);
                 }
+                dispatch::DispatchEffect::Refuse { .. } => self.outcome.refusals += 1,
                 dispatch::DispatchEffect::Send { peer, message } => {
                     let to = self.names.iter().position(|name| *name == peer).unwrap();
                     let peer = self.names[relay].clone();
-                    self.handle(
-                        to,
-                        dispatch::DispatchEvent::ReservationReceived { peer, message },
-                    );
+                    let received = dispatch::DispatchEvent::ReservationReceived { peer, message };
+                    self.handle(to, received);
                 }
                 _ => {}
             }
@@ -254,50 +224,50 @@
         for from in 0..self.relays.len() {
             for to in (0..self.relays.len()).filter(|to| *to != from) {
                 let peer = self.names[from].clone();
-                let loads = self.relays[from].loads(now);
                 let reports = self.relays[from].speed_reports(now);
-                let replaced = dispatch::DispatchEvent::PeerLoadsReplaced {
-                    peer: peer.clone(),
-                    loads,
-                };
-                self.handle(to, replaced);
                 self.handle(
                     to,
                     dispatch::DispatchEvent::SpeedsReported { peer, reports },
                 );
+                let (peer, loads) = (self.names[from].clone(), self.relays[from].loads(now));
+                self.handle(
+                    to,
+                    dispatch::DispatchEvent::PeerLoadsReplaced { peer, loads },
+                );
             }
         }
     }
 
-    fn start_stream(&mut self, call: ids::CallId, key: &directory::TargetKey) {
-        let (relay, arrived_ms, demand) = self.arrivals.remove(&call).unwrap();
-        let is_long = demand.output_tokens > 100;
+    fn start_stream(&mut self, relay: usize, call: ids::CallId, target: &directory::TargetKey) {
+        let is_long = !call.get().is_multiple_of(2);
         let events = if is_long {
             self.rng.random_range(150..230)
         } else {
             2
         };
-        let engine = self.engines.get_mut(&key.name).unwrap();
-        let (is_idle, is_slow) = (engine.step.is_none(), engine.is_machine_slow);
+        let engine = self.engines.get_mut(&target.name).unwrap();
+        let percent = if engine.is_machine_slow {
+            SLOWDOWN_PERCENT
+        } else {
+            100
+        };
         engine.streams.push(RunningStream {
             call,
             relay,
-            is_long,
-            arrived_ms,
-            prompt_left: demand.prompt_tokens,
+            arrived_ms: self.now_ms,
+            prompt_left: demand(is_long).prompt_tokens,
             tokens: 0,
             total_tokens: events * EVENT_TOKENS,
+            first_event_ms: 0,
             last_event_ms: 0,
             reported_ms: 0,
             longest_gap_ms: 0,
-            first_event_ms: None,
         });
-        if is_idle {
+        if engine.step_end_ms.is_none() {
             engine.start_step(self.now_ms as f64);
         }
         if self.learns {
-            let target = key.clone();
-            let percent = if is_slow { SLOWDOWN_PERCENT } else { 100 };
+            let target = target.clone();
             self.handle(
                 relay,
                 dispatch::DispatchEvent::SlowdownHeard { target, percent },
@@ -306,43 +276,34 @@
     }
 
     fn finish_steps(&mut self) {
-        let names: Vec<_> = self.engines.keys().cloned().collect();
-        for name in names {
-            let engine = self.engines.get_mut(&name).unwrap();
-            let Some((end_ms, has_chunk)) = engine.step else {
+        let mut reports = Vec::new();
+        let mut ended = Vec::new();
+        for engine in self.engines.values_mut() {
+            let is_due = |end_ms: &f64| *end_ms <= self.now_ms as f64;
+            let Some(end_ms) = engine.step_end_ms.filter(is_due) else {
                 continue;
             };
-            if end_ms > self.now_ms as f64 {
-                continue;
-            }
-            let mut reports = Vec::new();
-            let mut is_chunk_left = has_chunk;
+            let mut is_chunk_left = true;
             for stream in &mut engine.streams {
-                if stream.prompt_left > 0 {
-                    if std::mem::take(&mut is_chunk_left) {
-                        stream.prompt_left = stream.prompt_left.saturating_sub(CHUNK_TOKENS);
-                    }
-                    continue;
-                }
-                stream.tokens += 1;
-                if stream.tokens.is_multiple_of(EVENT_TOKENS) {
-                    reports.extend(stream.record_event(self.now_ms, self.learns));
+                if stream.prompt_left == 0 {
+                    stream.add_token(self.now_ms, self.learns, &mut reports);
+                } else if std::mem::take(&mut is_chunk_left) {
+                    stream.prompt_left = stream.prompt_left.saturating_sub(CHUNK_TOKENS);
                 }
             }
             let is_ended = |stream: &mut RunningStream| stream.tokens >= stream.total_tokens;
-            let ended: Vec<_> = engine.streams.extract_if(.., is_ended).collect();
+            ended.extend(engine.streams.extract_if(.., is_ended));
             engine.start_step(end_ms);
-            let is_fast = engine.factor < 0.8;
-            for (relay, event) in reports {
-                self.handle(relay, event);
-            }
-            for stream in ended {
-                self.end_stream(&stream, is_fast);
-            }
+        }
+        for (relay, event) in reports {
+            self.handle(relay, event);
+        }
+        for stream in ended {
+            self.end_stream(&stream);
         }
     }
 
-    fn end_stream(&mut self, stream: &RunningStream, is_fast: bool) {
+    fn end_stream(&mut self, stream: &RunningStream) {
         let call = stream.call;
         if self.learns {
             let took = Duration::from_millis(self.now_ms - stream.arrived_ms);
@@ -355,46 +316,43 @@
             return;
         }
         let outcome = &mut self.outcome;
-        match stream.is_long {
-            true => {
-                let is_late = u128::from(stream.longest_gap_ms) > TARGET_GAP.as_millis();
-                outcome.long_streams += 1;
-                outcome.late_long_streams += u32::from(is_late);
-                outcome.long_streams_on_fast_engines += u32::from(is_fast);
-            }
-            false => {
-                let waited_ms = stream.first_event_ms.unwrap() - stream.arrived_ms;
-                let target_latency = fixtures::stream_demand(8).target_latency;
-                outcome.short_streams += 1;
-                outcome.late_short_streams +=
-                    u32::from(u128::from(waited_ms) > target_latency.as_millis());
-            }
+        if call.get().is_multiple_of(2) {
+            let first_event = Duration::from_millis(stream.first_event_ms - stream.arrived_ms);
+            outcome.short_streams += 1;
+            outcome.late_short_streams += u32::from(first_event > demand(false).target_latency);
+        } else {
+            outcome.long_streams += 1;
+            outcome.late_long_streams += u32::from(stream.longest_gap_ms > TARGET_GAP_MS);
         }
     }
 }
 
 impl RunningStream {
-    /// Records an event and returns what the stream's relay is told.
-    fn record_event(&mut self, now_ms: u64, learns: bool) -> Vec<(usize, dispatch::DispatchEvent)> {
-        let call = self.call;
-        let mut reports = Vec::new();
-        match self.first_event_ms {
-            Some(_) => {
-                let gap_ms = now_ms - self.last_event_ms;
-                self.longest_gap_ms = self.longest_gap_ms.max(gap_ms);
-            }
-            None => {
-                self.first_event_ms = Some(now_ms);
-                reports.push((self.relay, dispatch::DispatchEvent::Started { call }));
-            }
+    /// Adds a token and the events of which its relay is told.
+    fn add_token(
+        &mut self,
+        now_ms: u64,
+        learns: bool,
+        reports: &mut Vec<(usize, dispatch::DispatchEvent)>,
+    ) {
+        self.tokens += 1;
+        if !self.tokens.is_multiple_of(EVENT_TOKENS) {
+            return;
+        }
+        let (call, events) = (self.call, self.tokens / EVENT_TOKENS);
+        if events == 1 {
+            self.first_event_ms = now_ms;
+            reports.push((self.relay, dispatch::DispatchEvent::Started { call }));
+        } else {
+            self.longest_gap_ms = self.longest_gap_ms.max(now_ms - self.last_event_ms);
         }
         self.last_event_ms = now_ms;
         if learns || now_ms - self.reported_ms >= UNLEARNABLE_INTERVAL_MS {
             self.reported_ms = now_ms;
-            let events = self.tokens / EVENT_TOKENS;
-            let progress = dispatch::DispatchEvent::Progressed { call, events };
-            reports.push((self.relay, progress));
+            reports.push((
+                self.relay,
+                dispatch::DispatchEvent::Progressed { call, events },
+            ));
         }
-        reports
     }
 }
--- a/crates/relay/tests/peer_messages.rs
+++ b/crates/relay/tests/peer_messages.rs
@@ -1,6 +1,8 @@
 //! Messages between relays of different versions.
 
+use kingcupfall_link::codec;
 use kingcupfall_relay::directory;
+use kingcupfall_relay::dispatch;
 use kingcupfall_relay::membership;
 use kingcupfall_relay::shell;
 
@@ -20,21 +22,48 @@
         suspects: Vec::new(),
         prompt_crashes: Vec::new(),
         limits: Vec::new(),
-        speeds: Vec::new(),
+        speeds: vec![dispatch::SpeedReport {
+            target: directory::TargetKey {
+                name: "engine-1".parse().unwrap(),
+                started_ms: 1,
+            },
+            factor_thousandths: 550,
+            samples: 12,
+        }],
     };
     serde_json::to_value(heartbeat).unwrap()
 }
 
-/// A relay of an earlier version reports no crashes that may be due to prompts, and no limits.
+/// A relay of an earlier version reports no crashes that may be due to prompts, no limits and no
+/// speeds.
 #[test]
 fn heartbeat_of_an_older_relay_decodes() {
     let mut encoded = heartbeat();
     let fields = encoded.as_object_mut().unwrap();
     fields.remove("x").unwrap();
     fields.remove("i").unwrap();
+    fields.remove("f").unwrap();
     let decoded: shell::PeerHeartbeat = serde_json::from_value(encoded).unwrap();
     assert!(decoded.prompt_crashes.is_empty());
     assert!(decoded.limits.is_empty());
+    assert!(decoded.speeds.is_empty());
+}
+
+/// Guards against a relay of an earlier version that rejects all heartbeats because of the speeds:
+/// its heartbeat has the fields up to the limits.
+#[test]
+fn heartbeat_with_speeds_decodes_at_an_older_relay() {
+    #[derive(serde::Deserialize)]
+    struct OlderHeartbeat {
+        #[serde(rename = "v")]
+        vm: Box<str>,
+        #[serde(rename = "i", default)]
+        limits: Vec<dispatch::TargetLimit>,
+    }
+    let bytes = codec::encode(&heartbeat()).unwrap();
+    let decoded: OlderHeartbeat = codec::decode(&bytes).unwrap();
+    assert_eq!(&*decoded.vm, "vm-1");
+    assert!(decoded.limits.is_empty());
 }
 
 #[test]
