Group speed estimates by target, count own streams once

Cause: combining looked up each target once for each peer, and each window of events counted all streams of the relay; both grow with the product of relays or streams and targets.

--- a/crates/relay/src/dispatch/forecast.rs
+++ b/crates/relay/src/dispatch/forecast.rs
@@ -177,12 +177,7 @@
     /// Returns the calls and the prompt rate of all relays at one target.
     fn load_for_speed(&self, now: time::Timestamp, target: &ids::TargetName) -> LoadCount {
         let mut load = self.peer_loads.sum(target);
-        let own_calls = self
-            .placed
-            .values()
-            .filter(|placed| placed.target.key.name == *target)
-            .count();
-        load.calls = load.calls.saturating_add(own_calls as u32);
+        load.calls = load.calls.saturating_add(self.speeds.own_streams(target));
         let own_rate = self.prompt_rates.rate(now, target);
         load.prompt_tokens_per_s = load.prompt_tokens_per_s.saturating_add(own_rate);
         load
@@ -193,8 +188,19 @@
         if !self.speeds.is_refresh_due(now) {
             return;
         }
-        let slowdowns: BTreeMap<ids::ServiceName, f64> = self.speeds.slowdowns(now);
-        let combined = self.speeds.combine(now);
+        let mut own_streams: BTreeMap<ids::TargetName, u32> = BTreeMap::new();
+        for placed in self.placed.values() {
+            let name = &placed.target.key.name;
+            match own_streams.get_mut(name) {
+                Some(count) => *count += 1,
+                None if placed.demand.engine.is_some() => {
+                    own_streams.insert(name.clone(), 1);
+                }
+                None => {}
+            }
+        }
+        let slowdowns = self.speeds.slowdowns(now);
+        let combined = self.speeds.combine(now, own_streams);
         let mut logs: BTreeMap<&ids::ServiceName, Vec<f64>> = BTreeMap::new();
         for entry in self.targets.values() {
             if let Some(estimate) = combined.get(&entry.record.key) {
--- a/crates/relay/src/dispatch/speeds.rs
+++ b/crates/relay/src/dispatch/speeds.rs
@@ -6,6 +6,7 @@
 //! it, and an estimate of a peer as long as the peer.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -170,12 +171,43 @@
     }
 }
 
+/// Estimates of one target: this relay's, and those of peers.
+#[derive(Debug, Default)]
+struct TargetEstimates {
+    own: Option<SpeedEstimate>,
+    peers: Vec<(ids::VmName, SpeedEstimate)>,
+}
+
+impl TargetEstimates {
+    /// Removes the estimates that are forgotten and returns the combination of the others, if there
+    /// are any.
+    fn combine(&mut self, now: time::Timestamp) -> Option<CombinedEstimate> {
+        let mut combined = CombinedEstimate::default();
+        let mut is_kept = |estimate: &SpeedEstimate| {
+            let count = estimate.count(now);
+            if count < MIN_COUNT {
+                return false;
+            }
+            combined.weighted_log += count * estimate.log_factor;
+            combined.count += count;
+            true
+        };
+        self.own.take_if(|estimate| !is_kept(estimate));
+        self.peers.retain(|(_, estimate)| is_kept(estimate));
+        (combined.count > 0.0).then_some(combined)
+    }
+}
+
 /// Speeds observed by this relay and by its peers, and reported slowdowns.
 #[derive(Debug, Default)]
 pub(super) struct SpeedTable {
-    own: BTreeMap<directory::TargetKey, SpeedEstimate>,
-    peers: BTreeMap<ids::VmName, BTreeMap<directory::TargetKey, SpeedEstimate>>,
+    estimates: BTreeMap<directory::TargetKey, TargetEstimates>,
+    /// Peers that have estimates. Most of the peers that are reported as lost have none, as they
+    /// belong to other cells.
+    reporters: BTreeSet<ids::VmName>,
     slowdowns: BTreeMap<ids::ServiceName, RecentSlowdowns>,
+    /// Streams of this relay by target, counted when the speeds were last combined.
+    own_streams: BTreeMap<ids::TargetName, u32>,
     refreshed_at: time::Timestamp,
 }
 
@@ -190,12 +222,13 @@
         if !factor.is_finite() {
             return;
         }
-        match self.own.get_mut(target) {
+        let estimates = match self.estimates.get_mut(target) {
+            Some(estimates) => estimates,
+            None => self.estimates.entry(target.clone()).or_default(),
+        };
+        match &mut estimates.own {
             Some(estimate) => estimate.add(now, factor),
-            None => {
-                let estimate = SpeedEstimate::new(now, factor);
-                self.own.insert(target.clone(), estimate);
-            }
+            None => estimates.own = Some(SpeedEstimate::new(now, factor)),
         }
     }
 
@@ -207,7 +240,9 @@
         peer: &ids::VmName,
         reports: Vec<SpeedReport>,
     ) {
-        let estimates = self.peers.entry(peer.clone()).or_default();
+        if !reports.is_empty() && !self.reporters.contains(peer) {
+            self.reporters.insert(peer.clone());
+        }
         for report in reports.into_iter().take(MAX_REPORTS) {
             let factor = f64::from(report.factor_thousandths) / 1_000.0;
             if !(MIN_FACTOR..=MAX_FACTOR).contains(&factor) || report.samples == 0 {
@@ -219,21 +254,27 @@
                 count: f64::from(report.samples.min(MAX_REPORTED_COUNT)),
                 updated_at: now,
             };
-            estimates.insert(report.target, estimate);
+            let peers = &mut self.estimates.entry(report.target).or_default().peers;
+            match peers.iter_mut().find(|(name, _)| name == peer) {
+                Some((_, known)) => *known = estimate,
+                None => peers.push((peer.clone(), estimate)),
+            }
         }
     }
 
     pub(super) fn remove_peer(&mut self, peer: &ids::VmName) {
-        self.peers.remove(peer);
+        if self.reporters.remove(peer) {
+            for estimates in self.estimates.values_mut() {
+                estimates.peers.retain(|(name, _)| name != peer);
+            }
+        }
     }
 
     /// Returns this relay's estimates that are based on recent samples.
     pub(super) fn reports(&self, now: time::Timestamp) -> Vec<SpeedReport> {
-        let recent = self
-            .own
-            .iter()
-            .filter(|(_, estimate)| now.since(estimate.updated_at) < MAX_REPORT_AGE);
-        recent
+        let own = self.estimates.iter();
+        own.filter_map(|(target, estimates)| Some((target, estimates.own.as_ref()?)))
+            .filter(|(_, estimate)| now.since(estimate.updated_at) < MAX_REPORT_AGE)
             .map(|(target, estimate)| SpeedReport {
                 target: target.clone(),
                 factor_thousandths: (estimate.log_factor.exp() * 1_000.0).round() as u32,
@@ -268,28 +309,30 @@
         now.since(self.refreshed_at) >= REFRESH_INTERVAL
     }
 
-    /// Removes what has expired, and returns the sums of weighted logarithms and of weights, by
-    /// target.
+    /// Removes what has expired and combines the estimates of each target.
     pub(super) fn combine(
         &mut self,
         now: time::Timestamp,
-    ) -> BTreeMap<&directory::TargetKey, CombinedEstimate> {
+        own_streams: BTreeMap<ids::TargetName, u32>,
+    ) -> BTreeMap<directory::TargetKey, CombinedEstimate> {
         self.refreshed_at = now;
-        for estimates in self.peers.values_mut() {
-            estimates.retain(|_, estimate| estimate.count(now) >= MIN_COUNT);
-        }
-        self.own
-            .retain(|_, estimate| estimate.count(now) >= MIN_COUNT);
-        let mut combined: BTreeMap<_, CombinedEstimate> = BTreeMap::new();
-        for (target, estimate) in self.peers.values().chain([&self.own]).flatten() {
-            let count = estimate.count(now);
-            let sums = combined.entry(target).or_default();
-            sums.weighted_log += count * estimate.log_factor;
-            sums.count += count;
+        self.own_streams = own_streams;
+        let estimates = self.estimates.iter_mut();
+        let combined: BTreeMap<_, _> = estimates
+            .filter_map(|(target, estimates)| Some((target.clone(), estimates.combine(now)?)))
+            .collect();
+        if combined.len() < self.estimates.len() {
+            self.estimates
+                .retain(|target, _| combined.contains_key(target));
         }
         combined
     }
 
+    /// Returns the number of streams of this relay at a target, as counted a short time ago.
+    pub(super) fn own_streams(&self, target: &ids::TargetName) -> u32 {
+        self.own_streams.get(target).copied().unwrap_or_default()
+    }
+
     /// Returns the largest slowdown that targets of each service reported recently.
     pub(super) fn slowdowns(&mut self, now: time::Timestamp) -> BTreeMap<ids::ServiceName, f64> {
         self.slowdowns.retain(|_, slowdowns| {
