--- a/crates/relay/src/shell/peer_exchange.rs
+++ b/crates/relay/src/shell/peer_exchange.rs
@@ -121,7 +121,7 @@
     state.record_peer_usages(&heartbeat.vm, &heartbeat.budget_usages);
     // Only peers of the same cell share their load and decide on reservations.
     let peer = heartbeat.vm;
-    if link.is_same_cell {
+    if link.is_same_cell && !heartbeat.speeds.is_empty() {
         state.submit(dispatch::DispatchEvent::SpeedsReported {
             peer: peer.clone(),
             reports: heartbeat.speeds,
