--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -16,6 +16,7 @@
 use super::LoadCount;
 use super::PartSource;
 use super::PeerLoad;
+use super::PlacementForecast;
 use super::RefusedRequest;
 use super::ReservationRequest;
 use super::calls;
@@ -27,6 +28,7 @@
 use super::queue;
 use super::refused;
 use super::reservations;
+use super::speeds;
 use super::targets;
 use super::terms;
 use crate::directory;
@@ -68,6 +70,7 @@
     pub(super) urgent_streams: headroom::UrgentStreams,
     pub(super) cell_depth: membership::CellDepth,
     pub(super) peer_loads: load::PeerLoads,
+    pub(super) speeds: speeds::SpeedTable,
     pub(super) changed_targets: BTreeSet<ids::TargetName>,
 }
 
@@ -92,6 +95,7 @@
             urgent_streams: headroom::UrgentStreams::default(),
             cell_depth: membership::CellDepth::default(),
             peer_loads: load::PeerLoads::default(),
+            speeds: speeds::SpeedTable::default(),
             changed_targets: BTreeSet::new(),
         }
     }
@@ -109,6 +113,7 @@
                     placed.heard_at = now;
                     self.changed_targets.insert(placed.target.key.name.clone());
                 }
+                self.observe_first_event(now, call);
                 self.record_stream_event(now, call, &mut effects);
             }
             DispatchEvent::Progressed { call, events } => {
@@ -116,6 +121,7 @@
                     placed.events = events;
                     placed.heard_at = now;
                 }
+                self.observe_events(now, call);
                 self.record_stream_event(now, call, &mut effects);
             }
             DispatchEvent::AttemptEnded { call, result } => {
@@ -176,6 +182,12 @@
                 self.review_cold(now, &mut effects);
             }
             DispatchEvent::ColdSharesChanged(shares) => self.set_cold_shares(now, &shares),
+            DispatchEvent::SlowdownHeard { target, percent } => {
+                self.record_slowdown(now, &target, percent);
+            }
+            DispatchEvent::SpeedsReported { peer, reports } => {
+                self.speeds.merge_reports(now, &peer, reports);
+            }
             DispatchEvent::SuspectsReported(records) => {
                 self.merge_suspects(now, &records, &mut effects);
             }
@@ -202,10 +214,14 @@
             DispatchEvent::ReservationReceived { peer, message } => {
                 self.handle_reservation_message(now, peer, message, &mut effects);
             }
-            DispatchEvent::PeerLost { peer } => self.peer_loads.remove(&peer),
+            DispatchEvent::PeerLost { peer } => {
+                self.peer_loads.remove(&peer);
+                self.speeds.remove_peer(&peer);
+            }
             DispatchEvent::CellDepthChanged(depth) => self.cell_depth = depth,
             DispatchEvent::Stopping => self.refuse_waiting_streams(now, &mut effects),
             DispatchEvent::Tick => {
+                self.refresh_speeds(now);
                 self.report_health_changes(now, &mut effects);
                 self.review_cold(now, &mut effects);
                 self.prompt_rates.remove_idle(now);
@@ -340,6 +356,7 @@
             load_at_placement: present_load,
             has_started: false,
             events: 0,
+            speed_window: speeds::SpeedWindow::default(),
         };
         self.placed.insert(call, placed);
         self.record_request(now, &target.key);
@@ -348,6 +365,7 @@
                 target,
                 copy_holder: None,
                 load: present_load,
+                forecast: PlacementForecast::default(),
             };
             return effects.push(DispatchEffect::Place { call, placement });
         };
@@ -382,13 +400,16 @@
         let purpose = self.reservations.purpose(call);
         let was_sent = !purpose.is_some_and(reservations::ReservationPurpose::is_start);
         self.reservations.remove(call);
-        let Some(placed) = self.placed.remove(&call) else {
+        let Some(mut placed) = self.placed.remove(&call) else {
             return;
         };
         self.record_freed_targets(&placed);
         if was_sent {
             self.assess_result(now, &placed.attempt(), result, effects);
             if matches!(result, AttemptResult::Succeeded { .. }) {
+                if let Some(factor) = placed.speed_window.take_first_event() {
+                    self.speeds.add_sample(now, &placed.target.key, factor);
+                }
                 self.recent_completions.add(now, &placed);
             }
         }
@@ -425,6 +446,7 @@
                     load,
                     health: &entry.health,
                     urgent_streams: &self.urgent_streams,
+                    speed: entry.speed,
                 }
             })
             .collect()
--- a/crates/relay/src/shell/peer_messages.rs
+++ b/crates/relay/src/shell/peer_messages.rs
@@ -97,4 +97,8 @@
     /// All that the sender knows of evacuated availability zones, withdrawn ones included.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub evacuations: Vec<directory::ZoneEvacuation>,
+    /// What the sender observed of the speeds of targets within the last seconds; empty for a peer
+    /// of another cell.
+    #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
+    pub speeds: Vec<dispatch::SpeedReport>,
 }
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -338,6 +338,7 @@
             routes_version: self.routes_version().get(),
             routes_age: now.since(self.routes_activated_at.get()),
             directory_age: now.since(self.directory_responded_at.get()),
+            known_speeds: self.dispatcher.borrow().known_speed_count(),
             limited_targets: self.dispatcher.borrow().limited_target_count(),
             evacuated_zones: self.dispatcher.borrow().evacuated_zone_count(),
             evacuated_streams: self.dispatcher.borrow().evacuated_stream_count(),
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -13,11 +13,19 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use super::gauges;
+
 /// Upper bounds of latency buckets in seconds, from one round trip to the maximum deadline.
 const LATENCY_BUCKETS_S: [f64; 14] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.18, 0.3, 0.6, 1.0, 1.8, 4.0, 10.0, 20.0, 40.0,
 ];
 
+/// Upper bounds of the buckets of targets' factors, which are times relative to the usual time.
+const FACTOR_BUCKETS: [f64; 8] = [0.35, 0.5, 0.7, 1.0, 1.4, 2.0, 4.0, 10.0];
+
+/// Upper bounds of the buckets of risks from 0 to 1.
+const RISK_BUCKETS: [f64; 5] = [0.0, 0.25, 0.5, 0.75, 1.0];
+
 /// Maximum number of organisations, routes and services (each) with their own label value; further
 /// ones share one, which bounds the number of time series.
 const MAX_LABEL_VALUES: usize = 600;
@@ -102,6 +110,8 @@
     first_event_times: LatencyFamily<ClassLabels>,
     event_gaps: Histogram,
     migration_times: Histogram,
+    placement_factors: Histogram,
+    placement_risks: Histogram,
     lost_lines: Gauge,
     routes_version: Gauge,
     routes_age: Gauge,
@@ -111,6 +121,7 @@
     evacuated_zones: Gauge,
     evacuated_streams: Gauge,
     cold_targets: Gauge,
+    known_speeds: Gauge,
     peers: Gauge,
     waiting_calls: Gauge,
     placed_calls: Gauge,
@@ -145,6 +156,8 @@
             first_event_times: Family::new_with_constructor(latency_histogram),
             event_gaps: latency_histogram(),
             migration_times: latency_histogram(),
+            placement_factors: Histogram::new(FACTOR_BUCKETS),
+            placement_risks: Histogram::new(RISK_BUCKETS),
             lost_lines: Gauge::default(),
             routes_version: Gauge::default(),
             routes_age: Gauge::default(),
@@ -154,6 +167,7 @@
             evacuated_zones: Gauge::default(),
             evacuated_streams: Gauge::default(),
             cold_targets: Gauge::default(),
+            known_speeds: Gauge::default(),
             peers: Gauge::default(),
             waiting_calls: Gauge::default(),
             placed_calls: Gauge::default(),
@@ -238,6 +252,16 @@
             "Time of a memory move",
             self.migration_times.clone(),
         );
+        registry.register(
+            "placement_speed_factor",
+            "Time that work takes at the target of a placed stream, relative to the usual time",
+            self.placement_factors.clone(),
+        );
+        registry.register(
+            "placement_pause_risk",
+            "Risk that a pause of a placed stream is too long, from 0 to 1",
+            self.placement_risks.clone(),
+        );
         registry.register(
             "lost_log_lines",
             "Log lines without room",
@@ -279,6 +303,11 @@
             "Targets whose requests are limited because they are cold",
             self.cold_targets.clone(),
         );
+        registry.register(
+            "known_speeds",
+            "Targets whose speed has been observed recently",
+            self.known_speeds.clone(),
+        );
         registry.register("peers", "Peers that are linked", self.peers.clone());
         registry.register(
             "waiting_calls",
@@ -386,13 +415,23 @@
         self.migration_times.observe(took.as_secs_f64());
     }
 
+    /// Records the speed of a placed stream's target and the risk of a pause that is too long, in
+    /// thousandths.
+    pub fn record_placement_forecast(&self, factor_thousandths: u32, risk_thousandths: u32) {
+        let observe = |histogram: &Histogram, thousandths: u32| {
+            histogram.observe(f64::from(thousandths) / 1_000.0);
+        };
+        observe(&self.placement_factors, factor_thousandths);
+        observe(&self.placement_risks, risk_thousandths);
+    }
+
     /// Records the time between two events of a stream.
     pub fn record_event_gap(&self, gap: Duration) {
         self.event_gaps.observe(gap.as_secs_f64());
     }
 
     /// Sets all gauges.
-    pub fn set_gauges(&self, values: &GaugeValues) {
+    pub fn set_gauges(&self, values: &gauges::GaugeValues) {
         self.lost_lines.set(signed(values.lost_lines));
         self.routes_version.set(signed(values.routes_version));
         self.routes_age.set(signed(values.routes_age.as_secs()));
@@ -406,6 +445,7 @@
         self.evacuated_streams
             .set(signed(values.evacuated_streams as u64));
         self.cold_targets.set(signed(values.cold_targets as u64));
+        self.known_speeds.set(signed(values.known_speeds as u64));
         self.peers.set(signed(values.peers as u64));
         self.waiting_calls.set(signed(values.waiting_calls as u64));
         self.placed_calls.set(signed(values.placed_calls as u64));
@@ -430,35 +470,6 @@
     }
 }
 
-/// Values of all gauges at one time.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct GaugeValues {
-    /// Number of log lines dropped because the log's queue had no space.
-    pub lost_lines: u64,
-    /// Version of the active routes.
-    pub routes_version: u64,
-    /// Time since these routes became active.
-    pub routes_age: Duration,
-    /// Time since the last response of the platform's directory.
-    pub directory_age: Duration,
-    /// Number of targets in the target table.
-    pub targets: usize,
-    /// Number of targets that have named a limit on the requests that they take.
-    pub limited_targets: usize,
-    /// Number of evacuated availability zones.
-    pub evacuated_zones: usize,
-    /// Number of this relay's streams that still run in evacuated zones.
-    pub evacuated_streams: usize,
-    /// Number of targets that are cold and whose requests are limited for it.
-    pub cold_targets: usize,
-    /// Number of peers with an open link.
-    pub peers: usize,
-    /// Number of calls that wait for a target.
-    pub waiting_calls: usize,
-    /// Number of calls that run at a target.
-    pub placed_calls: usize,
-}
-
 fn latency_histogram() -> Histogram {
     Histogram::new(LATENCY_BUCKETS_S)
 }
--- a/crates/relay/tests/peer_messages.rs
+++ b/crates/relay/tests/peer_messages.rs
@@ -1,6 +1,8 @@
 //! Messages between relays of different versions.
 
+use kingcupfall_link::codec;
 use kingcupfall_relay::directory;
+use kingcupfall_relay::dispatch;
 use kingcupfall_relay::membership;
 use kingcupfall_relay::shell;
 
@@ -21,12 +23,20 @@
         prompt_crashes: Vec::new(),
         limits: Vec::new(),
         evacuations: Vec::new(),
+        speeds: vec![dispatch::SpeedReport {
+            target: directory::TargetKey {
+                name: "engine-1".parse().unwrap(),
+                started_ms: 1,
+            },
+            factor_thousandths: 550,
+            samples: 12,
+        }],
     };
     serde_json::to_value(heartbeat).unwrap()
 }
 
-/// A relay of an earlier version reports no crashes that may be due to prompts, no limits and no
-/// evacuations. Without evacuations, a heartbeat is the same as that of such a relay.
+/// A relay of an earlier version reports no crashes that may be due to prompts, and no limits,
+/// evacuations or speeds. Without evacuations, a heartbeat does not have their field either.
 #[test]
 fn heartbeat_of_an_older_relay_decodes() {
     let mut encoded = heartbeat();
@@ -34,10 +44,29 @@
     assert!(!fields.contains_key("e"));
     fields.remove("x").unwrap();
     fields.remove("i").unwrap();
+    fields.remove("f").unwrap();
     let decoded: shell::PeerHeartbeat = serde_json::from_value(encoded).unwrap();
     assert!(decoded.prompt_crashes.is_empty());
     assert!(decoded.limits.is_empty());
     assert!(decoded.evacuations.is_empty());
+    assert!(decoded.speeds.is_empty());
+}
+
+/// Guards against a relay of an earlier version that rejects all heartbeats because of the speeds:
+/// its heartbeat has the fields up to the limits.
+#[test]
+fn heartbeat_with_speeds_decodes_at_an_older_relay() {
+    #[derive(serde::Deserialize)]
+    struct OlderHeartbeat {
+        #[serde(rename = "v")]
+        vm: Box<str>,
+        #[serde(rename = "i", default)]
+        limits: Vec<dispatch::TargetLimit>,
+    }
+    let bytes = codec::encode(&heartbeat()).unwrap();
+    let decoded: OlderHeartbeat = codec::decode(&bytes).unwrap();
+    assert_eq!(&*decoded.vm, "vm-1");
+    assert!(decoded.limits.is_empty());
 }
 
 #[test]
