Let each share of a cold target hold a whole request

Change: a bucket holds one request at least; shares are updated when a target becomes cold, not when one is warm again.

--- a/crates/relay/src/dispatch/cold.rs
+++ b/crates/relay/src/dispatch/cold.rs
@@ -51,27 +51,28 @@
 impl ColdBounds {
     /// Returns this relay's share of the requests to a cold target that tolerates `rate`.
     ///
-    /// The whole requests that one part of the fleet may send in a second are dealt out to the
+    /// The whole requests that one part of the fleet may send in a second are allotted to the
     /// relays in the order of their ranks. A relay that gets none does not use the target.
     pub fn share(&self, rate: measures::RequestRate, sharers: &LimitSharers) -> limit::TokenRate {
         let rate_per_s = rate.per_second();
         let bound = rate_per_s * self.overrun + self.allowance;
-        let mut dealt = (bound / INDEPENDENT_PARTS) as usize;
-        if dealt == 0 && bound >= 1.0 {
+        let mut allotted = (bound / INDEPENDENT_PARTS) as usize;
+        if allotted == 0 && bound >= 1.0 {
             // The target would otherwise get nothing at all.
-            dealt = 1;
+            allotted = 1;
         }
-        let users = sharers.relays.min(dealt);
+        let users = sharers.relays.min(allotted);
         if sharers.rank >= users {
             return limit::TokenRate::default();
         }
-        let own = (dealt / users + usize::from(sharers.rank < dealt % users)) as f64;
+        let own = (allotted / users + usize::from(sharers.rank < allotted % users)) as f64;
         // A bucket allows `burst + per_second * time` requests, rounded down, within a time.
         let span_s = ARRIVAL_SPAN.as_secs_f64();
-        let per_second = (rate_per_s * own / dealt as f64).min((own - TOKEN_SLACK) / span_s);
+        let per_second = (rate_per_s * own / allotted as f64).min((own - TOKEN_SLACK) / span_s);
         limit::TokenRate {
             per_second,
-            burst: own + 1.0 - TOKEN_SLACK - per_second * span_s,
+            // Rounding must not leave a bucket that never holds a whole request.
+            burst: (own + 1.0 - TOKEN_SLACK - per_second * span_s).max(1.0),
         }
     }
 }
--- a/crates/relay/src/membership/known_fleet.rs
+++ b/crates/relay/src/membership/known_fleet.rs
@@ -98,8 +98,8 @@
         let age = now.since(time::Timestamp::ZERO);
         // Any number of relays may have started without reaching a seed. Only the seeds know their
         // places among each other without having heard anything.
-        let is_stranger = self.has_other_seeds && !self.is_seed && !self.has_heard_any;
-        if age < CONTACT_TIME || is_stranger {
+        let is_unlinked = self.has_other_seeds && !self.is_seed && !self.has_heard_any;
+        if age < CONTACT_TIME || is_unlinked {
             return None;
         }
         let depth = match is_cell_only {
--- a/crates/relay/src/shell/limits.rs
+++ b/crates/relay/src/shell/limits.rs
@@ -115,5 +115,7 @@
         };
         state.record(&record.target(&change.target));
     }
-    update_shares(state);
+    if changes.iter().any(|change| change.began.is_some()) {
+        update_shares(state);
+    }
 }
--- a/crates/relay/tests/dispatch/cold.rs
+++ b/crates/relay/tests/dispatch/cold.rs
@@ -254,3 +254,34 @@
     dispatcher.handle(after(1_010), migrated);
     assert!(dispatcher.cold_wait(after(1_010), &key) > Some(Duration::from_millis(900)));
 }
+
+/// Guards against shares whose bucket never holds a whole request, and against those that a relay
+/// could exceed at once.
+#[test]
+fn share_of_any_rate_holds_one_request() {
+    let bounds = dispatch::ColdBounds {
+        overrun: 1.5,
+        allowance: 5.0,
+    };
+    for tenths in 1..1_000_u32 {
+        let rate = measures::RequestRate::new(f64::from(tenths) / 10.0).unwrap();
+        for relays in [1, 2, 3, 7, 26, 30] {
+            let mut at_once = 0.0;
+            for rank in 0..relays {
+                let sharers = dispatch::LimitSharers {
+                    relays,
+                    rank,
+                    demand_share: None,
+                };
+                let share = bounds.share(rate, &sharers);
+                assert!(share.per_second == 0.0 || share.burst >= 1.0, "{share:?}");
+                at_once += share.burst.floor();
+            }
+            let bound = rate.per_second() * bounds.overrun + bounds.allowance;
+            assert!(
+                at_once >= 1.0 && at_once <= bound / 2.0,
+                "{at_once} of {bound}"
+            );
+        }
+    }
+}
--- a/crates/relay/tests/dispatch/cold_fleets.rs
+++ b/crates/relay/tests/dispatch/cold_fleets.rs
@@ -289,6 +289,9 @@
     low_rate = { 20, 3, 0.5, nothing, 0.7 },
     high_rate = { 20, 3, 12.0, nothing, 0.5 },
     single = { 1, 0, 4.0, nothing, 0.7 },
+    share_of_three_requests = { 1, 0, 4.5, nothing, 0.5 },
+    two_relays = { 2, 2, 5.0, nothing, 0.5 },
+    four_relays = { 4, 3, 10.0, nothing, 0.5 },
     large_fleet = { 44, 5, 4.0, nothing, 0.5 },
     partition_in_halves = { 12, 3, 4.0, halves, 0.6 },
     partition_in_single_relays = { 12, 3, 4.0, scattered, 0.6 },
@@ -296,7 +299,7 @@
     relays_dying = { 12, 3, 4.0, dying, 0.4 },
     restart_of_a_partitioned_half = { 12, 12, 4.0, restarted_apart, 0.5 },
     restart_of_single_relays = { 12, 12, 4.0, restarted_alone, 0.5 },
-    restart_of_single_strangers = { 12, 3, 4.0, restarted_alone, 0.4 },
+    restart_of_relays_without_seeds = { 12, 3, 4.0, restarted_alone, 0.4 },
 )]
 fn arrive_at_all_relays_keeps_to_the_bound_of_a_cold_target(
     relays: usize,
@@ -317,7 +320,6 @@
     let bound = rate_per_s * BOUNDS.overrun + BOUNDS.allowance;
     assert!(most as f64 <= bound, "{most} of {bound}");
     let served = fleet.reached_at.len() as f64 / f64::from(seconds);
-    println!("{served:.2}/s of {rate_per_s}/s, at most {most} of {bound}");
     assert!(
         served >= rate_per_s * least_share,
         "{served} of {rate_per_s} per second"
