Cap the room that long streams leave at an eighth of an engine's memory

Cause: short streams with large prompts kept long ones from idle engines (found by review). Change: the room is capped, and averages begin anew when streams of another rank come. Measured: the new test failed before; all headroom tests pass.

--- a/crates/relay/src/dispatch/headroom.rs
+++ b/crates/relay/src/dispatch/headroom.rs
@@ -32,6 +32,9 @@
 /// the engines of a service together take several times as many as arrive in that time.
 const STREAMS_PER_ENGINE: f64 = 1.0;
 
+/// Maximum share of an engine's memory that is left free, however large the short streams are.
+const MAX_MEMORY_SHARE: f64 = 0.125;
+
 /// Short streams of the most urgent calls of a service.
 #[derive(Debug, Clone, Copy)]
 struct ShortStreams {
@@ -41,6 +44,18 @@
     arrivals: load::DecayingRate,
 }
 
+impl ShortStreams {
+    /// Creates the record of the first stream of a rank.
+    fn new(demand: &CallDemand, tokens: f64) -> Self {
+        Self {
+            rank: demand.rank,
+            target_latency: demand.target_latency,
+            tokens,
+            arrivals: load::DecayingRate::default(),
+        }
+    }
+}
+
 /// Recent short streams of each service.
 #[derive(Debug, Default)]
 pub(super) struct UrgentStreams {
@@ -57,16 +72,11 @@
         let streams = self
             .services
             .entry(demand.service.clone())
-            .or_insert(ShortStreams {
-                rank: demand.rank,
-                target_latency: demand.target_latency,
-                tokens,
-                arrivals: load::DecayingRate::default(),
-            });
+            .or_insert_with(|| ShortStreams::new(demand, tokens));
         let is_idle = streams.arrivals.per_second(now, ARRIVAL_WINDOW) < MIN_ARRIVALS_PER_S;
         if demand.rank < streams.rank || is_idle {
-            streams.rank = demand.rank;
-            streams.target_latency = demand.target_latency;
+            // What is known of streams of another rank says nothing about these.
+            *streams = ShortStreams::new(demand, tokens);
         }
         if demand.rank == streams.rank {
             streams.tokens += SIZE_WEIGHT * (tokens - streams.tokens);
@@ -74,8 +84,13 @@
         }
     }
 
-    /// Returns the tokens of an engine's memory that a new stream leaves free.
-    pub(super) fn headroom_tokens(&self, now: time::Timestamp, demand: &CallDemand) -> u64 {
+    /// Returns the tokens that a new stream leaves free at an engine with this memory, in tokens.
+    pub(super) fn headroom_tokens(
+        &self,
+        now: time::Timestamp,
+        demand: &CallDemand,
+        memory: u64,
+    ) -> u64 {
         if !calls::is_long_stream(demand) {
             return 0;
         }
@@ -85,6 +100,7 @@
                 && demand.target_latency >= streams.target_latency * MIN_LATENCY_RATIO
                 && rate >= MIN_ARRIVALS_PER_S
         });
-        streams.map_or(0, |streams| (streams.tokens * STREAMS_PER_ENGINE) as u64)
+        let room = streams.map_or(0.0, |streams| streams.tokens * STREAMS_PER_ENGINE);
+        room.min(memory as f64 * MAX_MEMORY_SHARE) as u64
     }
 }
--- a/crates/relay/src/dispatch/placement.rs
+++ b/crates/relay/src/dispatch/placement.rs
@@ -182,12 +182,13 @@
         true => BEHIND_TARGET_FORECAST_SHARE,
         false => MAX_FORECAST_SHARE,
     };
-    let headroom = urgent_streams.headroom_tokens(now, demand);
-    let memory = engine.memory.get().saturating_sub(headroom) as f64 * share;
+    let memory = engine.memory.get();
+    let headroom = urgent_streams.headroom_tokens(now, demand, memory);
+    let limit = memory.saturating_sub(headroom) as f64 * share;
     let backlog = demand.target_latency.as_secs_f64() * PREFILL_TOKENS_PER_S * MAX_BACKLOG_SHARE;
     Some(LoadLimit {
         slots: record.slots,
-        forecast_tokens: memory as u64,
+        forecast_tokens: limit as u64,
         used_tokens: u64::MAX,
         backlog_tokens: backlog as u64,
     })
--- a/crates/relay/tests/dispatch/headroom.rs
+++ b/crates/relay/tests/dispatch/headroom.rs
@@ -184,3 +184,21 @@
     assert!(long_share > 0.2, "{long_share}");
     assert!(unprotected_share < short_share - 0.2, "{unprotected_share}");
 }
+
+/// Guards against long streams that idle engines refuse because the short ones have large prompts.
+#[test]
+fn arrive_long_stream_beside_large_short_ones_is_placed() {
+    let mut dispatcher = fixtures::dispatcher(&["one", "two"]);
+    for number in 1..=20 {
+        let demand = dispatch::CallDemand {
+            prompt_tokens: 12_000,
+            ..short_demand(URGENT_RANK)
+        };
+        serve(&mut dispatcher, fixtures::START, number, demand);
+    }
+    let demand = dispatch::CallDemand {
+        prompt_tokens: 15_000,
+        ..long_demand()
+    };
+    assert!(serve(&mut dispatcher, fixtures::START, 100, demand));
+}
