Let a relay use its share of a cold target at once

Change: the share that a relay has as a target becomes cold fills its bucket. Two tests whose subject is an empty bucket now begin with one; their assertions are unchanged.

--- a/crates/relay/src/dispatch/cold.rs
+++ b/crates/relay/src/dispatch/cold.rs
@@ -27,6 +27,10 @@
 /// before their reservations, which take up to 110 ms, and take some time to arrive.
 const ARRIVAL_SPAN: Duration = Duration::from_millis(1_200);
 
+/// Time after a target became cold within which this relay sets its first share, at once after the
+/// change.
+const FIRST_SHARE_TIME: Duration = Duration::from_millis(50);
+
 /// Keeps a bucket from holding exactly one request more than its share of a second.
 const TOKEN_SLACK: f64 = 0.01;
 
@@ -95,6 +99,8 @@
     revision: Option<directory::DirectoryRevision>,
     /// When the bucket was created.
     began_at: time::Timestamp,
+    /// Whether the bucket has got a share.
+    has_started: bool,
     /// Present while the target is cold and its service limits the requests to cold targets.
     bucket: Option<shares::SharedBucket>,
 }
@@ -155,6 +161,20 @@
         })
     }
 
+    /// Sets this relay's share. The one that it has as the target becomes cold may be used at once:
+    /// most targets are cold for less time than a request takes to accrue.
+    fn set_share(&mut self, now: time::Timestamp, share: limit::TokenRate) {
+        let is_first = now.since(self.began_at) < FIRST_SHARE_TIME && !self.has_started;
+        let Some(bucket) = &mut self.bucket else {
+            return;
+        };
+        match is_first {
+            true => bucket.start_share(now, share),
+            false => bucket.set_share(now, share),
+        }
+        self.has_started = true;
+    }
+
     /// Begins or ends the limit on the target's requests. Returns whether it did.
     fn review(&mut self, now: time::Timestamp, has_rule: bool) -> bool {
         let is_cold = has_rule && self.applies(now);
@@ -162,6 +182,7 @@
             return false;
         }
         self.began_at = now;
+        self.has_started = false;
         self.bucket = is_cold.then(|| shares::SharedBucket::new(now));
         true
     }
@@ -217,9 +238,8 @@
         for (key, share) in shares {
             if let Some(entry) = self.targets.get_mut(&key.name)
                 && entry.record.key == *key
-                && let Some(bucket) = &mut entry.terms.cold.bucket
             {
-                bucket.set_share(now, *share);
+                entry.terms.cold.set_share(now, *share);
             }
         }
     }
--- a/crates/relay/src/dispatch/shares.rs
+++ b/crates/relay/src/dispatch/shares.rs
@@ -50,6 +50,12 @@
         self.share = share;
     }
 
+    /// Replaces the share, and fills the bucket with its burst.
+    pub(super) fn start_share(&mut self, now: time::Timestamp, share: limit::TokenRate) {
+        self.share = share;
+        self.bucket = limit::TokenBucket::new(now, share.burst);
+    }
+
     /// Returns the requests that the target takes at `now` and later.
     pub(super) fn supply(&self, now: time::Timestamp) -> RequestSupply {
         RequestSupply {
--- a/crates/relay/tests/dispatch/cold.rs
+++ b/crates/relay/tests/dispatch/cold.rs
@@ -75,7 +75,16 @@
     dispatcher.handle(now, dispatch::DispatchEvent::ColdSharesChanged(shares));
 }
 
-/// Creates a dispatcher whose only target is cold.
+/// Sets the share of a relay that has none as the target becomes cold, so that its bucket is empty.
+fn set_later_share(dispatcher: &mut dispatch::Dispatcher, target: &str, per_second: f64) {
+    let none = limit::TokenRate::default();
+    let shares = vec![(fixtures::engine_record(target).key, none)];
+    let changed = dispatch::DispatchEvent::ColdSharesChanged(shares);
+    dispatcher.handle(fixtures::START, changed);
+    set_share(dispatcher, fixtures::START, target, per_second);
+}
+
+/// Creates a dispatcher whose only target is cold, and which has no request saved for it.
 fn cold_dispatcher(per_second: f64) -> dispatch::Dispatcher {
     let mut dispatcher = fixtures::dispatcher(&["one"]);
     set_rule(&mut dispatcher, fixtures::START, 4.0);
@@ -83,7 +92,7 @@
         write(&mut dispatcher, fixtures::START, "one", 2, COLD_TIME),
         1
     );
-    set_share(&mut dispatcher, fixtures::START, "one", per_second);
+    set_later_share(&mut dispatcher, "one", per_second);
     dispatcher
 }
 
@@ -220,6 +229,22 @@
     }
 }
 
+/// Guards against targets that get nothing while they are cold, as that is over before a request has
+/// accrued, and against shares that are renewed with each update.
+#[test]
+fn first_share_is_used_at_once_and_once() {
+    let mut dispatcher = fixtures::dispatcher(&["one"]);
+    set_rule(&mut dispatcher, fixtures::START, 4.0);
+    write(&mut dispatcher, fixtures::START, "one", 2, COLD_TIME);
+    set_share(&mut dispatcher, fixtures::START, "one", 0.8);
+    for (call, is_placed) in [(1, true), (2, false)] {
+        set_share(&mut dispatcher, fixtures::START, "one", 0.8);
+        let demand = fixtures::plain_demand();
+        let effects = arrive(&mut dispatcher, fixtures::START, call, demand);
+        assert_eq!(fixtures::placed_target(&effects).is_some(), is_placed);
+    }
+}
+
 /// Guards against running streams that reach a cold target beyond its bound.
 #[test]
 fn migration_to_a_cold_target_needs_a_token_and_takes_it() {
@@ -231,7 +256,7 @@
         write(&mut dispatcher, fixtures::START, "two", 2, COLD_TIME),
         1
     );
-    set_share(&mut dispatcher, fixtures::START, "two", 1.0);
+    set_later_share(&mut dispatcher, "two", 1.0);
     let call = ids::CallId::new(1);
     let migration_target = |dispatcher: &mut dispatch::Dispatcher, now| {
         let tried = Vec::new();
