Keep the rate of urgent short streams between their arrivals

Change: it begins anew only when streams of another rank come. Measured: the new test failed before; all headroom tests pass.

--- a/crates/relay/src/dispatch/headroom.rs
+++ b/crates/relay/src/dispatch/headroom.rs
@@ -74,7 +74,7 @@
             .entry(demand.service.clone())
             .or_insert_with(|| ShortStreams::new(demand, tokens));
         let is_idle = streams.arrivals.per_second(now, ARRIVAL_WINDOW) < MIN_ARRIVALS_PER_S;
-        if demand.rank < streams.rank || is_idle {
+        if demand.rank < streams.rank || is_idle && demand.rank != streams.rank {
             // What is known of streams of another rank says nothing about these.
             *streams = ShortStreams::new(demand, tokens);
         }
--- a/crates/relay/tests/dispatch/headroom.rs
+++ b/crates/relay/tests/dispatch/headroom.rs
@@ -202,3 +202,19 @@
     };
     assert!(serve(&mut dispatcher, fixtures::START, 100, demand));
 }
+
+/// Guards against room that is given up between the short streams of a relay with few calls.
+#[test]
+fn arrive_between_rare_short_streams_leaves_room() {
+    let mut dispatcher = fixtures::dispatcher(&["one"]);
+    let mut now = fixtures::START;
+    for number in 1..=8 {
+        now = now + Duration::from_secs(2);
+        serve(&mut dispatcher, now, number, short_demand(URGENT_RANK));
+    }
+    let between = now + Duration::from_millis(1_900);
+    let placed = (100..120)
+        .filter(|number| serve(&mut dispatcher, between, *number, long_demand()))
+        .count();
+    assert_eq!(placed, 5);
+}
