Explain the placement of a call at the dispatcher

Cause: an operator can't see why a call goes to a target, waits or is refused without sending one; the records name the chosen target only. Change: Dispatcher::explain handles the arrival on a copy of the dispatcher and describes each target of the service. The reasons why a target can't take a call are returned by the functions that placement uses to leave it out (dispatch/obstacle, CandidateTarget::capacity_obstacle, LoadLimit::obstacle), so that decision and explanation have one source. The quarantine policies get boxed_clone for the copy; the stand-in policy of the gateway's tests implements it, too. Measured: explanation and arrival agree in 18 states, and the arrival has the same effects as at a dispatcher that was not asked.

--- a/crates/gateway/tests/http/sessions.rs
+++ b/crates/gateway/tests/http/sessions.rs
@@ -258,6 +258,10 @@
     ) -> Option<quarantine::SuspectRecord> {
         None
     }
+
+    fn boxed_clone(&self) -> Box<dyn quarantine::QuarantinePolicy> {
+        Box::new(Self)
+    }
 }
 
 /// Limit that refuses every call, with a retry after 2.5 s.
--- a/crates/policy/src/quarantine/disabled.rs
+++ b/crates/policy/src/quarantine/disabled.rs
@@ -9,7 +9,7 @@
 use super::SuspectRecord;
 
 /// Baseline policy that records no crashes and reports every request as clear.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct NoQuarantine;
 
 impl QuarantinePolicy for NoQuarantine {
@@ -55,4 +55,8 @@
     ) -> Option<SuspectRecord> {
         None
     }
+
+    fn boxed_clone(&self) -> Box<dyn QuarantinePolicy> {
+        Box::new(self.clone())
+    }
 }
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -88,4 +88,7 @@
         now: time::Timestamp,
         fingerprint: work::RequestFingerprint,
     ) -> Option<SuspectRecord>;
+
+    /// Returns a copy that does not share state with this policy, to try a decision on.
+    fn boxed_clone(&self) -> Box<dyn QuarantinePolicy>;
 }
--- a/crates/policy/src/quarantine/prompt_parts/correlation.rs
+++ b/crates/policy/src/quarantine/prompt_parts/correlation.rs
@@ -44,7 +44,7 @@
 }
 
 /// What is known of one crash.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct CrashEntry {
     prompts: BTreeMap<Box<[work::PromptPartId]>, PromptLoss>,
     sound_parts: BTreeSet<work::PromptPartId>,
@@ -147,7 +147,7 @@
 
 /// Policy that quarantines the parts that explain repeated crashes best. All processes that know
 /// the same crashes quarantine the same parts.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct CrashCorrelation {
     entries: BTreeMap<ids::CrashId, CrashEntry>,
     sound: sound_parts::SoundParts,
@@ -406,6 +406,10 @@
         let records = entries.map(|(crash, entry)| entry.record(now, *crash));
         (records.collect(), self.change_count)
     }
+
+    fn boxed_clone(&self) -> Box<dyn PromptPartPolicy> {
+        Box::new(self.clone())
+    }
 }
 
 /// Returns how the standings of parts changed.
--- a/crates/policy/src/quarantine/prompt_parts/disabled.rs
+++ b/crates/policy/src/quarantine/prompt_parts/disabled.rs
@@ -11,7 +11,7 @@
 use super::PromptPartPolicy;
 
 /// Baseline policy that records no crashes and quarantines no part.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct NoPartQuarantine;
 
 impl PromptPartPolicy for NoPartQuarantine {
@@ -69,4 +69,8 @@
     fn records_after(&self, _now: time::Timestamp, _change_count: u64) -> (Vec<PromptCrash>, u64) {
         (Vec::new(), 0)
     }
+
+    fn boxed_clone(&self) -> Box<dyn PromptPartPolicy> {
+        Box::new(self.clone())
+    }
 }
--- a/crates/policy/src/quarantine/prompt_parts/mod.rs
+++ b/crates/policy/src/quarantine/prompt_parts/mod.rs
@@ -161,4 +161,7 @@
     /// Returns the crashes that changed after the first `change_count` changes, and the number of
     /// all changes.
     fn records_after(&self, now: time::Timestamp, change_count: u64) -> (Vec<PromptCrash>, u64);
+
+    /// Returns a copy that does not share state with this policy, to try a decision on.
+    fn boxed_clone(&self) -> Box<dyn PromptPartPolicy>;
 }
--- a/crates/policy/src/quarantine/prompt_parts/sound_parts.rs
+++ b/crates/policy/src/quarantine/prompt_parts/sound_parts.rs
@@ -9,7 +9,7 @@
 const MAX_SOUND_PARTS: usize = 8_192;
 
 /// Parts that were found sound, with the latest time at which the output of such a stream began.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub(super) struct SoundParts {
     began_at: BTreeMap<work::PromptPartId, time::Timestamp>,
 }
--- a/crates/policy/src/quarantine/suspects.rs
+++ b/crates/policy/src/quarantine/suspects.rs
@@ -87,7 +87,7 @@
 }
 
 /// Quarantine policy that counts crashes by request fingerprint.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct SuspectQuarantine {
     entries: BTreeMap<work::RequestFingerprint, SuspectEntry>,
     /// Number of crashes that were added to entries so far.
@@ -244,6 +244,10 @@
         let is_current = entry.expires_at > now && entry.is_suspect();
         is_current.then(|| entry.record(now, fingerprint))
     }
+
+    fn boxed_clone(&self) -> Box<dyn QuarantinePolicy> {
+        Box::new(self.clone())
+    }
 }
 
 fn entry_lifetime(entry: &SuspectEntry) -> Duration {
--- a/crates/relay/src/dispatch/admission.rs
+++ b/crates/relay/src/dispatch/admission.rs
@@ -54,11 +54,7 @@
     ) {
         self.reservations.remove(call);
         self.placed.remove(&call);
-        if let Some(first_requested_at) =
-            self.refused_requests.first_requested_at(demand.fingerprint)
-        {
-            demand.first_requested_at = demand.first_requested_at.min(first_requested_at);
-        }
+        self.recall_first_request(&mut demand);
         self.urgent_streams.record_arrival(now, &demand);
         if let Err(refusal) = self.admit(now, &demand) {
             effects.push(DispatchEffect::Refuse { call, refusal });
@@ -69,6 +65,15 @@
         self.refuse_infeasible(now, call, effects);
     }
 
+    /// Takes the time of the first request from a refusal that is remembered.
+    pub(super) fn recall_first_request(&self, demand: &mut CallDemand) {
+        if let Some(first_requested_at) =
+            self.refused_requests.first_requested_at(demand.fingerprint)
+        {
+            demand.first_requested_at = demand.first_requested_at.min(first_requested_at);
+        }
+    }
+
     /// Refuses calls that no target can serve, regardless of load.
     fn admit(&mut self, now: time::Timestamp, demand: &CallDemand) -> Result<(), CallRefusal> {
         let status = self.settings.quarantine.status(now, demand.fingerprint);
@@ -258,7 +263,7 @@
     /// All relays compete for capacity that becomes free, so the rate at which this relay recently
     /// started streams predicts its next starts. The expected ends of its own calls count if they
     /// come sooner or if that rate is below [`MIN_START_RATE_PER_S`].
-    fn expected_wait(&self, now: time::Timestamp, demand: &CallDemand) -> Duration {
+    pub(super) fn expected_wait(&self, now: time::Timestamp, demand: &CallDemand) -> Duration {
         let ahead = self.waiting.count_ahead(now, demand).max(1);
         let rate = self
             .start_rates
--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -83,7 +83,7 @@
 }
 
 /// A call that was assigned a target.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct PlacedCall {
     pub(super) demand: Box<CallDemand>,
     pub(super) target: Rc<directory::TargetRecord>,
--- a/crates/relay/src/dispatch/crashes.rs
+++ b/crates/relay/src/dispatch/crashes.rs
@@ -82,7 +82,7 @@
 }
 
 /// An attempt that ended without a successful response.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct LostAttempt {
     fingerprint: work::RequestFingerprint,
     sent_at: time::Timestamp,
@@ -95,7 +95,7 @@
 }
 
 /// What is known of one incarnation at which attempts were lost.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct TargetLosses {
     attempts: Vec<LostAttempt>,
     ended_at: Option<time::Timestamp>,
@@ -104,7 +104,7 @@
 }
 
 /// Lost attempts by the incarnation at which they ran.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct LostAttempts {
     targets: BTreeMap<directory::TargetKey, TargetLosses>,
     /// When each request was first lost at a target that ended.
--- a/crates/relay/src/dispatch/evacuation.rs
+++ b/crates/relay/src/dispatch/evacuation.rs
@@ -21,9 +21,7 @@
 
     /// Returns whether the target gets new work and is one of those that may run a call.
     pub(super) fn may_run(&self, demand: &CallDemand) -> bool {
-        self.takes_work()
-            && self.record.service == demand.service
-            && demand.allows_zone(&self.record.zone)
+        self.record.service == demand.service && self.standing_obstacle(demand).is_none()
     }
 }
 
--- a/crates/relay/src/dispatch/forecast.rs
+++ b/crates/relay/src/dispatch/forecast.rs
@@ -33,6 +33,17 @@
     pub risk_thousandths: u32,
 }
 
+impl PlacementForecast {
+    /// Returns the forecast for a call that is sent to a target with `load`.
+    pub(super) fn new(demand: &CallDemand, speed: speeds::TargetSpeed, load: LoadCount) -> Self {
+        let risk = pause_risk(demand, speed, load);
+        Self {
+            factor_thousandths: (speed.factor * 1_000.0).round() as u32,
+            risk_thousandths: (risk * 1_000.0).round() as u32,
+        }
+    }
+}
+
 /// Returns the risk from 0 to 1 that a pause between two events of a stream is too long at a target
 /// with `load`, if prompts are processed beside it; 0 if the route states no longest pause.
 pub(super) fn pause_risk(demand: &CallDemand, speed: speeds::TargetSpeed, load: LoadCount) -> f64 {
@@ -105,11 +116,7 @@
         };
         let entry = self.targets.get(&target.name);
         let speed = entry.map_or_else(speeds::TargetSpeed::default, |entry| entry.speed);
-        let risk = pause_risk(&placed.demand, speed, load);
-        PlacementForecast {
-            factor_thousandths: (speed.factor * 1_000.0).round() as u32,
-            risk_thousandths: (risk * 1_000.0).round() as u32,
-        }
+        PlacementForecast::new(&placed.demand, speed, load)
     }
 
     /// Records the slowdown of its machine that a target stated.
--- a/crates/relay/src/dispatch/headroom.rs
+++ b/crates/relay/src/dispatch/headroom.rs
@@ -42,7 +42,7 @@
 }
 
 /// Recent short streams of each service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct UrgentStreams {
     services: BTreeMap<ids::ServiceName, ShortStreams>,
 }
--- a/crates/relay/src/dispatch/load.rs
+++ b/crates/relay/src/dispatch/load.rs
@@ -78,7 +78,7 @@
 }
 
 /// Loads of all peers, by peer and summed by target.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct PeerLoads {
     peers: BTreeMap<ids::VmName, BTreeMap<ids::TargetName, LoadCount>>,
     /// Updated with each change, as each placement reads the sums of all targets.
@@ -182,7 +182,7 @@
 }
 
 /// Rates of prompt tokens at the targets that recently received prompts.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct PromptRates {
     rates: BTreeMap<ids::TargetName, DecayingRate>,
 }
--- a/crates/relay/src/dispatch/placement.rs
+++ b/crates/relay/src/dispatch/placement.rs
@@ -1,5 +1,6 @@
 //! Chooses the target that runs a call.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use kingcupfall_core::ids;
@@ -10,11 +11,13 @@
 use super::LoadCount;
 use super::LoadLimit;
 use super::TargetHealth;
+use super::TargetObstacle;
 use super::calls;
 use super::forecast;
 use super::headroom;
 use super::queue;
 use super::speeds;
+use super::targets;
 use crate::directory;
 
 /// Maximum share of an engine's memory that running streams may be forecast to need: all of it, as
@@ -78,9 +81,21 @@
 impl CandidateTarget<'_> {
     /// Returns whether the target has capacity for a call.
     pub(super) fn has_capacity(&self, now: time::Timestamp, demand: &CallDemand) -> bool {
+        self.capacity_obstacle(now, demand).is_none()
+    }
+
+    /// Returns what the target lacks for a call; `None` if it has capacity.
+    pub(super) fn capacity_obstacle(
+        &self,
+        now: time::Timestamp,
+        demand: &CallDemand,
+    ) -> Option<TargetObstacle> {
         match start_limit(now, demand, self.record, self.urgent_streams) {
-            Some(limit) => limit.has_capacity(self.load, calls::initial_load(demand)),
-            None => self.load.calls < self.record.slots.max(1) * MAX_PLAIN_CALLS_PER_SLOT,
+            Some(limit) => limit.obstacle(self.load, calls::initial_load(demand)),
+            None => {
+                let max_calls = self.record.slots.max(1) * MAX_PLAIN_CALLS_PER_SLOT;
+                (self.load.calls >= max_calls).then_some(TargetObstacle::NoSlot)
+            }
         }
     }
 
@@ -94,7 +109,12 @@
     }
 
     /// Returns the cost of sending a call to this target, in seconds of delay for all calls.
-    fn cost_s(&self, now: time::Timestamp, zone: &ids::ZoneName, demand: &CallDemand) -> f64 {
+    pub(super) fn cost_s(
+        &self,
+        now: time::Timestamp,
+        zone: &ids::ZoneName,
+        demand: &CallDemand,
+    ) -> f64 {
         match &demand.engine {
             Some(engine) => self.engine_cost_s(zone, demand, engine),
             None => self.plain_cost_s(now, zone),
@@ -145,6 +165,24 @@
 }
 
 impl Dispatcher {
+    /// Returns a target with the load of all relays, of which `loads` holds this relay's.
+    pub(super) fn candidate<'a>(
+        &'a self,
+        loads: &BTreeMap<ids::TargetName, LoadCount>,
+        name: &ids::TargetName,
+        entry: &'a targets::TargetEntry,
+    ) -> CandidateTarget<'a> {
+        let mut load = self.peer_loads.sum(name);
+        load += loads.get(name).copied().unwrap_or_default();
+        CandidateTarget {
+            record: &entry.record,
+            load,
+            health: &entry.health,
+            urgent_streams: &self.urgent_streams,
+            speed: entry.speed,
+        }
+    }
+
     /// Returns whether a call that runs at the target `current` could be sent to another one now. A
     /// request that may have crashed a target could not: it would wait until that is known.
     pub fn has_other_target(
--- a/crates/relay/src/dispatch/prompt_crashes.rs
+++ b/crates/relay/src/dispatch/prompt_crashes.rs
@@ -40,7 +40,7 @@
 const MAX_RECENT_COMPLETIONS: usize = 1_024;
 
 /// A call that completed sooner than a fatal one may crash its target.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct RecentCompletion {
     target: directory::TargetKey,
     prompt_parts: Rc<[work::PromptPartId]>,
@@ -51,7 +51,7 @@
 
 /// Completed calls, oldest first. A response may end with its connection, so that it also looks
 /// complete if the target crashes. That becomes known by other calls there, or from a peer.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct RecentCompletions {
     completions: VecDeque<RecentCompletion>,
 }
--- a/crates/relay/src/dispatch/queue.rs
+++ b/crates/relay/src/dispatch/queue.rs
@@ -21,7 +21,7 @@
 const MAX_PLAIN_WAIT_SHARE: f64 = 0.8;
 
 /// Waiting calls of all services.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct WaitingCalls {
     calls: BTreeMap<ids::CallId, Box<CallDemand>>,
 }
--- a/crates/relay/src/dispatch/reducer.rs
+++ b/crates/relay/src/dispatch/reducer.rs
@@ -49,6 +49,7 @@
 }
 
 /// Places all calls of one relay.
+#[derive(Clone)]
 pub struct Dispatcher {
     pub(super) settings: DispatchSettings,
     pub(super) targets: BTreeMap<ids::TargetName, targets::TargetEntry>,
@@ -432,23 +433,8 @@
     ) -> Vec<placement::CandidateTarget<'_>> {
         targets::usable_targets(&self.targets, now, demand, |entry| self.is_in_cell(entry))
             .into_iter()
-            .filter(|(_, entry)| entry.terms.allows_request(now))
-            .filter(|(name, _)| {
-                self.denied_until
-                    .get(*name)
-                    .is_none_or(|until| *until <= now)
-            })
-            .map(|(name, entry)| {
-                let mut load = self.peer_loads.sum(name);
-                load += loads.get(name).copied().unwrap_or_default();
-                placement::CandidateTarget {
-                    record: &entry.record,
-                    load,
-                    health: &entry.health,
-                    urgent_streams: &self.urgent_streams,
-                    speed: entry.speed,
-                }
-            })
+            .filter(|(name, entry)| self.request_obstacle(now, name, entry).is_none())
+            .map(|(name, entry)| self.candidate(loads, name, entry))
             .collect()
     }
 
--- a/crates/relay/src/dispatch/refused.rs
+++ b/crates/relay/src/dispatch/refused.rs
@@ -44,7 +44,7 @@
 }
 
 /// Requests that this relay or its peers refused.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct RefusedRequests {
     known: HashMap<work::RequestFingerprint, KnownRequest>,
     /// All recorded refusals with the times of recording, oldest first.
--- a/crates/relay/src/dispatch/reservations.rs
+++ b/crates/relay/src/dispatch/reservations.rs
@@ -18,6 +18,7 @@
 use super::DispatchEffect;
 use super::Dispatcher;
 use super::LoadCount;
+use super::TargetObstacle;
 use crate::directory;
 use crate::membership;
 
@@ -49,12 +50,29 @@
 impl LoadLimit {
     /// Returns whether a call that adds `added_load` fits into the limit beside `present_load`.
     pub fn has_capacity(&self, present_load: LoadCount, added_load: LoadCount) -> bool {
+        self.obstacle(present_load, added_load).is_none()
+    }
+
+    /// Returns what a call that adds `added_load` lacks beside `present_load`; `None` if it fits
+    /// into the limit.
+    pub(super) fn obstacle(
+        &self,
+        present_load: LoadCount,
+        added_load: LoadCount,
+    ) -> Option<TargetObstacle> {
         let mut total = present_load;
         total += added_load;
-        total.calls.saturating_add(total.copies) <= self.slots
-            && total.forecast_tokens <= self.forecast_tokens
-            && total.used_tokens <= self.used_tokens
-            && present_load.backlog_tokens <= self.backlog_tokens
+        if total.calls.saturating_add(total.copies) > self.slots {
+            Some(TargetObstacle::NoSlot)
+        } else if total.forecast_tokens > self.forecast_tokens
+            || total.used_tokens > self.used_tokens
+        {
+            Some(TargetObstacle::NoMemory)
+        } else if present_load.backlog_tokens > self.backlog_tokens {
+            Some(TargetObstacle::PromptsWaiting)
+        } else {
+            None
+        }
     }
 }
 
@@ -120,7 +138,7 @@
 }
 
 /// A reservation request without a reply.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct PendingReservation {
     target: Rc<directory::TargetRecord>,
     purpose: ReservationPurpose,
@@ -338,7 +356,7 @@
 }
 
 /// Reservation requests without a reply, by call.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct PendingReservations {
     reservations: BTreeMap<ids::CallId, PendingReservation>,
 }
--- a/crates/relay/src/dispatch/speeds.rs
+++ b/crates/relay/src/dispatch/speeds.rs
@@ -148,7 +148,7 @@
 
 /// Slowdowns that targets of one service reported, newest last and largest first: a smaller one
 /// that was reported before a larger one can't become the maximum any more.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct RecentSlowdowns(VecDeque<(time::Timestamp, f64)>);
 
 impl RecentSlowdowns {
@@ -172,7 +172,7 @@
 }
 
 /// Estimates of one target: this relay's, and those of peers.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct TargetEstimates {
     own: Option<SpeedEstimate>,
     peers: Vec<(ids::VmName, SpeedEstimate)>,
@@ -199,7 +199,7 @@
 }
 
 /// Speeds observed by this relay and by its peers, and reported slowdowns.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct SpeedTable {
     estimates: BTreeMap<directory::TargetKey, TargetEstimates>,
     /// Peers that have estimates. Most of the peers that are reported as lost have none, as they
--- a/crates/relay/src/dispatch/targets.rs
+++ b/crates/relay/src/dispatch/targets.rs
@@ -21,7 +21,7 @@
 pub(super) const MIN_CELL_TARGETS: usize = 4;
 
 /// A target that may be used, or that is leaving and may still run calls of this relay.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct TargetEntry {
     pub(super) record: Rc<directory::TargetRecord>,
     pub(super) is_leaving: bool,
@@ -207,9 +207,7 @@
     let usable: Vec<_> = targets
         .iter()
         .filter(|(_, entry)| {
-            entry.may_run(demand)
-                && entry.terms.paused_until <= now
-                && !entry.health.is_backed_off(now)
+            entry.record.service == demand.service && entry.obstacle(now, demand).is_none()
         })
         .collect();
     let in_cell: Vec<_> = usable
--- a/crates/relay/src/dispatch/terms.rs
+++ b/crates/relay/src/dispatch/terms.rs
@@ -37,11 +37,6 @@
         self.paused_until > now || self.limit.is_limited() || self.cold.applies(now)
     }
 
-    /// Returns whether the target takes a request of this relay.
-    pub(super) fn allows_request(&self, now: time::Timestamp) -> bool {
-        self.limit.allows_request(now) && self.cold.allows_request(now)
-    }
-
     /// Counts a request that is sent to the target.
     pub(super) fn record_request(&mut self, now: time::Timestamp) {
         self.limit.record_request(now);
@@ -64,14 +59,14 @@
 }
 
 /// Terms of an incarnation that has no record now.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct UnlistedEntry {
     terms: TargetTerms,
     unlisted_at: time::Timestamp,
 }
 
 /// Terms of incarnations that have no record now, but may be registered again.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct UnlistedTerms {
     entries: BTreeMap<directory::TargetKey, UnlistedEntry>,
 }
--- a/crates/relay/tests/dispatch/main.rs
+++ b/crates/relay/tests/dispatch/main.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod decisions;
 mod evacuation;
+mod explanation;
 mod fixtures;
 mod headroom;
 mod limits;
