Serve explanations at the metrics address of relays

Cause: the explanation of a call has to come from the relay that decides. Change: GET /explain with host, path, token counts and the organisation's name returns the placement at each service of the route as JSON. The intake's functions derive the requirements, the priority and the refusal while stopping. Errors are 400, 404 and 503 with a message, which does not repeat the value given as organisation, as it may be a key. All other paths still return the metrics.

--- a/crates/relay/src/directory/routes.rs
+++ b/crates/relay/src/directory/routes.rs
@@ -225,6 +225,15 @@
         self.keys.as_ref()?.get(key)
     }
 
+    /// Returns the organisation with this name, if it has a key.
+    pub fn organisation_named(
+        &self,
+        name: &ids::OrganisationName,
+    ) -> Option<&Rc<OrganisationRule>> {
+        let mut organisations = self.keys.iter().flat_map(BTreeMap::values);
+        organisations.find(|organisation| organisation.name == *name)
+    }
+
     /// Returns true if requests need a key, unless their route is anonymous.
     pub fn needs_keys(&self) -> bool {
         self.keys.is_some()
--- a/crates/relay/src/shell/intake.rs
+++ b/crates/relay/src/shell/intake.rs
@@ -176,20 +176,19 @@
         return Err(refuse_request(state, &head, reason, ROUTES_RETRY_AFTER));
     };
     let caller_name = caller_name(organisation.as_deref());
-    let rank = organisation
-        .as_ref()
-        .and_then(|organisation| organisation.rank)
-        .unwrap_or(route.rank);
+    let rank = call_rank(&route, organisation.as_deref());
     let fingerprint = request_fingerprint(&caller_name, &parts, &body);
     let allowed_zones = state.allowed_zones(&route, organisation.as_deref());
     let demand = dispatch::CallDemand {
         allowed_zones,
         ..call_demand(table, &route, service, &head, arrived_at, rank, fingerprint)
     };
-    let stop_plan = state.stop_plan.get();
-    if stop_plan.is_some_and(|plan| !plan.accepts(route.kind, demand.deadline)) {
-        let reason = dispatch::RefusalReason::Stopping;
-        return Err(refuse_request(state, &head, reason, STOP_RETRY_AFTER));
+    if let Some(refusal) = stop_refusal(state, &route, &demand) {
+        let dispatch::CallRefusal {
+            reason,
+            retry_after,
+        } = refusal;
+        return Err(refuse_request(state, &head, reason, retry_after));
     }
     let (call_id, inbox) = state.open_call();
     state.count_request(service);
@@ -315,7 +314,7 @@
     Ok(organisation)
 }
 
-fn call_demand(
+pub(super) fn call_demand(
     table: &directory::RouteTable,
     route: &directory::RouteRule,
     service: &ids::ServiceName,
@@ -350,8 +349,33 @@
     }
 }
 
+/// Returns the priority of a call; the organisation's overrides that of the route.
+pub(super) fn call_rank(
+    route: &directory::RouteRule,
+    organisation: Option<&directory::OrganisationRule>,
+) -> u8 {
+    let rank = organisation.and_then(|organisation| organisation.rank);
+    rank.unwrap_or(route.rank)
+}
+
+/// Returns the refusal of a call that a stopping process does not accept any more.
+pub(super) fn stop_refusal(
+    state: &RelayState,
+    route: &directory::RouteRule,
+    demand: &dispatch::CallDemand,
+) -> Option<dispatch::CallRefusal> {
+    let plan = state.stop_plan.get()?;
+    let is_refused = !plan.accepts(route.kind, demand.deadline);
+    is_refused.then_some(dispatch::CallRefusal {
+        reason: dispatch::RefusalReason::Stopping,
+        retry_after: STOP_RETRY_AFTER,
+    })
+}
+
 /// Returns the name under which a caller's requests are counted.
-fn caller_name(organisation: Option<&directory::OrganisationRule>) -> ids::OrganisationName {
+pub(super) fn caller_name(
+    organisation: Option<&directory::OrganisationRule>,
+) -> ids::OrganisationName {
     match organisation {
         Some(organisation) => organisation.name.clone(),
         None => UNNAMED
--- a/crates/relay/src/shell/mod.rs
+++ b/crates/relay/src/shell/mod.rs
@@ -7,6 +7,7 @@
 mod directory_feed;
 mod engine_reports;
 mod evacuations;
+mod explanations;
 mod forwarder;
 mod head_timeout;
 mod intake;
@@ -32,6 +33,8 @@
 
 pub use client::connect;
 pub use directory_events::handle_directory_events;
+pub use explanations::RequestExplanation;
+pub use explanations::ServiceExplanation;
 pub use peer_messages::PeerHeartbeat;
 pub use peer_messages::PeerMessage;
 pub use responses::ResponseBody;
--- a/crates/relay/src/shell/server.rs
+++ b/crates/relay/src/shell/server.rs
@@ -8,6 +8,7 @@
 
 use http::Request;
 use http::StatusCode;
+use http::Uri;
 use hyper::body;
 use hyper::server::conn::http1;
 use hyper::service;
@@ -23,6 +24,7 @@
 use super::buffered;
 use super::client;
 use super::engine_reports;
+use super::explanations;
 use super::head_timeout;
 use super::intake;
 use super::peer_links;
@@ -244,7 +246,7 @@
     Ok(response)
 }
 
-type EndpointHandler = fn(&RelayState) -> responses::CallResponse;
+type EndpointHandler = fn(&RelayState, &Uri) -> responses::CallResponse;
 
 async fn serve_endpoint(state: Rc<RelayState>, listener: TcpListener, handler: EndpointHandler) {
     loop {
@@ -258,8 +260,8 @@
         };
         let state = Rc::clone(&state);
         task::spawn_local(async move {
-            let service = service::service_fn(move |_| {
-                let response = handler(&state);
+            let service = service::service_fn(move |request: Request<body::Incoming>| {
+                let response = handler(&state, request.uri());
                 async move { Ok::<_, Infallible>(response) }
             });
             // An error is on the client's side: it left.
@@ -272,13 +274,16 @@
     }
 }
 
-fn readiness_response(state: &RelayState) -> responses::CallResponse {
+fn readiness_response(state: &RelayState, _uri: &Uri) -> responses::CallResponse {
     match state.is_ready() {
         true => responses::text_response(StatusCode::OK, "ready"),
         false => responses::text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
     }
 }
 
-fn metrics_response(state: &RelayState) -> responses::CallResponse {
+fn metrics_response(state: &RelayState, uri: &Uri) -> responses::CallResponse {
+    if uri.path() == explanations::PATH {
+        return explanations::respond(state, uri.query().unwrap_or_default());
+    }
     responses::text_response(StatusCode::OK, &state.metrics_text())
 }
