--- a/crates/ctl/src/client/mod.rs
+++ b/crates/ctl/src/client/mod.rs
@@ -1,4 +1,6 @@
-//! Client of the administration API.
+//! Clients of the administration API of gateways, and of relays.
+
+pub mod relay;
 
 use std::net;
 use std::result;
--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -34,6 +34,25 @@
     pub class: Option<ids::ClassName>,
 }
 
+/// Request whose placement a relay explains, and the output format.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestOptions {
+    /// Metrics address of the relay.
+    pub relay: net::SocketAddr,
+    /// Host name that the request is addressed to.
+    pub host: Box<str>,
+    /// Path of the request.
+    pub path: Box<str>,
+    /// Tokens in the prompt.
+    pub prompt_tokens: u64,
+    /// Expected output tokens.
+    pub output_tokens: u64,
+    /// Organisation of the caller; `None` for a request without a key.
+    pub organisation: Option<ids::OrganisationName>,
+    /// Whether to print JSON instead of tables.
+    pub json: bool,
+}
+
 /// One command with its arguments.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CtlCommand {
@@ -41,6 +60,8 @@
     Status(GatewayOptions),
     /// Show the cost of each target for a request, or why the target can't serve it.
     Explain(GatewayOptions, ExplainOptions),
+    /// Show where a relay would send a request now, and why.
+    ExplainRequest(RequestOptions),
     /// Validate a changed section at a gateway without activating it.
     DryRun(GatewayOptions, sections::SectionName, path::PathBuf),
     /// Check a document without a gateway.
@@ -80,9 +101,14 @@
 fn explain() -> impl Parser<CtlCommand> {
     let gateway = gateway_options();
     let explain = explain_options();
-    bpaf::construct!(CtlCommand::Explain(gateway, explain))
+    let at_gateway = bpaf::construct!(CtlCommand::Explain(gateway, explain));
+    let at_relay = request_options().map(CtlCommand::ExplainRequest);
+    bpaf::construct!([at_gateway, at_relay])
         .to_options()
-        .descr("Shows the state and cost of each target for a caller's request")
+        .descr(
+            "Shows the state and cost of each target for a caller's request; a relay also says \
+             what would happen to it now",
+        )
         .command("explain")
 }
 
@@ -156,6 +182,42 @@
     })
 }
 
+fn request_options() -> impl Parser<RequestOptions> {
+    let relay = bpaf::long("relay")
+        .help("IP address and port of a relay's metrics")
+        .argument::<net::SocketAddr>("ADDRESS");
+    let host = bpaf::long("host")
+        .help("Host name that the request is addressed to")
+        .argument::<String>("HOST")
+        .map(String::into_boxed_str);
+    let path = bpaf::long("path")
+        .help("Path of the request")
+        .argument::<String>("PATH")
+        .map(String::into_boxed_str);
+    let prompt_tokens = bpaf::long("prompt-tokens")
+        .help("Tokens in the prompt")
+        .argument::<u64>("N")
+        .fallback(0);
+    let output_tokens = bpaf::long("output-tokens")
+        .help("Expected output tokens")
+        .argument::<u64>("N")
+        .fallback(0);
+    let organisation = bpaf::long("organisation")
+        .help("Organisation of the caller, by name")
+        .argument::<ids::OrganisationName>("NAME")
+        .optional();
+    let json = json_switch();
+    bpaf::construct!(RequestOptions {
+        relay,
+        host,
+        path,
+        prompt_tokens,
+        output_tokens,
+        organisation,
+        json
+    })
+}
+
 fn json_switch() -> impl Parser<bool> {
     bpaf::long("json")
         .help("Print JSON instead of tables")
--- a/crates/ctl/src/render/mod.rs
+++ b/crates/ctl/src/render/mod.rs
@@ -1,5 +1,7 @@
 //! Rendering of reports as text for operators.
 
+mod request;
+
 use std::fmt;
 
 use kingcupfall_core::findings;
@@ -8,6 +10,8 @@
 
 use crate::table;
 
+pub use request::render_request;
+
 /// Shown for an absent value.
 const NO_VALUE: &str = "-";
 
--- a/crates/ctl/src/run/mod.rs
+++ b/crates/ctl/src/run/mod.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::client;
+use crate::client::relay;
 use crate::command;
 use crate::render;
 use crate::trace;
@@ -31,6 +32,12 @@
             display("can't read {}: {}", file.display(), error)
             source(error)
         }
+        /// The request to the relay failed.
+        Relay(error: relay::RelayError) {
+            from()
+            source(error)
+            display("{}", error)
+        }
         /// The request to the gateway failed.
         Client(error: client::ClientError) {
             from()
@@ -59,6 +66,7 @@
     match command {
         command::CtlCommand::Status(options) => run_status(&options).await,
         command::CtlCommand::Explain(options, explain) => run_explain(&options, &explain).await,
+        command::CtlCommand::ExplainRequest(options) => run_explain_request(&options).await,
         command::CtlCommand::DryRun(options, section, file) => {
             run_dry_run(&options, section, &file).await
         }
@@ -97,6 +105,12 @@
     ))
 }
 
+async fn run_explain_request(options: &command::RequestOptions) -> Result<CommandOutput> {
+    let explanation = relay::explain(options).await?;
+    let rendered = render::render_request(&explanation);
+    Ok(command_output(options.json, &explanation, rendered, 0))
+}
+
 async fn run_dry_run(
     options: &command::GatewayOptions,
     section: sections::SectionName,
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -10,6 +10,7 @@
 use kingcupfall_ctl::run;
 use kingcupfall_document::sections;
 use kingcupfall_gateway::administration;
+use kingcupfall_relay::shell;
 
 #[yare::parameterized(
     valid = { "valid", false, 0 },
@@ -48,6 +49,15 @@
         &["explain", "--gateway", "127.0.0.1:1", "--key", "k", "--model", "m", "--organisation", "o"],
         true
     },
+    explain_at_relay = {
+        &["explain", "--relay", "127.0.0.1:1", "--host", "h", "--path", "/p", "--prompt-tokens", "9"],
+        true
+    },
+    explain_at_relay_without_path = { &["explain", "--relay", "127.0.0.1:1", "--host", "h"], false },
+    explain_malformed_count = {
+        &["explain", "--relay", "127.0.0.1:1", "--host", "h", "--path", "/p", "--prompt-tokens", "-1"],
+        false
+    },
     dry_run = { &["dry-run", "--gateway", "127.0.0.1:1", "--key", "k", "models", "f.toml"], true },
     check = { &["check", "d.toml"], true },
     unknown_section = {
@@ -94,6 +104,34 @@
     insta::assert_snapshot!(render::render_explain(&report));
 }
 
+/// Guards against output and status 0 where no relay responded.
+#[ntex::test]
+async fn explain_request_without_relay_is_error() {
+    let options = command::RequestOptions {
+        relay: "127.0.0.1:1".parse().unwrap(),
+        host: "h".into(),
+        path: "/p".into(),
+        prompt_tokens: 0,
+        output_tokens: 0,
+        organisation: None,
+        json: true,
+    };
+
+    let result = run::run(command::CtlCommand::ExplainRequest(options)).await;
+
+    assert!(matches!(result, Err(run::RunError::Relay(_))), "{result:?}");
+}
+
+/// Guards against names in the JSON of relays that this command does not know, and against outcomes
+/// and obstacles that are not shown.
+#[test]
+fn render_request_shows_outcomes_and_obstacles() {
+    let text = include_str!("texts/request_explanation.json");
+    let explanation: shell::RequestExplanation = serde_json::from_str(text).unwrap();
+
+    insta::assert_snapshot!(render::render_request(&explanation));
+}
+
 fn status_report() -> render::StatusReport {
     let mut findings = findings::FindingList::default();
     findings.push(findings::InputFinding {
