--- a/crates/relay/src/dispatch/headroom.rs
+++ b/crates/relay/src/dispatch/headroom.rs
@@ -57,7 +57,7 @@
 }
 
 /// Recent short streams of each service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct UrgentStreams {
     services: BTreeMap<ids::ServiceName, ShortStreams>,
 }
