--- a/crates/relay/tests/dispatch/cold_fleets.rs
+++ b/crates/relay/tests/dispatch/cold_fleets.rs
@@ -292,6 +292,8 @@
     share_of_three_requests = { 1, 0, 4.5, nothing, 0.5 },
     two_relays = { 2, 2, 5.0, nothing, 0.5 },
     four_relays = { 4, 3, 10.0, nothing, 0.5 },
+    two_relays_without_seeds = { 2, 0, 5.0, nothing, 0.5 },
+    four_relays_without_seeds = { 4, 0, 10.0, nothing, 0.5 },
     large_fleet = { 44, 5, 4.0, nothing, 0.5 },
     partition_in_halves = { 12, 3, 4.0, halves, 0.6 },
     partition_in_single_relays = { 12, 3, 4.0, scattered, 0.6 },
