--- a/review/rig/deployment.rs
+++ b/review/rig/deployment.rs
@@ -129,7 +129,7 @@
 {{"name":"r-reports","host":"{host}","pathPrefix":"{REPORTS}","routeKind":"streaming","timeoutMs":39000,"targetLatencyMs":1800,"priority":0,"service":"{MODEL}","maxAttempts":1,"anonymous":false,"sessionAffinity":true,"streamResume":false,"targetItlMs":180}},
 {{"name":"r-bookings","host":"{host}","pathPrefix":"{BOOKINGS}","routeKind":"non_idempotent","timeoutMs":800,"targetLatencyMs":300,"priority":2,"service":"{APPLICATION}","maxAttempts":1,"anonymous":false}}{more_routes}],
 "services":[
-{{"name":"{MODEL}","healthPath":"/healthz","maxConnections":272,"protocol":"h1","tlsEnabled":false,"runtime":{{"slotCount":24,"kvCapacity":34371,"kvTokenBytes":163840,"linkMbps":24000.0,"migrations":false,"replicas":false,"stepSize":4,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleTtlS":5.0,"modelList":[{{"name":"m"}}]}}}},
+{{"name":"{MODEL}","healthPath":"/healthz","maxConnections":272,"protocol":"h1","tlsEnabled":false,"runtime":{{"slotCount":24,"kvCapacity":34371,"kvTokenBytes":163840,"linkMbps":24000.0,"migrations":true,"replicas":true,"stepSize":4,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleTtlS":5.0,"modelList":[{{"name":"m"}}]}}}},
 {{"name":"{APPLICATION}","healthPath":"/healthz","maxConnections":96,"protocol":"h1","tlsEnabled":false}}],
 "limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},
 "tenants":[{{"name":"huka270","apiKeys":[{keys}],"priority":1}}]}}"#
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -8,6 +8,8 @@
 mod departures;
 mod deployment;
 mod endless;
+mod engine;
+mod handover;
 mod http;
 mod record;
 mod relay;
@@ -71,6 +73,7 @@
         "uploads" => uploads::run(&deployment, has_trouble),
         "endless" => endless::run(&deployment, has_trouble),
         "revocation" => revocation::run(&deployment, has_trouble),
+        "handover" => handover::run(&deployment, has_trouble),
         "departures" => departures::run(&deployment, has_trouble),
         _ => Err(io::Error::new(io::ErrorKind::InvalidInput, "unknown case")),
     };
