--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -20,6 +20,8 @@
 
 use std::env;
 use std::io;
+use std::panic;
+use std::panic::AssertUnwindSafe;
 use std::path::Path;
 use std::process;
 use std::sync::Arc;
@@ -69,14 +71,16 @@
         guarded.end();
         process::exit(2);
     });
-    let verdict = match case {
+    // A check of the rig itself that fails must not leave the relay behind.
+    let verdict = panic::catch_unwind(AssertUnwindSafe(|| match case {
         "uploads" => uploads::run(&deployment, has_trouble),
         "endless" => endless::run(&deployment, has_trouble),
         "revocation" => revocation::run(&deployment, has_trouble),
         "handover" => handover::run(&deployment, has_trouble),
         "departures" => departures::run(&deployment, has_trouble),
         _ => Err(io::Error::new(io::ErrorKind::InvalidInput, "unknown case")),
-    };
+    }))
+    .unwrap_or_else(|_| Err(io::Error::other("the rig failed")));
     deployment.end();
     if env::var_os("KEEP_LOGS").is_none() {
         std::fs::remove_dir_all(&scratch)?;
