--- a/review/rig/revocation.rs
+++ b/review/rig/revocation.rs
@@ -1,4 +1,4 @@
-//! The store turns the relay away for some seconds, in which a large configuration changes several
+//! The relay is cut off from the store for some seconds, in which a large configuration changes several
 //! times and a key is taken away.
 
 use std::io;
@@ -15,12 +15,12 @@
 use crate::deployment::Deployment;
 use crate::server::Answer;
 
-/// Time for which the store turns the relay away: `platform_down`, `nodes busy`.
-const REJECTION_AT: Duration = Duration::from_secs(6);
-const REJECTION_TIME: Duration = Duration::from_secs(9);
+/// Time for which the relay is cut off from the store: `core_cut`, `reset`.
+const CUT_AT: Duration = Duration::from_secs(6);
+const CUT_TIME: Duration = Duration::from_millis(5_500);
 
 /// Changes of the configuration and the time between them: `config_storm` for 4 s.
-const STORM_AT: Duration = Duration::from_secs(8);
+const STORM_AT: Duration = Duration::from_millis(6_700);
 const CHANGES: u64 = 13;
 const CHANGE_INTERVAL: Duration = Duration::from_millis(330);
 
@@ -81,10 +81,10 @@
     }
 
     let sleep_until = |at: Duration| thread::sleep(at.saturating_sub(started_at.elapsed()));
-    sleep_until(REJECTION_AT);
+    sleep_until(CUT_AT);
     if has_trouble {
-        deployment.store.set_rejecting(true);
-        record.line("store", "turns the relay away with 503");
+        deployment.store.set_cut(true);
+        record.line("store", "is cut off from the relay");
     }
     for change in 0..CHANGES {
         sleep_until(STORM_AT + CHANGE_INTERVAL * u32::try_from(change).unwrap_or(0));
@@ -92,10 +92,10 @@
         write(version, change + 1 < CHANGES);
     }
     let revoked_at_s = record.seconds();
-    sleep_until(REJECTION_AT + REJECTION_TIME);
+    sleep_until(CUT_AT + CUT_TIME);
     if has_trouble {
-        deployment.store.set_rejecting(false);
-        record.line("store", "serves the relay again");
+        deployment.store.set_cut(false);
+        record.line("store", "is reached by the relay again");
     }
     let in_touch_at_s = match has_trouble {
         true => record.seconds() + CONTACT_TIME.as_secs_f64(),
--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -47,8 +47,8 @@
     /// Last revision that the history no longer has.
     discarded: u64,
     revision: u64,
-    /// Whether the store turns the relay away.
-    is_rejecting: bool,
+    /// Whether the relay is cut off from the store.
+    is_cut: bool,
 }
 
 pub struct Store {
@@ -107,9 +107,6 @@
             let query = parse_query(query);
             let get = |name: &str| query.get(name).map_or("", String::as_str);
             let (status, body) = match path {
-                _ if self.content.lock().unwrap().is_rejecting => {
-                    ("503 Service Unavailable", String::new())
-                }
                 "/kv-range" => ("200 OK", self.range(get("pathPrefix"), get("after"))),
                 "/kv-watch" => {
                     let after = get("after").parse().unwrap_or(0);
@@ -120,6 +117,9 @@
             };
             // The store answers in 4 ms.
             thread::sleep(Duration::from_millis(4));
+            if self.content.lock().unwrap().is_cut {
+                return Ok(());
+            }
             let length = body.len();
             channel.write(
                 format!(
@@ -143,9 +143,9 @@
         format!(r#"{{"entries":[{entries}],"hasMore":false,"at":{at}}}"#)
     }
 
-    /// Turns the relay away with 503, also from watches that wait, or serves it again.
-    pub fn set_rejecting(&self, is_rejecting: bool) {
-        self.content.lock().unwrap().is_rejecting = is_rejecting;
+    /// Closes the channels of the relay, and all that it opens, or serves it again.
+    pub fn set_cut(&self, is_cut: bool) {
+        self.content.lock().unwrap().is_cut = is_cut;
         self.changed.notify_all();
     }
 
@@ -154,8 +154,8 @@
         let ends_at = Instant::now() + wait;
         let mut content = self.content.lock().unwrap();
         loop {
-            if content.is_rejecting {
-                return ("503 Service Unavailable", String::new());
+            if content.is_cut {
+                return ("200 OK", String::new());
             }
             let is_old = |item: &Item| item.written_at.elapsed() > HISTORY_RETENTION;
             let old = content.history.iter().take_while(|item| is_old(item));
