--- a/review/rig/relay.rs
+++ b/review/rig/relay.rs
@@ -25,6 +25,9 @@
 /// The program of the deploy file.
 const PROGRAM: &str = "target/release/kingcupfall-relay";
 
+/// Names the file in which the scripts look for the relay's process, to end it if they are ended.
+const PID_FILE_VARIABLE: &str = "RELAY_PID_FILE";
+
 /// Fixed port of the relay's metrics.
 const METRICS_PORT: u16 = 9_464;
 
@@ -67,12 +70,17 @@
         relay.spawn()?;
         let supervised = Arc::clone(&relay);
         thread::spawn(move || supervised.supervise());
-        crate::client::wait_until_ready(ready)?;
+        crate::client::wait_until_ready(ready).inspect_err(|_| relay.end())?;
         record.line("platform", format!("the relay at {frontend} is ready"));
         Ok(relay)
     }
 
+    /// Starts the process, unless it has been ended for good.
     fn spawn(&self) -> io::Result<()> {
+        let mut present = self.child.lock().unwrap();
+        if self.is_ended.load(Ordering::SeqCst) {
+            return Ok(());
+        }
         let log = File::options().create(true).append(true).open(&self.log)?;
         let child = Command::new(PROGRAM)
             .env_clear()
@@ -82,7 +90,10 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        *self.child.lock().unwrap() = Some(child);
+        if let Some(file) = env::var_os(PID_FILE_VARIABLE) {
+            fs::write(file, child.id().to_string())?;
+        }
+        *present = Some(child);
         Ok(())
     }
 
@@ -103,7 +114,7 @@
                 *child = None;
                 drop(child);
                 thread::sleep(Duration::from_millis(300));
-                if !self.is_ended.load(Ordering::SeqCst) && self.spawn().is_err() {
+                if self.spawn().is_err() {
                     self.record.line("platform", "can't start the relay again");
                 }
                 continue;
@@ -134,8 +145,9 @@
 
     /// Ends the process for good.
     pub fn end(&self) {
+        let mut present = self.child.lock().unwrap();
         self.is_ended.store(true, Ordering::SeqCst);
-        if let Some(mut process) = self.child.lock().unwrap().take() {
+        if let Some(mut process) = present.take() {
             let _ = process.kill();
             let _ = process.wait();
         }
