Stop the run of a stream at the target that it has left

Cause: the relay took the end of its connection for the end of the run. Some targets finish a request whose connection has closed.

Evidence: in the record of the case the target finds the three connections closed 8 ms after the streams were resumed elsewhere, and makes their last events four seconds later. So the connections were closed in time, and the closing did not end the runs. The relay's log could not show that; the new record former_run and the metric former_runs do.

Change: a run that the stream has left is stopped by a final migration, after its connection was closed, so that targets that drop closed requests copy nothing. The request is repeated until a response shows that the run has ended: 409 and silence prove nothing, nor does 404 for a request that may still wait at the target. It covers every path on which a stream goes on elsewhere: from a copy, after a migration, after a lost connection or a cut, after a next target that lost its connection, and reruns on routes with streamResume. Without migrations nothing can stop a run, so that a stream stays at a target that leaves.

--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -42,6 +42,16 @@
     Cancelled,
 }
 
+impl AttemptResult {
+    /// Returns whether the target may still be running the call, as it did not report an end.
+    pub const fn may_run_on(self) -> bool {
+        match self {
+            Self::Broken | Self::TimedOut | Self::Cancelled => true,
+            Self::Succeeded { .. } | Self::Failed | Self::NotRun | Self::Unreachable => false,
+        }
+    }
+}
+
 /// An event that the dispatcher handles.
 #[derive(Debug, Clone)]
 pub enum DispatchEvent {
--- a/crates/relay/src/protocol/mod.rs
+++ b/crates/relay/src/protocol/mod.rs
@@ -142,13 +142,27 @@
         handle: Box<str>,
     },
     /// The other target has no capacity or can't be reached.
-    Refused,
+    Refused {
+        /// Handle under which the source keeps the memory after a final migration.
+        handle: Option<Box<str>>,
+    },
     /// A migration of the stream is already in progress.
     Busy,
-    /// The target does not run the stream, or its response can't be interpreted.
+    /// The target does not run the stream.
+    NotRunning,
+    /// The response can't be interpreted.
     Unknown,
 }
 
+/// What becomes of a run whose memory is migrated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MigrationMode {
+    /// The source keeps running the stream.
+    Copy,
+    /// The source stops the run before it copies the memory.
+    Final,
+}
+
 /// Decodes and encodes a deployment's messages.
 pub trait WireProtocol {
     /// Decodes the metadata of a caller's request.
@@ -173,13 +187,13 @@
     /// Decodes the report of a model engine; `None` if it is malformed or the engine has none.
     fn read_report(&self, status: http::StatusCode, body: &[u8]) -> Option<EngineReport>;
 
-    /// Returns the request that makes `source` copy the memory of a stream to `destination`. The
-    /// source keeps running the stream.
+    /// Returns the request that makes `source` copy the memory of a stream to `destination`.
     fn migration_request(
         &self,
         request_id: &str,
         source: net::SocketAddr,
         destination: net::SocketAddr,
+        mode: MigrationMode,
     ) -> Request<Full<Bytes>>;
 
     /// Returns the request that frees a copy of a stream's memory at one of the two targets
--- a/crates/relay/src/shell/buffered.rs
+++ b/crates/relay/src/shell/buffered.rs
@@ -50,6 +50,17 @@
     Abandoned,
 }
 
+impl AttemptOutcome {
+    /// Returns whether the target may still be running the call.
+    pub(super) const fn may_run_on(&self) -> bool {
+        match self {
+            Self::Unknown(result) => result.may_run_on(),
+            Self::Abandoned => true,
+            Self::Responded(..) | Self::NotRun | Self::Unreachable => false,
+        }
+    }
+}
+
 /// Attempts of one call so far, by outcome.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct AttemptCounts {
--- /dev/null
+++ b/crates/relay/src/shell/former_runs.rs
@@ -0,0 +1,216 @@
+//! Stops the run of a stream at a target that the stream has left.
+//!
+//! Most targets drop a request when its connection closes, but some finish it, while another target
+//! already runs the stream. A final migration stops the run before it copies memory, and its
+//! response shows whether there was a run to stop.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcupfall_core::time;
+use tokio::task;
+
+use super::client;
+use super::forwarder::StreamForwarder;
+use super::intake;
+use super::memory_migration;
+use super::state::RelayState;
+use super::stream;
+use crate::directory;
+use crate::protocol;
+use crate::telemetry;
+
+/// Time limit for one request to stop a run. Its response follows the copy of the memory, which
+/// queues behind other migrations.
+const STOP_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Delay before the first repetition of a request to stop a run; it doubles each time.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(25);
+
+/// Longest delay after a response that leaves it open whether the run goes on. The platform counts
+/// 400 ms of overlap as two runs.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// Longest delay after a request without a response.
+const MAX_UNANSWERED_DELAY: Duration = Duration::from_secs(1);
+
+/// A run that may go on at a target after the stream has left it.
+#[derive(Debug, Clone)]
+pub(super) struct FormerRun {
+    /// Target that the stream has left.
+    pub(super) target: Rc<directory::TargetRecord>,
+    /// Target that runs the stream next; receives the memory if the run has to be stopped.
+    pub(super) next: Rc<directory::TargetRecord>,
+    /// Whether the target has begun to run the stream. A request that waits there is unknown to
+    /// migrations, so that only its start or the deadline shows what became of it.
+    pub(super) has_begun: bool,
+}
+
+/// How a run at a former target ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RunEnd {
+    /// It went on until it was stopped.
+    Stopped,
+    /// The target did not run it any more.
+    NotRunning,
+    /// The target's process has ended.
+    TargetEnded,
+    /// The target could not be reached until the directory lacked it.
+    Unreachable,
+    /// The deadline of the call passed before the end was confirmed.
+    Unconfirmed,
+}
+
+impl RunEnd {
+    /// Name in the decision log and the metrics.
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Stopped => "stopped",
+            Self::NotRunning => "not_running",
+            Self::TargetEnded => "target_ended",
+            Self::Unreachable => "unreachable",
+            Self::Unconfirmed => "unconfirmed",
+        }
+    }
+}
+
+/// Result of one request to stop a run.
+enum StopReply {
+    Ended(RunEnd),
+    /// The run may go on; the target responded.
+    Pending,
+    /// The target could not be reached, or did not respond.
+    Unanswered,
+}
+
+/// Stops a run in the background, unless its target has no migrations.
+pub(super) fn stop(state: &Rc<RelayState>, call: &mut intake::AcceptedCall, run: FormerRun) {
+    if !call.can_migrate() || run.target.key == run.next.key {
+        return;
+    }
+    let state = Rc::clone(state);
+    let request_id = call.head.request_id.clone();
+    let deadline = call.demand.deadline;
+    let kind = telemetry::RecordKind::FormerRun;
+    let record = stream::migration_record(call, kind, &run.target, "");
+    let key = run.target.key.clone();
+    let task = task::spawn_local(async move {
+        let started_at = state.now();
+        let end = stop_until(&state, &request_id, &run, deadline).await;
+        let took = state.now().since(started_at);
+        state.record(&record.outcome(end.label()).after(took));
+        state.metrics.record_former_run(end.label());
+    });
+    call.pending_stops.add(key, task);
+}
+
+/// Repeats the request to stop a run until its end is known or the deadline has passed, at which
+/// targets end their work by themselves.
+async fn stop_until(
+    state: &Rc<RelayState>,
+    request_id: &str,
+    run: &FormerRun,
+    deadline: time::Timestamp,
+) -> RunEnd {
+    let mut delay = MIN_RETRY_DELAY;
+    loop {
+        let is_known = || {
+            let targets = state.targets.borrow();
+            targets.records().any(|record| record.key == run.target.key)
+        };
+        let max_delay = match request_stop(state, request_id, run).await {
+            StopReply::Ended(end) => return end,
+            StopReply::Unanswered if !is_known() => return RunEnd::Unreachable,
+            StopReply::Unanswered => MAX_UNANSWERED_DELAY,
+            StopReply::Pending => MAX_RETRY_DELAY,
+        };
+        delay = delay.min(max_delay);
+        if state.now() + delay >= deadline {
+            return RunEnd::Unconfirmed;
+        }
+        tokio::time::sleep(delay).await;
+        delay *= 2;
+    }
+}
+
+async fn request_stop(state: &Rc<RelayState>, request_id: &str, run: &FormerRun) -> StopReply {
+    let (source, destination) = (run.target.address, run.next.address);
+    let request = state.protocol.migration_request(
+        request_id,
+        source,
+        destination,
+        protocol::MigrationMode::Final,
+    );
+    let (parts, body) = match client::exchange(source, request, STOP_TIMEOUT).await {
+        Ok(response) => response,
+        Err(client::SendError::Unreachable(error))
+            if error.kind() == io::ErrorKind::ConnectionRefused =>
+        {
+            return StopReply::Ended(RunEnd::TargetEnded);
+        }
+        Err(error) => {
+            log::debug!(
+                "can't stop stream {request_id} at target {}: {error}",
+                run.target.key
+            );
+            return StopReply::Unanswered;
+        }
+    };
+    match state.protocol.read_migration_response(parts.status, &body) {
+        protocol::MigrationResponse::Copied { handle } => {
+            memory_migration::discard_copy(state, handle, &[source, destination]);
+            StopReply::Ended(RunEnd::Stopped)
+        }
+        protocol::MigrationResponse::Refused { handle } => {
+            if let Some(handle) = handle {
+                memory_migration::discard_copy(state, handle, &[source]);
+            }
+            StopReply::Ended(RunEnd::Stopped)
+        }
+        protocol::MigrationResponse::NotRunning if run.has_begun => {
+            StopReply::Ended(RunEnd::NotRunning)
+        }
+        protocol::MigrationResponse::NotRunning
+        | protocol::MigrationResponse::Busy
+        | protocol::MigrationResponse::Unknown => StopReply::Pending,
+    }
+}
+
+/// Stops of a stream's former runs that are not confirmed yet. They go on when the call has ended.
+#[derive(Default)]
+pub(super) struct PendingStops(Vec<(directory::TargetKey, task::JoinHandle<()>)>);
+
+impl PendingStops {
+    fn add(&mut self, target: directory::TargetKey, task: task::JoinHandle<()>) {
+        self.0.retain(|(_, task)| !task.is_finished());
+        self.0.push((target, task));
+    }
+
+    /// Gives up stopping the former run at a target that is to run the stream again: the same
+    /// request would stop the new run as well.
+    pub(super) fn cancel(&mut self, target: &directory::TargetKey) {
+        self.0.retain(|(key, task)| {
+            if key == target {
+                task.abort();
+            }
+            key != target
+        });
+    }
+}
+
+impl StreamForwarder {
+    /// Stops the run at the current target, which `next` continues. Does nothing if that was done
+    /// before.
+    pub(super) fn stop_current_run(&mut self, next: &Rc<directory::TargetRecord>) {
+        if std::mem::replace(&mut self.is_run_stopped, true) {
+            return;
+        }
+        let run = FormerRun {
+            target: Rc::clone(&self.target),
+            next: Rc::clone(next),
+            has_begun: self.has_run_begun,
+        };
+        stop(&self.state, &mut self.call, run);
+    }
+}
--- a/crates/relay/src/shell/forwarder.rs
+++ b/crates/relay/src/shell/forwarder.rs
@@ -70,7 +70,7 @@
     pub(super) target: Rc<directory::TargetRecord>,
     pub(super) copy_holder: Option<Rc<directory::TargetRecord>>,
     /// The response of the current target; `None` once its connection has been closed, which stops
-    /// the target.
+    /// most targets.
     pub(super) upstream: Option<client::OpenResponse>,
     pub(super) sender: responses::StreamSender,
     pub(super) parser: protocol::EventParser,
@@ -78,6 +78,11 @@
     pub(super) event_count: u64,
     /// Whether the current target has sent an event.
     pub(super) has_run_started: bool,
+    /// Whether the current target is known to have begun to run the stream, also by an event that
+    /// the caller had already.
+    pub(super) has_run_begun: bool,
+    /// Whether the run at the current target is stopped, or is known to have ended.
+    pub(super) is_run_stopped: bool,
     pub(super) last_received_at: time::Timestamp,
     pub(super) first_event_after: Option<Duration>,
     pub(super) longest_gap: Duration,
@@ -110,6 +115,8 @@
             parser: protocol::EventParser::default(),
             event_count: 0,
             has_run_started: false,
+            has_run_begun: false,
+            is_run_stopped: false,
             last_received_at: now,
             first_event_after: None,
             longest_gap: Duration::ZERO,
@@ -223,6 +230,7 @@
         now: time::Timestamp,
         event: protocol::StreamEvent,
     ) -> Option<StreamEnd> {
+        self.has_run_begun = true;
         if let (Some(last), Some(id)) = (self.last_event_id, event.id) {
             if id <= last {
                 return None;
--- a/crates/relay/src/shell/intake.rs
+++ b/crates/relay/src/shell/intake.rs
@@ -20,6 +20,7 @@
 use kingcupfall_core::work;
 use tokio::sync::mpsc;
 
+use super::former_runs;
 use super::responses;
 use super::state;
 use super::state::RelayState;
@@ -63,6 +64,7 @@
     pub(super) organisation: Option<Rc<directory::OrganisationRule>>,
     pub(super) demand: dispatch::CallDemand,
     pub(super) guard: CallGuard,
+    pub(super) pending_stops: former_runs::PendingStops,
     _body_reservation: state::BodyReservation,
 }
 
@@ -128,6 +130,12 @@
         self.head.last_event.filter(|_| self.route.can_resume)
     }
 
+    /// Returns whether targets can migrate the memory of the call's stream, and stop its run.
+    pub(super) fn can_migrate(&self) -> bool {
+        let engine = self.demand.engine.as_ref();
+        engine.is_some_and(|engine| engine.can_migrate)
+    }
+
     /// Returns the class under which metrics count the call.
     pub(super) fn class(&self) -> telemetry::CallClass<'_> {
         call_class(&self.route, &self.demand.service)
@@ -217,6 +225,7 @@
         route,
         organisation,
         guard,
+        pending_stops: former_runs::PendingStops::default(),
         _body_reservation: body_reservation,
     }))
 }
--- a/crates/relay/src/shell/memory_migration.rs
+++ b/crates/relay/src/shell/memory_migration.rs
@@ -41,10 +41,12 @@
     target: Rc<directory::TargetRecord>,
 ) -> MigrationReport {
     let started_at: time::Timestamp = state.now();
-    let migration_request =
-        state
-            .protocol
-            .migration_request(&request_id, source.address, target.address);
+    let migration_request = state.protocol.migration_request(
+        &request_id,
+        source.address,
+        target.address,
+        protocol::MigrationMode::Copy,
+    );
     let response =
         match client::exchange(source.address, migration_request, MIGRATION_TIMEOUT).await {
             Ok((parts, body)) => {
--- a/crates/relay/src/shell/mod.rs
+++ b/crates/relay/src/shell/mod.rs
@@ -8,6 +8,7 @@
 mod engine_reports;
 mod evacuations;
 mod explanations;
+mod former_runs;
 mod forwarder;
 mod head_timeout;
 mod intake;
--- a/crates/relay/src/shell/rerun.rs
+++ b/crates/relay/src/shell/rerun.rs
@@ -56,7 +56,9 @@
                 return RerunOutcome::Abandoned;
             }
         };
-        self.target = Rc::clone(&placement.target);
+        self.call.pending_stops.cancel(&placement.target.key);
+        self.stop_current_run(&placement.target);
+        self.set_target(Rc::clone(&placement.target));
         let started_at = self.state.now();
         let opened = tokio::select! {
             opened = stream::open_stream(&self.state, &self.call, &placement, self.last_event_id) => {
@@ -75,11 +77,12 @@
                 self.state.record(&record);
                 self.state.metrics.record_resumption("run_again");
                 self.has_run_started = false;
-                self.continue_at(placement.target, placement.copy_holder, upstream);
+                self.continue_with(placement.copy_holder, upstream);
                 RerunOutcome::Continued
             }
             stream::OpenOutcome::Ended(outcome) => {
                 let target = &placement.target;
+                self.is_run_stopped = !outcome.may_run_on();
                 buffered::report_attempt(&self.state, &self.call, target, &outcome, started_at);
                 RerunOutcome::Failed
             }
--- a/crates/relay/src/shell/resumption.rs
+++ b/crates/relay/src/shell/resumption.rs
@@ -10,6 +10,7 @@
 
 use super::buffered;
 use super::client;
+use super::former_runs;
 use super::forwarder;
 use super::forwarder::StreamForwarder;
 use super::memory_migration;
@@ -94,6 +95,10 @@
                 _ => None,
             });
         let request = self.resumption_request(&copy, next_holder.as_ref());
+        self.call.pending_stops.cancel(&copy.holder.key);
+        if self.upstream.is_none() {
+            self.stop_current_run(&copy.holder);
+        }
         let upstream = match self.open_resumption(&copy, request).await {
             Ok(upstream) => upstream,
             Err(result) => {
@@ -106,6 +111,14 @@
                 self.replace_copy_holder(None);
                 self.state.metrics.record_resumption("refused");
                 self.record_migration_failure("the copy is of no use");
+                if result.may_run_on() {
+                    let run = former_runs::FormerRun {
+                        target: copy.holder,
+                        next: Rc::clone(&self.target),
+                        has_begun: false,
+                    };
+                    former_runs::stop(&self.state, &mut self.call, run);
+                }
                 return false;
             }
         };
@@ -121,7 +134,11 @@
         .after(self.state.now().since(self.last_received_at));
         self.state.record(&record);
         self.state.metrics.record_resumption("resumed");
-        self.continue_at(copy.holder, next_holder, upstream);
+        // Most targets drop the request when its connection closes, without a final migration.
+        self.upstream = None;
+        self.stop_current_run(&copy.holder);
+        self.set_target(copy.holder);
+        self.continue_with(next_holder, upstream);
         true
     }
 
@@ -152,14 +169,12 @@
         }
     }
 
-    /// Continues the stream with the response of another target.
-    pub(super) fn continue_at(
+    /// Continues the stream with the response of its new target.
+    pub(super) fn continue_with(
         &mut self,
-        target: Rc<directory::TargetRecord>,
         copy_holder: Option<Rc<directory::TargetRecord>>,
         upstream: client::OpenResponse,
     ) {
-        self.target = target;
         self.replace_copy_holder(copy_holder);
         self.abandon_migration();
         self.migration = None;
@@ -168,6 +183,13 @@
         self.upstream = Some(upstream);
     }
 
+    /// Makes `target` the one that runs the stream.
+    pub(super) fn set_target(&mut self, target: Rc<directory::TargetRecord>) {
+        self.target = target;
+        self.has_run_begun = false;
+        self.is_run_stopped = false;
+    }
+
     /// Returns whether a target may receive the stream or its memory, as far as zones matter.
     pub(super) fn may_receive(&self, target: &directory::TargetRecord) -> bool {
         self.state
@@ -220,7 +242,10 @@
     ) -> Result<client::OpenResponse> {
         let sent_at = self.state.now();
         let outcome = match client::open(copy.holder.address).await {
-            Ok(connection) => self.send_resumption(connection, request).await,
+            Ok(connection) => {
+                self.send_resumption(connection, request, &copy.holder)
+                    .await
+            }
             Err(error) => Err(error),
         };
         let response = outcome.map_err(|error| {
@@ -264,6 +289,7 @@
         &mut self,
         connection: client::OpenConnection,
         request: Request<Full<Bytes>>,
+        next: &Rc<directory::TargetRecord>,
     ) -> client::Result<client::OpenResponse> {
         let mut sent = Box::pin(connection.send(request));
         if let Ok(response) = tokio::time::timeout(MAX_OVERLAP, sent.as_mut()).await {
@@ -271,6 +297,7 @@
         }
         // From here on only the next target runs the stream, so nothing is gained by giving up.
         self.upstream = None;
+        self.stop_current_run(next);
         let deadline = self.state.instant(self.call.demand.deadline);
         tokio::select! {
             response = sent => response,
--- a/crates/relay/src/shell/stream.rs
+++ b/crates/relay/src/shell/stream.rs
@@ -7,6 +7,7 @@
 
 use super::buffered;
 use super::client;
+use super::former_runs;
 use super::forwarder;
 use super::intake;
 use super::responses;
@@ -40,11 +41,21 @@
     mut call: Box<intake::AcceptedCall>,
 ) -> responses::CallResponse {
     let mut counts = buffered::AttemptCounts::default();
+    let mut former_target = None;
     loop {
         let placement = match buffered::place_call(state, &mut call).await {
             Ok(placement) => placement,
             Err(refusal) => return buffered::refuse_call(state, &mut call, &refusal),
         };
+        call.pending_stops.cancel(&placement.target.key);
+        if let Some(target) = former_target.take() {
+            let run = former_runs::FormerRun {
+                target,
+                next: Rc::clone(&placement.target),
+                has_begun: false,
+            };
+            former_runs::stop(state, &mut call, run);
+        }
         let target = Rc::clone(&placement.target);
         let started_at = state.now();
         let last_event = call.resumed_after();
@@ -55,6 +66,7 @@
             OpenOutcome::Ended(outcome) => outcome,
         };
         buffered::report_attempt(state, &call, &target, &outcome, started_at);
+        former_target = outcome.may_run_on().then(|| Rc::clone(&target));
         if let Some(response) =
             buffered::conclude_attempt(state, &mut call, &mut counts, &target, outcome)
         {
--- a/crates/relay/src/shell/stream_migration.rs
+++ b/crates/relay/src/shell/stream_migration.rs
@@ -34,7 +34,8 @@
 
 impl StreamForwarder {
     /// Starts to migrate the stream away from a target that leaves. A stream that has started and
-    /// has a copy is resumed from it immediately.
+    /// has a copy is resumed from it immediately, if its run here can be stopped then; otherwise
+    /// once the target has ended.
     pub(super) async fn start_migration(&mut self) -> Option<forwarder::StreamEnd> {
         if self.migration.is_some() {
             return None;
@@ -46,6 +47,7 @@
         });
         if let Some(copy) = self.current_copy()
             && self.event_count > 0
+            && self.call.can_migrate()
             && self.resume(copy, "left in time").await
         {
             return None;
@@ -65,12 +67,7 @@
 
     /// Requests a target with the capacity for the stream's memory.
     pub(super) fn request_migration_target(&mut self) {
-        let can_migrate = self
-            .call
-            .demand
-            .engine
-            .as_ref()
-            .is_some_and(|engine| engine.can_migrate);
+        let can_migrate = self.call.can_migrate();
         let now = self.state.now();
         let Some(migration) = &mut self.migration else {
             return;
@@ -145,7 +142,7 @@
                     return self.continue_or_recover().await;
                 }
             }
-            Some(protocol::MigrationResponse::Refused) => {
+            Some(protocol::MigrationResponse::Refused { .. }) => {
                 self.record_migration_failure("no room at the shelter");
                 if let Some(migration) = &mut self.migration {
                     migration.tried.push(report.target.key.name.clone());
@@ -155,9 +152,12 @@
             Some(protocol::MigrationResponse::Busy) => {
                 self.delay_migration("a move is in progress")
             }
-            Some(protocol::MigrationResponse::Unknown) => {
+            Some(protocol::MigrationResponse::NotRunning) => {
                 self.delay_migration("the source does not run it")
             }
+            Some(protocol::MigrationResponse::Unknown) => {
+                self.delay_migration("the answer of the source can't be read")
+            }
             None => self.delay_migration("the source does not answer"),
         }
         None
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -102,6 +102,7 @@
     prompt_crashes: Counter,
     part_changes: Family<ReasonLabels, Counter>,
     resumptions: Family<ReasonLabels, Counter>,
+    former_runs: Family<ReasonLabels, Counter>,
     directory_calls: Family<ReasonLabels, Counter>,
     directory_call_times: LatencyFamily<ReasonLabels>,
     organisation_call_times: LatencyFamily<OrganisationLabels>,
@@ -148,6 +149,7 @@
             prompt_crashes: Counter::default(),
             part_changes: Family::default(),
             resumptions: Family::default(),
+            former_runs: Family::default(),
             directory_calls: Family::default(),
             directory_call_times: Family::new_with_constructor(latency_histogram),
             organisation_call_times: Family::new_with_constructor(latency_histogram),
@@ -212,6 +214,11 @@
             "Streams brought to another target",
             self.resumptions.clone(),
         );
+        registry.register(
+            "former_runs",
+            "Runs at targets that their stream has left, by how they ended",
+            self.former_runs.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls at the platform's directory",
@@ -382,6 +389,13 @@
             .inc();
     }
 
+    /// Counts a run at a target that its stream has left; `reason` is how it ended.
+    pub fn record_former_run(&self, reason: &'static str) {
+        self.former_runs
+            .get_or_create(&ReasonLabels { reason })
+            .inc();
+    }
+
     /// Records the duration of a call to the platform's directory; `reason` is the kind of call.
     pub fn record_directory_call_time(&self, reason: &'static str, took: Duration) {
         self.directory_call_times
--- a/crates/relay/src/telemetry/records.rs
+++ b/crates/relay/src/telemetry/records.rs
@@ -104,6 +104,8 @@
     PartCleared,
     /// A stream was resumed at another target.
     Resumed,
+    /// The end of a stream's run at a target that the stream has left was confirmed, or could not be.
+    FormerRun,
     /// A stream could not be migrated to or resumed at another target, or an event of it was lost.
     #[serde(rename = "move_failed")]
     MigrationFailed,
@@ -164,6 +166,7 @@
             | Self::Placed
             | Self::PartCleared
             | Self::Resumed
+            | Self::FormerRun
             | Self::Ended
             | Self::CallerLeft => false,
         }
