Stop using targets that leave together within the time in which they serve

Cause: the removal of half of all records or more counted as an expiry in an outage of the store that the relay had not noticed, and the records were kept for 2.5 s, longer than departed targets serve.

Evidence: the relay's log of the case. target_missing for both targets 7 ms after the removal, so it was seen in time; target_gone with "record lapsed" 2.54 s later; the late bookings arrived at the relay after the two seconds, so they had not waited there. With one record of four removed nothing is kept.

Change: without a sign of an outage such records are kept for a quarter of drainTimeoutMs only, which the settings now pass on, and a later outage doesn't extend that. Removals that a peer reports are not kept a second time. target_missing names records that are kept without a sign ("most records at once").

--- a/crates/relay/src/directory/mod.rs
+++ b/crates/relay/src/directory/mod.rs
@@ -17,6 +17,7 @@
 pub use routes::RouteTableVersion;
 pub use routes::ServiceRule;
 pub use routes::ServiceShare;
+pub use table::MissingCause;
 pub use table::TargetChange;
 pub use table::TargetDelta;
 pub use table::TargetDeparture;
@@ -72,4 +73,6 @@
     Lost,
     /// The directory responds again.
     Regained,
+    /// A response of the directory came late, or after a call without one.
+    Disturbed,
 }
--- a/crates/relay/src/directory/table.rs
+++ b/crates/relay/src/directory/table.rs
@@ -20,10 +20,15 @@
 /// register again: the platform states about two seconds.
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_500);
 
-/// Share of all records from which a simultaneous removal of several counts as an expiry of their
-/// registrations; so many targets don't leave together.
+/// Share of all records from which a simultaneous removal of several may be an expiry of their
+/// registrations in an outage that this relay did not notice.
 const MIN_EXPIRED_SHARE: f64 = 0.5;
 
+/// Part of the time for which a departed target serves on that such records are kept without a sign
+/// of an outage: their targets may as well have left together. The rest of that time is for the
+/// delay with which a removal is seen, and for the calls that are sent until then.
+const UNEXPLAINED_GRACE_SHARE: f64 = 0.25;
+
 /// Maximum number of departures that are kept, so that late updates don't make their incarnations
 /// usable again.
 const MAX_KNOWN_DEPARTURES: usize = 4_096;
@@ -35,18 +40,41 @@
     Usable(Rc<TargetRecord>),
     /// A target accepts no new work from now on.
     Leaving(TargetKey),
-    /// A target's record disappeared, probably because its registration expired during an outage
+    /// A target's record disappeared, possibly because its registration expired during an outage
     /// of the directory. The target may be used until the end of the grace period.
-    Missing(TargetKey),
+    Missing(TargetKey, MissingCause),
     /// A target's record was removed; requests that it runs may still complete.
     Gone(TargetKey),
 }
 
-/// Record of a target, and since when the directory has lacked it.
+/// Why a record that the directory lacks is kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MissingCause {
+    /// The directory was away, or has just returned.
+    Outage,
+    /// Most records disappeared at once, without a sign of an outage.
+    Unexplained,
+}
+
+/// A record that the directory lacks.
+#[derive(Debug, Clone, Copy)]
+struct MissingRecord {
+    since: time::Timestamp,
+    cause: MissingCause,
+}
+
+/// Record of a target, and whether the directory lacks it.
 #[derive(Debug, Clone)]
 struct TargetEntry {
     record: Rc<TargetRecord>,
-    missing_since: Option<time::Timestamp>,
+    missing: Option<MissingRecord>,
+}
+
+/// Where changes of records come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum UpdateSource {
+    Directory,
+    Peer,
 }
 
 /// How an incarnation of a target departed, as peers report it to each other.
@@ -96,9 +124,19 @@
     revision: DirectoryRevision,
     is_directory_lost: bool,
     directory_regained_at: Option<time::Timestamp>,
+    /// Time of the last response that a call of the directory received late or after a failure.
+    directory_disturbed_at: Option<time::Timestamp>,
+    /// Time for which a target serves on after its record was removed.
+    departure_time: Duration,
 }
 
 impl TargetTable {
+    /// Sets the time for which a target serves on after its record was removed; zero if it is not
+    /// known.
+    pub const fn set_departure_time(&mut self, time: Duration) {
+        self.departure_time = time;
+    }
+
     /// Returns the newest directory revision that was seen.
     pub const fn revision(&self) -> DirectoryRevision {
         self.revision
@@ -156,13 +194,13 @@
     /// revision that they apply to.
     pub fn apply_delta(&mut self, now: time::Timestamp, delta: TargetDelta) -> Vec<TargetChange> {
         let Some(since) = delta.since else {
-            return self.apply_list(now, delta.revision, delta.written);
+            return self.merge_list(now, delta.revision, delta.written, UpdateSource::Peer);
         };
         if since > self.revision || delta.revision < self.revision {
             return Vec::new();
         }
         self.begin_era(now, delta.revision);
-        let changes = self.apply_changes(now, delta.written, delta.removed);
+        let changes = self.merge_changes(now, delta.written, delta.removed, UpdateSource::Peer);
         self.revision = self.revision.max(delta.revision);
         changes
     }
@@ -191,12 +229,29 @@
         }
     }
 
-    /// Applies a complete list of records. Ignores a list that is older than the table.
+    /// Records that a response of the directory came late or after a failure. That alone is no
+    /// outage, but explains why most records disappear at once.
+    pub const fn record_directory_disturbed(&mut self, now: time::Timestamp) {
+        self.directory_disturbed_at = Some(now);
+    }
+
+    /// Applies the directory's complete list of records. Ignores a list that is older than the
+    /// table.
     pub fn apply_list(
         &mut self,
         now: time::Timestamp,
         revision: DirectoryRevision,
         records: Vec<TargetRecord>,
+    ) -> Vec<TargetChange> {
+        self.merge_list(now, revision, records, UpdateSource::Directory)
+    }
+
+    fn merge_list(
+        &mut self,
+        now: time::Timestamp,
+        revision: DirectoryRevision,
+        records: Vec<TargetRecord>,
+        source: UpdateSource,
     ) -> Vec<TargetChange> {
         if revision < self.revision {
             return Vec::new();
@@ -218,20 +273,30 @@
             self.write_record(record, &mut changes);
         }
         self.revision = self.revision.max(revision);
-        let is_expiry = self.is_expiry(now, &missing);
+        let cause = self.missing_cause(now, &missing, source);
         for name in missing {
-            self.handle_missing(now, &name, is_expiry, &mut changes);
+            self.handle_missing(now, &name, cause, &mut changes);
         }
         changes
     }
 
-    /// Applies a batch of changed and removed records. Removals in one batch are simultaneous for
-    /// the check whether the registrations expired.
+    /// Applies a batch of records that were changed and removed in the directory. Removals in one
+    /// batch are simultaneous for the check whether the registrations expired.
     pub fn apply_changes(
         &mut self,
         now: time::Timestamp,
         written: Vec<TargetRecord>,
         removed: Vec<(ids::TargetName, DirectoryRevision)>,
+    ) -> Vec<TargetChange> {
+        self.merge_changes(now, written, removed, UpdateSource::Directory)
+    }
+
+    fn merge_changes(
+        &mut self,
+        now: time::Timestamp,
+        written: Vec<TargetRecord>,
+        removed: Vec<(ids::TargetName, DirectoryRevision)>,
+        source: UpdateSource,
     ) -> Vec<TargetChange> {
         let mut changes = Vec::new();
         for record in written {
@@ -241,14 +306,14 @@
         let last = removed.iter().map(|(_, revision)| *revision).max();
         self.revision = self.revision.max(last.unwrap_or_default());
         let names: Vec<_> = removed.iter().map(|(name, _)| name.clone()).collect();
-        let is_expiry = self.is_expiry(now, &names);
+        let cause = self.missing_cause(now, &names, source);
         for (name, revision) in removed {
             let is_outdated = self
                 .entries
                 .get(&name)
                 .is_some_and(|entry| entry.record.revision > revision);
             if !is_outdated {
-                self.handle_missing(now, &name, is_expiry, &mut changes);
+                self.handle_missing(now, &name, cause, &mut changes);
             }
         }
         changes
@@ -284,15 +349,12 @@
     /// Removes records that the directory still lacks at the end of the grace period for another
     /// registration.
     pub fn remove_expired(&mut self, now: time::Timestamp) -> Vec<TargetChange> {
-        if self.is_directory_lost {
-            return Vec::new();
-        }
         let expired: Vec<_> = self
             .entries
             .iter()
             .filter(|(_, entry)| {
-                let missing_since = entry.missing_since;
-                missing_since.is_some_and(|since| now >= self.grace_end(since))
+                let grace_end = entry.missing.and_then(|missing| self.grace_end(missing));
+                grace_end.is_some_and(|end| now >= end)
             })
             .map(|(name, _)| name.clone())
             .collect();
@@ -304,14 +366,25 @@
         changes
     }
 
-    /// Returns the time until which a record that has been missing since `missing_since` is kept.
-    /// After an outage it is the same for all records, whenever their removal was seen.
-    fn grace_end(&self, missing_since: time::Timestamp) -> time::Timestamp {
-        let outage_grace_end = self
-            .directory_regained_at
-            .map(|regained_at| regained_at + REREGISTRATION_GRACE)
-            .filter(|grace_end| missing_since < *grace_end);
-        outage_grace_end.unwrap_or(missing_since + REREGISTRATION_GRACE)
+    /// Returns the time until which a missing record is kept; `None` while the directory is away.
+    /// After an outage it is the same for all records, whenever their removal was seen. A removal
+    /// that was seen without an outage holds, whatever happens to the directory afterwards.
+    fn grace_end(&self, missing: MissingRecord) -> Option<time::Timestamp> {
+        match missing.cause {
+            MissingCause::Unexplained => {
+                let grace = self.departure_time.mul_f64(UNEXPLAINED_GRACE_SHARE);
+                Some(missing.since + grace.min(REREGISTRATION_GRACE))
+            }
+            MissingCause::Outage if self.is_directory_lost => None,
+            MissingCause::Outage => {
+                let ends = [self.directory_regained_at, self.directory_disturbed_at]
+                    .into_iter()
+                    .flatten()
+                    .map(|at| at + REREGISTRATION_GRACE)
+                    .filter(|end| missing.since < *end);
+                Some(ends.max().unwrap_or(missing.since))
+            }
+        }
     }
 
     /// Prepares for the records of a later era of the directory, if `revision` belongs to one.
@@ -328,21 +401,35 @@
         }
     }
 
-    /// Returns true if records that disappear now have probably expired while the directory was
-    /// unreachable, so that their targets may register again.
-    fn is_expiry(&self, now: time::Timestamp, names: &[ids::TargetName]) -> bool {
-        let is_recent = self
-            .directory_regained_at
-            .is_some_and(|at| now.since(at) < REREGISTRATION_GRACE);
-        if self.is_directory_lost || is_recent {
-            return true;
+    /// Returns why records that disappear now may have expired although their targets run, so that
+    /// these may register again; `None` if they are to be removed.
+    fn missing_cause(
+        &self,
+        now: time::Timestamp,
+        names: &[ids::TargetName],
+        source: UpdateSource,
+    ) -> Option<MissingCause> {
+        let is_recent =
+            |at: Option<time::Timestamp>| at.is_some_and(|at| now.since(at) < REREGISTRATION_GRACE);
+        if self.is_directory_lost || is_recent(self.directory_regained_at) {
+            return Some(MissingCause::Outage);
+        }
+        // A peer has kept such records itself before it reports their removal.
+        if source == UpdateSource::Peer {
+            return None;
         }
         // A batch that covers some time also names targets that came and went meanwhile.
         let known = names
             .iter()
             .filter(|name| self.entries.contains_key(*name))
             .count();
-        known > 1 && known as f64 >= MIN_EXPIRED_SHARE * self.entries.len() as f64
+        if known < 2 || (known as f64) < MIN_EXPIRED_SHARE * self.entries.len() as f64 {
+            return None;
+        }
+        match is_recent(self.directory_disturbed_at) {
+            true => Some(MissingCause::Outage),
+            false => Some(MissingCause::Unexplained),
+        }
     }
 
     fn write_record(&mut self, record: TargetRecord, changes: &mut Vec<TargetChange>) {
@@ -350,7 +437,7 @@
             if entry.record.revision > record.revision {
                 return;
             }
-            let was_missing = entry.missing_since.take().is_some();
+            let was_missing = entry.missing.take().is_some();
             if *entry.record == record && !was_missing {
                 return;
             }
@@ -370,7 +457,7 @@
         let key = record.key.clone();
         let entry = TargetEntry {
             record: Rc::clone(&record),
-            missing_since: None,
+            missing: None,
         };
         self.entries.insert(key.name.clone(), entry);
         if is_draining {
@@ -388,23 +475,23 @@
     }
 
     /// Handles a target that the directory lacks: removes its record, or keeps it for the grace
-    /// period if the registration has probably expired.
+    /// period if there is a cause for which the registration may have expired.
     fn handle_missing(
         &mut self,
         now: time::Timestamp,
         name: &ids::TargetName,
-        is_expiry: bool,
+        cause: Option<MissingCause>,
         changes: &mut Vec<TargetChange>,
     ) {
-        if !is_expiry {
+        let Some(cause) = cause else {
             self.remove_record(name, changes);
             return;
-        }
+        };
         if let Some(entry) = self.entries.get_mut(name)
-            && entry.missing_since.is_none()
+            && entry.missing.is_none()
         {
-            entry.missing_since = Some(now);
-            changes.push(TargetChange::Missing(entry.record.key.clone()));
+            entry.missing = Some(MissingRecord { since: now, cause });
+            changes.push(TargetChange::Missing(entry.record.key.clone(), cause));
         }
     }
 
--- a/crates/relay/src/dispatch/targets.rs
+++ b/crates/relay/src/dispatch/targets.rs
@@ -86,7 +86,7 @@
                 }
                 self.handle_departure(&key, effects);
             }
-            directory::TargetChange::Missing(_) => {}
+            directory::TargetChange::Missing(..) => {}
             directory::TargetChange::Gone(key) => {
                 if self
                     .targets
--- a/crates/relay/src/shell/directory_events.rs
+++ b/crates/relay/src/shell/directory_events.rs
@@ -17,6 +17,9 @@
 /// Source that the decision log names for routes and target changes received from peers.
 pub(super) const PEER_SOURCE: &str = "peer";
 
+/// Outcome that the decision log names for records that are kept without a sign of an outage.
+const UNEXPLAINED: &str = "most records at once";
+
 /// Interval at which the dispatcher reviews waiting calls and expired target records are removed.
 const DISPATCHER_TICK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -122,6 +125,10 @@
                 .version(state.targets.borrow().revision().get());
             state.record(&record);
         }
+        directory::DirectoryEvent::Disturbed => {
+            let mut targets = state.targets.borrow_mut();
+            targets.record_directory_disturbed(state.now());
+        }
         directory::DirectoryEvent::Written(_)
         | directory::DirectoryEvent::Removed { .. }
         | directory::DirectoryEvent::Confirmed => {}
@@ -168,14 +175,20 @@
             directory::TargetChange::Leaving(key) => {
                 (telemetry::RecordKind::TargetLeaving, &key.name)
             }
-            directory::TargetChange::Missing(key) => {
+            directory::TargetChange::Missing(key, _) => {
                 (telemetry::RecordKind::TargetMissing, &key.name)
             }
             directory::TargetChange::Gone(key) => (telemetry::RecordKind::TargetGone, &key.name),
         };
+        let outcome = match change {
+            directory::TargetChange::Missing(_, directory::MissingCause::Unexplained) => {
+                UNEXPLAINED
+            }
+            _ => source,
+        };
         let record = telemetry::DecisionRecord::new(kind)
             .target(name)
-            .outcome(source)
+            .outcome(outcome)
             .version(revision);
         state.record(&record);
     }
@@ -191,7 +204,7 @@
     let departures: Vec<_> = {
         let targets = state.targets.borrow();
         let unusable = changes.iter().filter_map(|change| match change {
-            directory::TargetChange::Usable(_) | directory::TargetChange::Missing(_) => None,
+            directory::TargetChange::Usable(_) | directory::TargetChange::Missing(..) => None,
             directory::TargetChange::Leaving(key) | directory::TargetChange::Gone(key) => Some(key),
         });
         unusable
--- a/crates/relay/src/shell/settings.rs
+++ b/crates/relay/src/shell/settings.rs
@@ -28,6 +28,9 @@
     pub metrics_address: net::SocketAddr,
     /// Time from the request to stop until the platform kills the process.
     pub stop_grace: Duration,
+    /// Time for which a target serves on after its record was marked as draining or removed; zero if
+    /// it is not known.
+    pub departure_time: Duration,
     /// Limits on repeated attempts for each service, across all relays.
     pub retry_bounds: dispatch::RetryBounds,
     /// Memory limit of the process.
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -139,12 +139,14 @@
         let (stop_phase, _) = watch::channel(StopPhase::Serving);
         let mut members = membership::MemberTable::new(setup.settings.peer_address);
         members.add_seeds(&setup.settings.seeds);
+        let mut targets = directory::TargetTable::default();
+        targets.set_departure_time(setup.settings.departure_time);
         Rc::new_cyclic(|own| Self {
             settings: RefCell::new(setup.settings),
             protocol: setup.protocol,
             decode_routes: setup.decode_routes,
             metrics: telemetry::RelayMetrics::new(),
-            targets: RefCell::new(directory::TargetTable::default()),
+            targets: RefCell::new(targets),
             evacuations: RefCell::default(),
             stop_phase,
             stop_plan: Cell::new(None),
@@ -209,6 +211,9 @@
 
     /// Replaces the settings. Addresses stay bound as they were at the start.
     pub fn replace_settings(&self, settings: RelaySettings) {
+        self.targets
+            .borrow_mut()
+            .set_departure_time(settings.departure_time);
         *self.settings.borrow_mut() = settings;
     }
 
--- a/crates/relay/tests/directory.rs
+++ b/crates/relay/tests/directory.rs
@@ -151,6 +151,60 @@
     assert_eq!(joined_names(&table), "abcd");
 }
 
+/// Time for which a target serves on after its record was removed.
+const DEPARTURE_TIME: Duration = Duration::from_secs(2);
+
+/// Removes `a` to `c`, which are most targets, at one revision.
+fn remove_most(table: &mut directory::TargetTable, now: time::Timestamp) {
+    let revision = directory::DirectoryRevision::new(11);
+    let removed = ["a", "b", "c"].map(|name| (name.parse().unwrap(), revision));
+    table.apply_changes(now, Vec::new(), removed.into());
+    assert_eq!(joined_names(table), "abcd");
+}
+
+/// Guards against work for targets that leave together, beyond the time in which they serve (DRAIN).
+#[parameterized(
+    calm_directory = { None },
+    directory_lost_afterwards = { Some(100) },
+)]
+fn remove_expired_most_targets_without_an_outage(lost_after_ms: Option<u64>) {
+    let mut table = table();
+    table.set_departure_time(DEPARTURE_TIME);
+    remove_most(&mut table, START);
+    if let Some(lost_after_ms) = lost_after_ms {
+        table.remove_expired(START + Duration::from_millis(lost_after_ms));
+        table.record_directory_lost();
+    }
+    table.remove_expired(START + DEPARTURE_TIME / 2);
+    assert_eq!(joined_names(&table), "d");
+}
+
+/// Guards against the loss of targets in an outage that only one call has shown.
+#[parameterized(
+    within_grace_period = { 2_400, "abcd" },
+    after_grace_period = { 2_600, "d" },
+)]
+fn remove_expired_most_targets_after_a_disturbance(after_ms: u64, expected: &str) {
+    let mut table = table();
+    table.set_departure_time(DEPARTURE_TIME);
+    table.record_directory_disturbed(START);
+    remove_most(&mut table, START);
+    table.remove_expired(START + Duration::from_millis(after_ms));
+    assert_eq!(joined_names(&table), expected);
+}
+
+/// Guards against a second grace period for targets that a peer has found to be gone (DRAIN).
+#[test]
+fn apply_delta_that_removes_most_targets_keeps_none() {
+    let mut older = table();
+    let mut newer = table();
+    remove_most(&mut newer, START);
+    newer.remove_expired(START + DEPARTURE_TIME);
+    let delta = newer.delta_since(older.revision());
+    older.apply_delta(START + DEPARTURE_TIME, delta);
+    assert_eq!(joined_names(&older), "d");
+}
+
 #[test]
 fn apply_departures_final_departure_from_peer_is_not_reversed() {
     let mut table = table();
