--- a/crates/relay/src/dispatch/placement.rs
+++ b/crates/relay/src/dispatch/placement.rs
@@ -93,7 +93,8 @@
         match start_limit(now, demand, self.record, self.urgent_streams) {
             Some(limit) => limit.obstacle(self.load, calls::initial_load(demand)),
             None => {
-                let max_calls = self.record.slots.max(1) * MAX_PLAIN_CALLS_PER_SLOT;
+                let slots = self.record.slots.max(1);
+                let max_calls = slots.saturating_mul(MAX_PLAIN_CALLS_PER_SLOT);
                 (self.load.calls >= max_calls).then_some(TargetObstacle::NoSlot)
             }
         }
