Don't end a live target for a record without a start

Cause: the missing start was read as zero, so the entry counted as another incarnation, and the departure of the live one as final. Its own next entry was ignored.

Change: once a start is known for a name, a record without one removes the target's record, and no more. Targets without any known start are used as before.

--- a/crates/relay/src/directory/table.rs
+++ b/crates/relay/src/directory/table.rs
@@ -432,7 +432,33 @@
         }
     }
 
+    /// Returns whether incarnations of a target with a known start have registered.
+    fn has_known_start(&self, name: &ids::TargetName) -> bool {
+        let has_start = |key: &TargetKey| key.name == *name && key.started_ms > 0;
+        let first = TargetKey {
+            name: name.clone(),
+            started_ms: 0,
+        };
+        let entry = self.entries.get(name);
+        entry.is_some_and(|entry| has_start(&entry.record.key))
+            || self
+                .departures
+                .range(first..)
+                .take(2)
+                .any(|(key, _)| has_start(key))
+    }
+
     fn write_record(&mut self, record: TargetRecord, changes: &mut Vec<TargetChange>) {
+        // Targets always state their start. A record without one comes from another writer and does
+        // not end the incarnation, which may register again.
+        if record.key.started_ms == 0 && self.has_known_start(&record.key.name) {
+            let is_newer = |entry: &TargetEntry| entry.record.revision < record.revision;
+            if self.entries.get(&record.key.name).is_some_and(is_newer) {
+                self.revision = self.revision.max(record.revision);
+                self.remove_record(&record.key.name, changes);
+            }
+            return;
+        }
         if let Some(entry) = self.entries.get_mut(&record.key.name) {
             if entry.record.revision > record.revision {
                 return;
--- a/crates/relay/tests/directory.rs
+++ b/crates/relay/tests/directory.rs
@@ -151,6 +151,21 @@
     assert_eq!(joined_names(&table), "abcd");
 }
 
+/// Guards against a record without a start, by another writer, that ends a live target for good.
+#[test]
+fn apply_changes_record_without_a_start_does_not_end_the_target() {
+    let mut table = table();
+    for revision in [11, 13] {
+        table.apply_changes(START, vec![record("a", 0, revision)], Vec::new());
+        assert_eq!(joined_names(&table), "bcd");
+        let changes = table.apply_changes(START, vec![record("a", 1, revision + 1)], Vec::new());
+        assert_eq!(count_usable(&changes), 1);
+    }
+    table.apply_changes(START, vec![record("a", 0, 15)], Vec::new());
+    table.apply_changes(START, vec![record("a", 0, 16)], Vec::new());
+    assert_eq!(joined_names(&table), "bcd");
+}
+
 /// Time for which a target serves on after its record was removed.
 const DEPARTURE_TIME: Duration = Duration::from_secs(2);
 
