Retry the stop of a run at a target that resets connections

Cause: found while reading the change again. One reset of the request to stop a run, as targets with too many connections send, counted as an unreachable target if its record was gone. Such a target serves on for seconds. And after a caller had left during a resumption, the stop was repeated until the call's deadline, although nobody continued the stream.

Change: only a connection that can't be opened counts as unreachable; a reset is tried again. A cancelled attempt needs no stop.

Neither case has a test of its own.

--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -43,11 +43,15 @@
 }
 
 impl AttemptResult {
-    /// Returns whether the target may still be running the call, as it did not report an end.
+    /// Returns whether the target may still be running a call that goes on elsewhere.
     pub const fn may_run_on(self) -> bool {
         match self {
-            Self::Broken | Self::TimedOut | Self::Cancelled => true,
-            Self::Succeeded { .. } | Self::Failed | Self::NotRun | Self::Unreachable => false,
+            Self::Broken | Self::TimedOut => true,
+            Self::Succeeded { .. }
+            | Self::Failed
+            | Self::NotRun
+            | Self::Unreachable
+            | Self::Cancelled => false,
         }
     }
 }
--- a/crates/relay/src/shell/former_runs.rs
+++ b/crates/relay/src/shell/former_runs.rs
@@ -80,8 +80,10 @@
     Ended(RunEnd),
     /// The run may go on; the target responded.
     Pending,
-    /// The target could not be reached, or did not respond.
+    /// The target accepted the connection at most.
     Unanswered,
+    /// The target can't be reached.
+    Unreachable,
 }
 
 /// Stops a run in the background, unless its target has no migrations.
@@ -121,8 +123,8 @@
         };
         let max_delay = match request_stop(state, request_id, run).await {
             StopReply::Ended(end) => return end,
-            StopReply::Unanswered if !is_known() => return RunEnd::Unreachable,
-            StopReply::Unanswered => MAX_UNANSWERED_DELAY,
+            StopReply::Unreachable if !is_known() => return RunEnd::Unreachable,
+            StopReply::Unreachable | StopReply::Unanswered => MAX_UNANSWERED_DELAY,
             StopReply::Pending => MAX_RETRY_DELAY,
         };
         delay = delay.min(max_delay);
@@ -144,17 +146,12 @@
     );
     let (parts, body) = match client::exchange(source, request, STOP_TIMEOUT).await {
         Ok(response) => response,
-        Err(client::SendError::Unreachable(error))
-            if error.kind() == io::ErrorKind::ConnectionRefused =>
-        {
-            return StopReply::Ended(RunEnd::TargetEnded);
-        }
         Err(error) => {
             log::debug!(
                 "can't stop stream {request_id} at target {}: {error}",
                 run.target.key
             );
-            return StopReply::Unanswered;
+            return unanswered_stop(&error);
         }
     };
     match state.protocol.read_migration_response(parts.status, &body) {
@@ -177,6 +174,21 @@
     }
 }
 
+/// Returns what an error shows of the run. A target that has too many connections resets further
+/// ones, and may go on.
+fn unanswered_stop(error: &client::SendError) -> StopReply {
+    match error {
+        client::SendError::Unreachable(error) => match error.kind() {
+            io::ErrorKind::ConnectionRefused => StopReply::Ended(RunEnd::TargetEnded),
+            io::ErrorKind::ConnectionReset => StopReply::Unanswered,
+            _ => StopReply::Unreachable,
+        },
+        client::SendError::Broken(_)
+        | client::SendError::Incomplete(_)
+        | client::SendError::TimedOut => StopReply::Unanswered,
+    }
+}
+
 /// Stops of a stream's former runs that are not confirmed yet. They go on when the call has ended.
 #[derive(Default)]
 pub(super) struct PendingStops(Vec<(directory::TargetKey, task::JoinHandle<()>)>);
