--- a/crates/relay/src/shell/client.rs
+++ b/crates/relay/src/shell/client.rs
@@ -69,7 +69,7 @@
 
 impl Drop for ConnectionTask {
     fn drop(&mut self) {
-        // Closes the socket immediately, which makes the target stop working on the request.
+        // Closes the socket immediately, which makes most targets drop the request.
         self.0.abort();
     }
 }
