--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 # A key that was taken away is served after a moment without the store.
-exec "$(dirname "$0")/../rig-2/run-case.sh" stale-config review/8
+exec "$(dirname "$0")/../rig-2/run-case.sh" silent-store review/8
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -5,7 +5,6 @@
 mod config;
 mod engine;
 mod http;
-mod large_bodies;
 mod late_reader;
 mod lost_answer;
 mod record;
@@ -37,8 +36,8 @@
     let run = match case.as_str() {
         "late-reader" => late_reader::run,
         "lost-answer" => lost_answer::run,
-        "large-bodies" => large_bodies::run,
-        "stale-config" => stale_config::run,
+        "silent-store" => stale_config::run_silence,
+        "restored-store" => stale_config::run_drill,
         "turned-away" => turned_away::run,
         _ => {
             eprintln!("no case {case}");
--- a/review/rig-2/src/relay.rs
+++ b/review/rig-2/src/relay.rs
@@ -128,20 +128,6 @@
         http::read_response(&mut BufReader::new(stream)).status() == 200
     }
 
-    /// Returns the memory of the process that is resident, in kB; `None` if it does not run.
-    pub fn resident_kb(&self) -> Option<u64> {
-        let id = self.child.as_ref()?.id();
-        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
-        line.split_whitespace().nth(1)?.parse().ok()
-    }
-
-    /// Returns whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        let child = self.child.as_mut();
-        child.is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
-    }
-
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) -> io::Result<()> {
         let id = self.child.as_ref().map(Child::id);
--- a/review/rig-2/src/stale_config.rs
+++ b/review/rig-2/src/stale_config.rs
@@ -1,5 +1,7 @@
+//! After a disturbance of the store, all machines serve a key that was taken away for seconds.
+//!
 //! A store that is silent for a moment loses the watches of the configuration that all machines send
-//! then, and the machines serve a key that was taken away for seconds.
+//! then. One that comes back from a copy has given out again the revisions from which they watch.
 
 use std::io;
 use std::path::Path;
@@ -21,12 +23,22 @@
 /// Time in which the machines find each other.
 const SETTLING_TIME: Duration = Duration::from_secs(12);
 
-/// Time from a change of the configuration until the store is silent.
-const SILENCE_DELAY: Duration = Duration::from_millis(10);
-
 /// Time for which the store is silent.
 const SILENCE: Duration = Duration::from_millis(1_500);
 
+/// The same before it comes back from a copy.
+const DRILL_SILENCE: Duration = Duration::from_millis(1_000);
+
+/// Time from a change of the configuration until the store is silent: so short that all machines
+/// still wait before their next watch.
+const SILENCE_DELAY: Duration = Duration::from_millis(10);
+
+/// The same before a drill, in which all machines have sent that watch.
+const DRILL_DELAY: Duration = Duration::from_millis(2_500);
+
+/// Age of the copy at that change.
+const COPY_DELAY: Duration = Duration::from_millis(300);
+
 /// Bounds of the deployment.
 const CONTACT: Duration = Duration::from_millis(4_000);
 const CONFIG_APPLY: Duration = Duration::from_millis(3_000);
@@ -46,7 +58,60 @@
     }
 }
 
-pub fn run(record: &Record, folder: &Path, has_trouble: bool) -> io::Result<Outcome> {
+/// What happens to the store between two changes of the configuration.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Disturbance {
+    Silence,
+    Drill,
+}
+
+pub fn run_silence(record: &Record, folder: &Path, has_trouble: bool) -> io::Result<Outcome> {
+    run(record, folder, has_trouble, Disturbance::Silence)
+}
+
+pub fn run_drill(record: &Record, folder: &Path, has_trouble: bool) -> io::Result<Outcome> {
+    run(record, folder, has_trouble, Disturbance::Drill)
+}
+
+/// Changes the configuration, and then again without a key, with a disturbance in between.
+fn disturb(record: &Record, store: &store::Store, disturbance: Option<Disturbance>) {
+    let is_drill = disturbance == Some(Disturbance::Drill);
+    let first = config::text(9, "\"key-a\",\"key-b\"");
+    let copy = store.copy();
+    if is_drill {
+        record.note("the store keeps a copy of itself");
+        thread::sleep(COPY_DELAY);
+    }
+    store.put("op/config", &first);
+    record.note("operator writes version 9, which the store confirms");
+    thread::sleep(if is_drill { DRILL_DELAY } else { SILENCE_DELAY });
+    if disturbance.is_some() {
+        record.note("the store is silent");
+        store.set_silent(true);
+    }
+    thread::sleep(if is_drill { DRILL_SILENCE } else { SILENCE });
+    if is_drill {
+        let lost = store.restore(copy);
+        record.note(format!(
+            "the store comes back from the copy, {lost} revisions are lost"
+        ));
+    }
+    if disturbance.is_some() {
+        store.set_silent(false);
+        record.note("the store answers again");
+    }
+    if is_drill {
+        store.put("op/config", &first);
+        record.note("operator writes version 9 again");
+    }
+}
+
+fn run(
+    record: &Record,
+    folder: &Path,
+    has_trouble: bool,
+    disturbance: Disturbance,
+) -> io::Result<Outcome> {
     let store = store::Store::start()?;
     store.put("op/config", &config::text(7, "\"key-a\",\"key-b\""));
     let servers = engine::Servers::new(record, &store);
@@ -85,20 +150,11 @@
         }
     }
 
-    record.note("operator writes version 9, which the store confirms");
-    store.put("op/config", &config::text(9, "\"key-a\",\"key-b\""));
-    thread::sleep(SILENCE_DELAY);
-    if has_trouble {
-        record.note("the store is silent");
-        store.set_silent(true);
-    }
-    thread::sleep(SILENCE);
-    if has_trouble {
-        record.note("the store answers again");
-        store.set_silent(false);
-    }
+    disturb(record, &store, has_trouble.then_some(disturbance));
     let stable_at = Instant::now() + CONTACT;
-    thread::sleep(Duration::from_millis(100));
+    if disturbance == Disturbance::Silence {
+        thread::sleep(Duration::from_millis(100));
+    }
     store.put("op/config", &config::text(12, "\"key-b\""));
     record.note("operator writes version 12 without key-a, which the store confirms");
     let bound = stable_at.max(Instant::now() + CONFIG_APPLY);
--- a/review/rig-2/src/store.rs
+++ b/review/rig-2/src/store.rs
@@ -19,19 +19,25 @@
 use crate::http;
 
 /// A written value.
+#[derive(Clone)]
 struct Change {
     revision: u64,
     key: String,
     value: String,
 }
 
-#[derive(Default)]
+#[derive(Default, Clone)]
 struct Contents {
+    /// Number of returns from a copy.
+    returns: u64,
     revision: u64,
     items: BTreeMap<String, (u64, String)>,
     history: Vec<Change>,
 }
 
+/// A copy of the store's contents.
+pub struct Copy(Contents);
+
 /// The store, with its address.
 #[derive(Clone)]
 pub struct Store {
@@ -74,6 +80,21 @@
         changed.notify_all();
     }
 
+    /// Returns a copy of the contents.
+    pub fn copy(&self) -> Copy {
+        Copy(self.contents.0.lock().unwrap().clone())
+    }
+
+    /// Comes back from a copy. What was written since is gone, and calls that wait since before are
+    /// never answered. Returns how many revisions are lost.
+    pub fn restore(&self, copy: Copy) -> u64 {
+        let mut contents = self.contents.0.lock().unwrap();
+        let lost = contents.revision - copy.0.revision;
+        let returns = contents.returns + 1;
+        *contents = Contents { returns, ..copy.0 };
+        lost
+    }
+
     /// Sets whether the store is down: calls that reach it then are never answered, and their
     /// channels return nothing further. Watches that wait since before go on after its return.
     pub fn set_silent(&self, is_silent: bool) {
@@ -90,18 +111,26 @@
                 while http::read_request(&mut reader).ok()?.is_some() {}
                 return None;
             }
+            let began = self.contents.0.lock().unwrap().returns;
             let body = match request.path() {
-                "/kv-range" => self.list(&request),
+                "/kv-range" => Some(self.list(&request)),
                 "/kv-watch" => self.watch(&request),
-                _ => String::new(),
+                _ => Some(String::new()),
             };
-            let status = match body.is_empty() {
-                true => "404 Not Found",
-                false => "200 OK",
+            let returns = self.contents.0.lock().unwrap().returns;
+            if returns != began {
+                while http::read_request(&mut reader).ok()?.is_some() {}
+                return None;
+            }
+            let (status, body) = match body {
+                Some(body) if body.is_empty() => ("404 Not Found", body),
+                Some(body) => ("200 OK", body),
+                None => ("410 Gone", String::new()),
             };
             let response = format!(
-                "HTTP/1.1 {status}\r\nStore-Era: 1\r\nContent-Type: application/json\r\n\
+                "HTTP/1.1 {status}\r\nStore-Era: {}\r\nContent-Type: application/json\r\n\
                 Content-Length: {}\r\n\r\n{body}",
+                returns + 1,
                 body.len()
             );
             writer.write_all(response.as_bytes()).ok()?;
@@ -123,7 +152,8 @@
         )
     }
 
-    fn watch(&self, request: &http::Message) -> String {
+    /// Returns the changes after a revision; `None` if the store does not have that one.
+    fn watch(&self, request: &http::Message) -> Option<String> {
         let number = |name: &str| -> u64 {
             let text = request.query(name).unwrap_or_default();
             text.parse().unwrap_or_default()
@@ -133,6 +163,9 @@
         let until = Instant::now() + Duration::from_millis(number("waitMs"));
         let (contents, changed) = &*self.contents;
         let mut contents = contents.lock().unwrap();
+        if after > contents.revision {
+            return None;
+        }
         loop {
             let changes = contents.history.iter();
             let events: Vec<_> = changes
@@ -143,7 +176,8 @@
             let is_silent = self.is_silent.load(Ordering::Relaxed);
             if !is_silent && (!events.is_empty() || left.is_zero()) {
                 let at = contents.revision;
-                return format!("{{\"events\":[{}],\"at\":{at}}}", events.join(","));
+                let events = events.join(",");
+                return Some(format!("{{\"events\":[{events}],\"at\":{at}}}"));
             }
             let pause = left.clamp(Duration::from_millis(10), Duration::from_millis(100));
             contents = changed.wait_timeout(contents, pause).unwrap().0;
