--- a/review/rig-2/run-case.sh
+++ b/review/rig-2/run-case.sh
@@ -16,7 +16,9 @@
 # Ends what the case has started, also if this script is ended.
 finish() {
     if [ -n "$runner" ]; then
-        kill -9 "$runner" 2>/dev/null
+        # `timeout` passes the signal on.
+        kill "$runner" 2>/dev/null
+        wait "$runner" 2>/dev/null
     fi
     if [ -f "$temporary/pids" ]; then
         while read -r pid; do
