--- a/review/rig-2/src/relay.rs
+++ b/review/rig-2/src/relay.rs
@@ -156,14 +156,14 @@
 
 /// Returns a loopback address at which the port of the metrics is free.
 fn free_ip() -> io::Result<String> {
-    let seed = std::process::id();
+    // Each process has addresses of its own, so that several cases can run at the same time.
+    let process = std::process::id();
     for attempt in 0..200_u32 {
-        let number = seed.wrapping_mul(7).wrapping_add(attempt);
         let ip = format!(
             "127.{}.{}.{}",
-            64 + number % 128,
-            seed / 251 % 250,
-            2 + number % 250
+            64 + process % 128,
+            process / 128 % 250,
+            2 + attempt
         );
         if USED.lock().unwrap().contains(&ip) {
             continue;
--- a/review/rig-2/src/stale_config.rs
+++ b/review/rig-2/src/stale_config.rs
@@ -29,11 +29,11 @@
 /// The same before it comes back from a copy.
 const DRILL_SILENCE: Duration = Duration::from_millis(1_000);
 
-/// Time from a change of the configuration until the store is silent: so short that all machines
-/// still wait before their next watch.
-const SILENCE_DELAY: Duration = Duration::from_millis(10);
+/// Longest time from a change of the configuration until the store is silent. It is silent as soon as
+/// all machines have read the change, while they wait before their next watch.
+const MAX_SILENCE_DELAY: Duration = Duration::from_millis(100);
 
-/// The same before a drill, in which all machines have sent that watch.
+/// Time from that change to a drill, in which all machines have sent their next watch.
 const DRILL_DELAY: Duration = Duration::from_millis(2_500);
 
 /// Age of the copy at that change.
@@ -84,7 +84,13 @@
     }
     store.put("op/config", &first);
     record.note("operator writes version 9, which the store confirms");
-    thread::sleep(if is_drill { DRILL_DELAY } else { SILENCE_DELAY });
+    let changed_at = Instant::now();
+    if is_drill {
+        thread::sleep(DRILL_DELAY);
+    }
+    while !is_drill && store.waiting_watches() > 0 && changed_at.elapsed() < MAX_SILENCE_DELAY {
+        thread::sleep(Duration::from_millis(1));
+    }
     if disturbance.is_some() {
         record.note("the store is silent");
         store.set_silent(true);
--- a/review/rig-2/src/store.rs
+++ b/review/rig-2/src/store.rs
@@ -11,6 +11,7 @@
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -44,6 +45,8 @@
     pub address: SocketAddr,
     contents: Arc<(Mutex<Contents>, Condvar)>,
     is_silent: Arc<AtomicBool>,
+    /// Number of watches of the configuration that wait.
+    waiting: Arc<AtomicUsize>,
 }
 
 impl Store {
@@ -53,6 +56,7 @@
             address: listener.local_addr()?,
             contents: Arc::default(),
             is_silent: Arc::default(),
+            waiting: Arc::default(),
         };
         let served = store.clone();
         thread::spawn(move || {
@@ -80,6 +84,11 @@
         changed.notify_all();
     }
 
+    /// Returns how many watches of the configuration wait.
+    pub fn waiting_watches(&self) -> usize {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
     /// Returns a copy of the contents.
     pub fn copy(&self) -> Copy {
         Copy(self.contents.0.lock().unwrap().clone())
@@ -114,7 +123,7 @@
             let began = self.contents.0.lock().unwrap().returns;
             let body = match request.path() {
                 "/kv-range" => Some(self.list(&request)),
-                "/kv-watch" => self.watch(&request),
+                "/kv-watch" => self.count_watch(&request),
                 _ => Some(String::new()),
             };
             let returns = self.contents.0.lock().unwrap().returns;
@@ -152,6 +161,15 @@
         )
     }
 
+    fn count_watch(&self, request: &http::Message) -> Option<String> {
+        let prefix = request.query("pathPrefix").unwrap_or_default();
+        let count = usize::from(prefix.starts_with("op/"));
+        self.waiting.fetch_add(count, Ordering::Relaxed);
+        let changes = self.watch(request);
+        self.waiting.fetch_sub(count, Ordering::Relaxed);
+        changes
+    }
+
     /// Returns the changes after a revision; `None` if the store does not have that one.
     fn watch(&self, request: &http::Message) -> Option<String> {
         let number = |name: &str| -> u64 {
