Don't refuse a stream that an earlier target may have run

Cause: `serve` in stream.rs refused a call that no further target took, whatever earlier attempts had come to. Only the `serve` of buffered calls asked for `may_have_run`.

Change: `buffered::end_unplaced` ends all calls without a response of a target. It takes the counts of earlier attempts and refuses only if none may have run, else answers 502 or 504. So every reason for a refusal is covered, also those that come up while the relay stops.

Ruled out: refusals of resumptions within a response, which have no status any more; refusals by the intake, before anything is sent; targets' own 408, 429 and 503, which need `Not-Executed`.

--- a/crates/relay/src/shell/buffered.rs
+++ b/crates/relay/src/shell/buffered.rs
@@ -72,7 +72,8 @@
 /// What to do after an attempt.
 enum NextStep {
     Retry,
-    Refuse(dispatch::RefusalReason),
+    /// No further target is tried.
+    GiveUp(dispatch::RefusalReason),
     Respond(responses::CallResponse, &'static str),
 }
 
@@ -85,13 +86,7 @@
     loop {
         let target = match place_call(state, &mut call).await {
             Ok(placement) => placement.target,
-            Err(refusal) if counts.may_have_run == 0 => {
-                return refuse_call(state, &mut call, &refusal);
-            }
-            Err(_) => {
-                call.guard.record_outcome("unknown");
-                return unknown_outcome_response(state, &call.demand);
-            }
+            Err(refusal) => return end_unplaced(state, &mut call, &counts, &refusal),
         };
         let started_at = state.now();
         let outcome = send_attempt(state, &call, &target, &counts).await;
@@ -114,12 +109,12 @@
     call.demand.tried.push(target.key.name.clone());
     match next_step(state, call, counts, outcome) {
         NextStep::Retry => None,
-        NextStep::Refuse(reason) => {
+        NextStep::GiveUp(reason) => {
             let refusal = dispatch::CallRefusal {
                 reason,
                 retry_after: call.demand.target_latency / 2,
             };
-            Some(refuse_call(state, call, &refusal))
+            Some(end_unplaced(state, call, counts, &refusal))
         }
         NextStep::Respond(response, label) => {
             call.guard.record_outcome(label);
@@ -226,8 +221,29 @@
     state.record(&record);
 }
 
-/// Records a refusal and returns its response. Only for calls that no target has run.
-pub(super) fn refuse_call(
+/// Ends a call that no further target takes: with a refusal only if none can have run it, as a refusal
+/// promises.
+pub(super) fn end_unplaced(
+    state: &RelayState,
+    call: &mut intake::AcceptedCall,
+    counts: &AttemptCounts,
+    refusal: &dispatch::CallRefusal,
+) -> responses::CallResponse {
+    if counts.may_have_run == 0 {
+        return refuse_call(state, call, refusal);
+    }
+    let record = call
+        .record(telemetry::RecordKind::Ended)
+        .fingerprint(call.demand.fingerprint)
+        .outcome("unknown")
+        .after(state.now().since(call.demand.arrived_at));
+    state.record(&record);
+    call.guard.record_outcome("unknown");
+    unknown_outcome_response(state, &call.demand)
+}
+
+/// Records a refusal and returns its response.
+fn refuse_call(
     state: &RelayState,
     call: &mut intake::AcceptedCall,
     refusal: &dispatch::CallRefusal,
@@ -416,7 +432,7 @@
             {
                 return NextStep::Retry;
             }
-            end_without_response(counts, dispatch::RefusalReason::TargetsRefused)
+            NextStep::GiveUp(dispatch::RefusalReason::TargetsRefused)
         }
         AttemptOutcome::Unreachable => {
             counts.unreachable += 1;
@@ -425,7 +441,7 @@
             if counts.unreachable < MIN_UNREACHABLE_ATTEMPTS || waited < max_wait {
                 return NextStep::Retry;
             }
-            end_without_response(counts, dispatch::RefusalReason::NoTarget)
+            NextStep::GiveUp(dispatch::RefusalReason::NoTarget)
         }
         AttemptOutcome::Unknown(_) => {
             counts.may_have_run += 1;
@@ -453,18 +469,6 @@
         && state.try_acquire_repeat(&call.demand.service, dispatch::RepeatKind::Retry)
 }
 
-/// Ends a call without a response of a target: refuses it if no target can have run it.
-fn end_without_response(counts: &AttemptCounts, reason: dispatch::RefusalReason) -> NextStep {
-    match counts.may_have_run {
-        0 => NextStep::Refuse(reason),
-        _ => {
-            let response =
-                responses::text_response(StatusCode::BAD_GATEWAY, "no answer of the target");
-            NextStep::Respond(response, "unknown")
-        }
-    }
-}
-
 /// Returns the response to a call that a target may have run.
 fn unknown_outcome_response(
     state: &RelayState,
--- a/crates/relay/src/shell/stream.rs
+++ b/crates/relay/src/shell/stream.rs
@@ -45,7 +45,7 @@
     loop {
         let placement = match buffered::place_call(state, &mut call).await {
             Ok(placement) => placement,
-            Err(refusal) => return buffered::refuse_call(state, &mut call, &refusal),
+            Err(refusal) => return buffered::end_unplaced(state, &mut call, &counts, &refusal),
         };
         call.pending_stops.cancel(&placement.target.key);
         if let Some(target) = former_target.take() {
