--- a/crates/relay/src/membership/table.rs
+++ b/crates/relay/src/membership/table.rs
@@ -153,6 +153,12 @@
         lower.take(READERS_PER_CELL).count() < READERS_PER_CELL
     }
 
+    /// Returns whether this relay has the lowest position of all known ones.
+    pub fn is_first(&self) -> bool {
+        let mut members = self.members.values();
+        members.all(|member| member.position > self.own_position)
+    }
+
     /// Returns about how many relays read the targets from the directory.
     pub fn reader_count(&self) -> usize {
         match self.has_readers() {
--- a/crates/relay/src/shell/directory_feed.rs
+++ b/crates/relay/src/shell/directory_feed.rs
@@ -51,6 +51,11 @@
         self.members.borrow().is_reader()
     }
 
+    /// Returns whether this is the first relay of the fleet, in an order that all relays agree on.
+    pub fn is_first_relay(&self) -> bool {
+        self.members.borrow().is_first()
+    }
+
     /// Returns whether some relays read the directory's targets for the others.
     pub fn has_directory_readers(&self) -> bool {
         self.members.borrow().has_readers()
