Count the memory of responses as they arrive

Cause: 8 MB of each response were read, also where the head shows that it is no answer, 400 kB of each head, and any number of informational responses; up to 64 events of any length were queued for a caller. Nothing bounded the sums.

Change: responses that are no answer aren't read on. Other bodies and partial events count in one account as their buffers grow. Heads have 32 kB, and 256 kB may arrive before one is complete. 64 kB of events are queued for a caller.

--- a/crates/relay/src/protocol/events.rs
+++ b/crates/relay/src/protocol/events.rs
@@ -62,6 +62,11 @@
         !self.buffer.is_empty()
     }
 
+    /// Returns the number of bytes that the buffer holds.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns true if the buffer holds an incomplete event that is longer than any event may be;
     /// the caller stops reading the stream then, so that the buffer stays bounded.
     pub fn has_overlong_event(&self) -> bool {
--- a/crates/relay/src/shell/buffered.rs
+++ b/crates/relay/src/shell/buffered.rs
@@ -8,7 +8,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http::response;
+
 use http_body_util::Full;
 use kingcupfall_core::time;
 
@@ -39,7 +39,7 @@
 /// Outcome of one attempt.
 pub(super) enum AttemptOutcome {
     /// A complete response to be returned to the caller, with its classification.
-    Responded(response::Parts, Bytes, protocol::ResponseClass),
+    Responded(client::BufferedResponse, protocol::ResponseClass),
     /// The target responded that it did not run the request.
     NotRun,
     /// No connection could be opened, so nothing was sent.
@@ -294,13 +294,25 @@
     };
     let request = forwarded_request(state, call, &head);
     let sent_at = state.now();
-    let mut exchange = std::pin::pin!(client::exchange(target.address, request, time_left));
+    let exchange = async {
+        let response = client::send(target.address, request).await?;
+        state.handle_notice(&target.key, sent_at, &response.parts);
+        Ok(read_response(state, call, response).await)
+    };
+    let deadline = state.instant(call.demand.deadline);
+    let exchange = async {
+        match tokio::time::timeout_at(deadline, exchange).await {
+            Ok(result) => attempt_outcome(result),
+            Err(_) => AttemptOutcome::Unknown(dispatch::AttemptResult::TimedOut),
+        }
+    };
+    let mut exchange = std::pin::pin!(exchange);
     let may_retry = call.route.kind == directory::CallKind::Idempotent
         && counts.may_have_run + 1 < call.route.max_attempts;
     if may_retry {
         let timeout = time_left.mul_f64(RETRYABLE_ATTEMPT_SHARE);
         match tokio::time::timeout(timeout, exchange.as_mut()).await {
-            Ok(result) => return attempt_outcome(state, call, target, sent_at, result),
+            Ok(outcome) => return outcome,
             Err(_) if try_acquire_replacement(state, call, target) => {
                 return AttemptOutcome::Abandoned;
             }
@@ -308,7 +320,7 @@
             Err(_) => {}
         }
     }
-    attempt_outcome(state, call, target, sent_at, exchange.await)
+    exchange.await
 }
 
 /// Takes a retry from the budget that replaces an attempt at a silent target, if another target is
@@ -324,18 +336,9 @@
     has_other_target && state.try_acquire_repeat(&call.demand.service, dispatch::RepeatKind::Retry)
 }
 
-fn attempt_outcome(
-    state: &RelayState,
-    call: &intake::AcceptedCall,
-    target: &directory::TargetRecord,
-    sent_at: time::Timestamp,
-    result: client::Result<(response::Parts, Bytes)>,
-) -> AttemptOutcome {
+fn attempt_outcome(result: client::Result<AttemptOutcome>) -> AttemptOutcome {
     match result {
-        Ok((parts, body)) => {
-            state.handle_notice(&target.key, sent_at, &parts);
-            classify_attempt(state, call, parts, body)
-        }
+        Ok(outcome) => outcome,
         Err(client::SendError::Unreachable(_)) => AttemptOutcome::Unreachable,
         Err(client::SendError::Broken(_) | client::SendError::Incomplete(_)) => {
             AttemptOutcome::Unknown(dispatch::AttemptResult::Broken)
@@ -346,23 +349,32 @@
     }
 }
 
-/// Classifies a complete response.
-pub(super) fn classify_attempt(
+/// Reads a response whose head has arrived. The body is read only if the head shows that it is the
+/// target's own answer.
+pub(super) async fn read_response(
     state: &RelayState,
     call: &intake::AcceptedCall,
-    parts: response::Parts,
-    body: Bytes,
+    response: client::OpenResponse,
 ) -> AttemptOutcome {
-    match state
+    let class = state
         .protocol
-        .classify_response(&parts, &call.head.request_id)
-    {
-        protocol::ResponseClass::NotRun => AttemptOutcome::NotRun,
+        .classify_response(&response.parts, &call.head.request_id);
+    match class {
+        protocol::ResponseClass::NotRun => return AttemptOutcome::NotRun,
         protocol::ResponseClass::Foreign => {
-            AttemptOutcome::Unknown(dispatch::AttemptResult::Broken)
+            return AttemptOutcome::Unknown(dispatch::AttemptResult::Broken);
         }
-        class @ (protocol::ResponseClass::Success | protocol::ResponseClass::Failure) => {
-            AttemptOutcome::Responded(parts, body, class)
+        protocol::ResponseClass::Success | protocol::ResponseClass::Failure => {}
+    }
+    let account = &state.memory.responses;
+    match response
+        .read_buffered(client::MAX_RESPONSE_BYTES, account)
+        .await
+    {
+        Ok(response) => AttemptOutcome::Responded(response, class),
+        Err(error) => {
+            log::debug!("request {}: {error}", call.head.request_id);
+            AttemptOutcome::Unknown(dispatch::AttemptResult::Broken)
         }
     }
 }
@@ -377,7 +389,7 @@
 ) {
     let took = state.now().since(started_at);
     let (result, label) = match outcome {
-        AttemptOutcome::Responded(_, _, protocol::ResponseClass::Success) => {
+        AttemptOutcome::Responded(_, protocol::ResponseClass::Success) => {
             (dispatch::AttemptResult::Succeeded { took }, None)
         }
         AttemptOutcome::Responded(..) => (dispatch::AttemptResult::Failed, Some("failed")),
@@ -412,10 +424,10 @@
 ) -> NextStep {
     let is_repeatable = call.route.is_repeatable();
     match outcome {
-        AttemptOutcome::Responded(parts, body, class) => {
+        AttemptOutcome::Responded(response, class) => {
             counts.may_have_run += 1;
-            let is_failure =
-                class == protocol::ResponseClass::Failure && parts.status.is_server_error();
+            let is_failure = class == protocol::ResponseClass::Failure
+                && response.parts.status.is_server_error();
             if is_failure && is_repeatable && try_acquire_retry(state, call, counts) {
                 return NextStep::Retry;
             }
@@ -423,7 +435,7 @@
                 protocol::ResponseClass::Success => "completed",
                 _ => "target_failure",
             };
-            NextStep::Respond(buffered_response(state, parts, body), label)
+            NextStep::Respond(buffered_response(state, response), label)
         }
         AttemptOutcome::NotRun => {
             counts.not_run += 1;
@@ -484,10 +496,15 @@
 /// Converts a target's complete response into the response to the caller.
 fn buffered_response(
     state: &RelayState,
-    parts: response::Parts,
-    body: Bytes,
+    target_response: client::BufferedResponse,
 ) -> responses::CallResponse {
-    let mut response = Response::new(responses::ResponseBody::Buffered(Full::new(body)));
+    let client::BufferedResponse {
+        parts,
+        body,
+        reservation,
+    } = target_response;
+    let body = responses::BufferedBody::new(body, Some(reservation));
+    let mut response = Response::new(responses::ResponseBody::Buffered(body));
     *response.status_mut() = parts.status;
     *response.headers_mut() = state.protocol.response_headers(&parts.headers);
     response
--- a/crates/relay/src/shell/client.rs
+++ b/crates/relay/src/shell/client.rs
@@ -1,26 +1,34 @@
 //! Connections to targets, peers and the platform.
 
+use std::cell::Cell;
 use std::io;
 use std::net;
+use std::pin::Pin;
+use std::rc::Rc;
 use std::result;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
 use http::response;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio::task;
 use tokio::time;
 
+use super::memory;
+
 /// Time limit for opening a connection: some ten round trips between regions, and less than the one
 /// second after which the kernel retransmits a lost SYN.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -35,7 +43,17 @@
 const KEEPALIVE_PROBES: u32 = 2;
 
 /// Size limit of a buffered response body.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+pub(super) const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+
+/// Size limit of the body of a response to a request of the relay itself, such as a report.
+const MAX_REPLY_BYTES: usize = 256 * 1024;
+
+/// Size limit of the head of a response, and of the part of a body that the connection buffers.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
+/// Bytes that may arrive before the head of the response is complete, informational responses
+/// included: several heads, and the start of the body that may be read with them.
+const MAX_BYTES_BEFORE_BODY: usize = 8 * MAX_HEAD_BYTES;
 
 /// Result of a request to a target.
 pub(super) type Result<T> = result::Result<T, SendError>;
@@ -53,7 +71,7 @@
             from()
             display("connection broke before the response was received: {}", error)
         }
-        /// The body broke off, or exceeds the size limit for buffered responses.
+        /// The body broke off, or exceeds its size limit or the memory that is left.
         Incomplete(reason: Box<str>) {
             display("incomplete response body: {}", reason)
         }
@@ -82,20 +100,95 @@
 }
 
 impl OpenResponse {
-    /// Reads the body to its end.
+    /// Reads the body to its end. Returns it with the memory that is reserved for it.
     ///
     /// # Errors
     ///
-    /// [`SendError::Incomplete`] if the body breaks off or exceeds the size limit.
-    pub(super) async fn read_buffered(self) -> Result<(response::Parts, Bytes)> {
-        let limited = Limited::new(self.body, MAX_BUFFERED_RESPONSE_BYTES);
-        match limited.collect().await {
-            Ok(collected) => Ok((self.parts, collected.to_bytes())),
+    /// [`SendError::Incomplete`] if the body breaks off, or exceeds the size limit or the memory that
+    /// is left.
+    pub(super) async fn read_buffered(
+        self,
+        max_bytes: usize,
+        account: &Rc<memory::MemoryAccount>,
+    ) -> Result<BufferedResponse> {
+        let mut reservation = account.reserve_nothing();
+        let read = memory::read_body(self.body, max_bytes, 0, &mut reservation);
+        match read.await {
+            Ok(body) => Ok(BufferedResponse {
+                parts: self.parts,
+                body,
+                reservation,
+            }),
             Err(error) => Err(SendError::Incomplete(error.to_string().into())),
         }
     }
 }
 
+/// A response that has been read to its end.
+pub(super) struct BufferedResponse {
+    pub(super) parts: response::Parts,
+    pub(super) body: Bytes,
+    /// Memory that the body takes.
+    pub(super) reservation: memory::MemoryReservation,
+}
+
+/// A socket whose reads fail when too many bytes arrive before the head of the response is complete.
+/// The HTTP library skips any number of informational responses.
+struct HeadLimitSocket {
+    inner: TcpStream,
+    /// Bytes that may still arrive; `None` once the head is complete.
+    bytes_left: Rc<Cell<Option<usize>>>,
+}
+
+impl AsyncRead for HeadLimitSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled_before = buffer.filled().len();
+        let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
+        let Some(left) = self.bytes_left.get() else {
+            return polled;
+        };
+        match left.checked_sub(buffer.filled().len() - filled_before) {
+            Some(left) => self.bytes_left.set(Some(left)),
+            None => return Poll::Ready(Err(io::ErrorKind::InvalidData.into())),
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for HeadLimitSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(context, parts)
+    }
+}
+
 /// Opens a connection that detects the loss of the other end.
 ///
 /// # Errors
@@ -129,12 +222,15 @@
 pub(super) struct OpenConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: ConnectionTask,
+    /// Bytes that may arrive before the head of the response is complete.
+    head_bytes_left: Rc<Cell<Option<usize>>>,
 }
 
 impl OpenConnection {
     /// Sends a request and returns the response once its head has arrived.
     pub(super) async fn send(mut self, request: Request<Full<Bytes>>) -> Result<OpenResponse> {
         let response = self.sender.send_request(request).await?;
+        self.head_bytes_left.set(None);
         let (parts, body) = response.into_parts();
         Ok(OpenResponse {
             parts,
@@ -151,8 +247,14 @@
 /// [`SendError::Unreachable`] if no connection can be opened.
 pub(super) async fn open(address: net::SocketAddr) -> Result<OpenConnection> {
     let stream = connect(address).await.map_err(SendError::Unreachable)?;
+    let head_bytes_left = Rc::new(Cell::new(Some(MAX_BYTES_BEFORE_BODY)));
+    let socket = HeadLimitSocket {
+        inner: stream,
+        bytes_left: Rc::clone(&head_bytes_left),
+    };
     let (sender, connection) = http1::Builder::new()
-        .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake::<_, Full<Bytes>>(TokioIo::new(socket))
         .await?;
     let task = task::spawn_local(async move {
         // `send_request` and the body report a broken connection.
@@ -161,6 +263,7 @@
     Ok(OpenConnection {
         sender,
         task: ConnectionTask(task),
+        head_bytes_left,
     })
 }
 
@@ -172,14 +275,19 @@
     open(address).await?.send(request).await
 }
 
-/// Sends a request and returns the buffered response, all within `timeout`.
+/// Sends a request of the relay itself and returns the buffered response, all within `timeout`.
 pub(super) async fn exchange(
     address: net::SocketAddr,
     request: Request<Full<Bytes>>,
     timeout: Duration,
+    account: &Rc<memory::MemoryAccount>,
 ) -> Result<(response::Parts, Bytes)> {
-    let exchanged = async { send(address, request).await?.read_buffered().await };
-    time::timeout(timeout, exchanged)
-        .await
-        .unwrap_or(Err(SendError::TimedOut))
+    let exchanged = async {
+        let response = send(address, request).await?;
+        response.read_buffered(MAX_REPLY_BYTES, account).await
+    };
+    match time::timeout(timeout, exchanged).await {
+        Ok(response) => response.map(|response| (response.parts, response.body)),
+        Err(_) => Err(SendError::TimedOut),
+    }
 }
--- a/crates/relay/src/shell/engine_reports.rs
+++ b/crates/relay/src/shell/engine_reports.rs
@@ -52,7 +52,14 @@
 
 async fn read_report(state: Rc<RelayState>, target: Rc<directory::TargetRecord>) {
     let request = state.protocol.report_request(target.address);
-    let (parts, body) = match client::exchange(target.address, request, REPORT_TIMEOUT).await {
+    let (parts, body) = match client::exchange(
+        target.address,
+        request,
+        REPORT_TIMEOUT,
+        &state.memory.responses,
+    )
+    .await
+    {
         Ok(response) => response,
         Err(error) => {
             return log::debug!("can't read the report of target {}: {error}", target.key);
--- a/crates/relay/src/shell/former_runs.rs
+++ b/crates/relay/src/shell/former_runs.rs
@@ -144,16 +144,17 @@
         destination,
         protocol::MigrationMode::Final,
     );
-    let (parts, body) = match client::exchange(source, request, STOP_TIMEOUT).await {
-        Ok(response) => response,
-        Err(error) => {
-            log::debug!(
-                "can't stop stream {request_id} at target {}: {error}",
-                run.target.key
-            );
-            return unanswered_stop(&error);
-        }
-    };
+    let (parts, body) =
+        match client::exchange(source, request, STOP_TIMEOUT, &state.memory.responses).await {
+            Ok(response) => response,
+            Err(error) => {
+                log::debug!(
+                    "can't stop stream {request_id} at target {}: {error}",
+                    run.target.key
+                );
+                return unanswered_stop(&error);
+            }
+        };
     match state.protocol.read_migration_response(parts.status, &body) {
         protocol::MigrationResponse::Copied { handle } => {
             memory_migration::discard_copy(state, handle, &[source, destination]);
--- a/crates/relay/src/shell/forwarder.rs
+++ b/crates/relay/src/shell/forwarder.rs
@@ -14,6 +14,7 @@
 use super::buffered;
 use super::client;
 use super::intake;
+use super::memory;
 use super::memory_migration;
 use super::responses;
 use super::silence;
@@ -61,6 +62,36 @@
     MigrationDue,
 }
 
+/// Memory for an event that is not complete yet. It stays reserved until the stream ends, as the
+/// event then waits for the caller.
+struct EventMemory {
+    reservation: memory::MemoryReservation,
+    bytes: usize,
+}
+
+impl EventMemory {
+    fn new(state: &RelayState) -> Self {
+        Self {
+            reservation: state.memory.responses.reserve_nothing(),
+            bytes: memory::UNCOUNTED_BYTES,
+        }
+    }
+
+    /// Returns whether memory is reserved for a partial event of this length, now at the latest.
+    fn covers(&mut self, length: usize) -> bool {
+        if length <= self.bytes {
+            return true;
+        }
+        // The parser's buffer doubles as it grows.
+        let more = 2 * length - self.bytes;
+        let is_reserved = self.reservation.grow_fairly(more as u64);
+        if is_reserved {
+            self.bytes += more;
+        }
+        is_reserved
+    }
+}
+
 /// Forwards one stream, through any number of resumptions.
 pub(super) struct StreamForwarder {
     pub(super) state: Rc<RelayState>,
@@ -74,6 +105,7 @@
     pub(super) upstream: Option<client::OpenResponse>,
     pub(super) sender: responses::StreamSender,
     pub(super) parser: protocol::EventParser,
+    event_memory: EventMemory,
     pub(super) last_event_id: Option<u64>,
     pub(super) event_count: u64,
     /// Whether the current target has sent an event.
@@ -104,6 +136,7 @@
         let now = state.now();
         counts.may_have_run += 1;
         Self {
+            event_memory: EventMemory::new(&state),
             last_event_id: call.resumed_after(),
             state,
             call,
@@ -218,7 +251,9 @@
                 return Some(end);
             }
         }
-        if self.parser.has_overlong_event() {
+        if self.parser.has_overlong_event()
+            || !self.event_memory.covers(self.parser.buffered_bytes())
+        {
             return self.recover("an event is too long").await;
         }
         None
--- a/crates/relay/src/shell/intake.rs
+++ b/crates/relay/src/shell/intake.rs
@@ -21,8 +21,8 @@
 use tokio::sync::mpsc;
 
 use super::former_runs;
+use super::memory;
 use super::responses;
-use super::state;
 use super::state::RelayState;
 use crate::directory;
 use crate::dispatch;
@@ -65,7 +65,7 @@
     pub(super) demand: dispatch::CallDemand,
     pub(super) guard: CallGuard,
     pub(super) pending_stops: former_runs::PendingStops,
-    _body_reservation: state::BodyReservation,
+    _body_reservation: memory::MemoryReservation,
 }
 
 /// Closes a call when its task ends or is dropped, and records its outcome.
@@ -237,7 +237,7 @@
     limits: Option<directory::CallerLimits>,
     head: &protocol::CallHead,
     arrived_at: time::Timestamp,
-) -> Result<(Bytes, state::BodyReservation)> {
+) -> Result<(Bytes, memory::MemoryReservation)> {
     let max_body_bytes = limits.map_or(u64::MAX, |limits| limits.body.get());
     let declared_bytes = body::Body::size_hint(&body).lower();
     if declared_bytes > max_body_bytes {
@@ -248,7 +248,11 @@
             StatusCode::PAYLOAD_TOO_LARGE,
         ));
     }
-    let Some(body_reservation) = state.reserve_body(declared_bytes + REQUEST_OVERHEAD_BYTES) else {
+    let Some(body_reservation) = state
+        .memory
+        .requests
+        .reserve(declared_bytes + REQUEST_OVERHEAD_BYTES)
+    else {
         let reason = dispatch::RefusalReason::Overloaded;
         let mut response = refuse_request(state, head, reason, MEMORY_RETRY_AFTER);
         responses::close_connection_after(&mut response);
--- a/crates/relay/src/shell/memory_migration.rs
+++ b/crates/relay/src/shell/memory_migration.rs
@@ -47,20 +47,26 @@
         target.address,
         protocol::MigrationMode::Copy,
     );
-    let response =
-        match client::exchange(source.address, migration_request, MIGRATION_TIMEOUT).await {
-            Ok((parts, body)) => {
-                state.handle_notice(&source.key, started_at, &parts);
-                Some(state.protocol.read_migration_response(parts.status, &body))
-            }
-            Err(error) => {
-                log::debug!(
-                    "can't migrate stream {request_id} from target {}: {error}",
-                    source.key
-                );
-                None
-            }
-        };
+    let response = match client::exchange(
+        source.address,
+        migration_request,
+        MIGRATION_TIMEOUT,
+        &state.memory.responses,
+    )
+    .await
+    {
+        Ok((parts, body)) => {
+            state.handle_notice(&source.key, started_at, &parts);
+            Some(state.protocol.read_migration_response(parts.status, &body))
+        }
+        Err(error) => {
+            log::debug!(
+                "can't migrate stream {request_id} from target {}: {error}",
+                source.key
+            );
+            None
+        }
+    };
 
     MigrationReport {
         source: source.address,
@@ -99,8 +105,9 @@
             return;
         };
         let handle = handle.clone();
+        let account = Rc::clone(&state.memory.responses);
         task::spawn_local(async move {
-            match client::exchange(address, discard_request, DISCARD_TIMEOUT).await {
+            match client::exchange(address, discard_request, DISCARD_TIMEOUT, &account).await {
                 Ok((parts, _)) => log::debug!(
                     "request to discard copy {handle} at {address}: status {}",
                     parts.status
--- a/crates/relay/src/shell/mod.rs
+++ b/crates/relay/src/shell/mod.rs
@@ -13,6 +13,7 @@
 mod head_timeout;
 mod intake;
 mod limits;
+mod memory;
 mod memory_migration;
 mod notices;
 mod peer_exchange;
--- a/crates/relay/src/shell/responses.rs
+++ b/crates/relay/src/shell/responses.rs
@@ -15,8 +15,10 @@
 use http::header;
 use http_body_util::Full;
 use hyper::body;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
+use super::memory;
 use crate::dispatch;
 
 /// Error that ends a stream before its last event. It breaks the caller's connection, so that the
@@ -32,12 +34,26 @@
 
 impl std::error::Error for StreamInterrupted {}
 
+/// Bytes of events that are queued for a caller that reads slowly; beyond that, its target is slowed
+/// down.
+const MAX_QUEUED_BYTES: usize = 64 * 1024;
+
+/// What the sender and the response of a stream share.
+#[derive(Debug, Default)]
+struct StreamProgress {
+    is_complete: Cell<bool>,
+    /// Bytes of the events that the caller has not read yet.
+    queued_bytes: Cell<usize>,
+    /// Notified when an event is read.
+    event_read: Notify,
+}
+
 /// Sends the events of a stream to the response that its caller reads. Dropped without
 /// [`StreamSender::complete`], it interrupts the response, however its task ended.
 #[derive(Debug)]
 pub(super) struct StreamSender {
     events: mpsc::Sender<Bytes>,
-    is_complete: Rc<Cell<bool>>,
+    progress: Rc<StreamProgress>,
 }
 
 impl StreamSender {
@@ -47,6 +63,14 @@
     ///
     /// [`StreamInterrupted`] if the caller has left.
     pub(super) async fn send(&self, event: Bytes) -> Result<(), StreamInterrupted> {
+        let queued_bytes = &self.progress.queued_bytes;
+        while queued_bytes.get() >= MAX_QUEUED_BYTES {
+            tokio::select! {
+                () = self.progress.event_read.notified() => {}
+                () = self.events.closed() => return Err(StreamInterrupted),
+            }
+        }
+        queued_bytes.set(queued_bytes.get() + event.len());
         self.events.send(event).await.map_err(|_| StreamInterrupted)
     }
 
@@ -62,7 +86,7 @@
 
     /// Lets the response end as complete once all queued events are read.
     pub(super) fn complete(&self) {
-        self.is_complete.set(true);
+        self.progress.is_complete.set(true);
     }
 }
 
@@ -70,28 +94,44 @@
 #[derive(Debug)]
 pub struct StreamEvents {
     events: mpsc::Receiver<Bytes>,
-    is_complete: Rc<Cell<bool>>,
+    progress: Rc<StreamProgress>,
 }
 
 /// Creates a stream's sender, and the body that holds up to `max_queued` events for the caller.
 pub(super) fn stream_channel(max_queued: usize) -> (StreamSender, ResponseBody) {
     let (sender, receiver) = mpsc::channel(max_queued);
-    let is_complete = Rc::new(Cell::new(false));
+    let progress = Rc::<StreamProgress>::default();
     let sender = StreamSender {
         events: sender,
-        is_complete: Rc::clone(&is_complete),
+        progress: Rc::clone(&progress),
     };
     let body = ResponseBody::Stream(StreamEvents {
         events: receiver,
-        is_complete,
+        progress,
     });
     (sender, body)
 }
 
+/// A body that is completely known.
+pub struct BufferedBody {
+    bytes: Full<Bytes>,
+    /// Memory that is reserved for the body.
+    _reservation: Option<memory::MemoryReservation>,
+}
+
+impl BufferedBody {
+    pub(super) fn new(bytes: Bytes, reservation: Option<memory::MemoryReservation>) -> Self {
+        Self {
+            bytes: Full::new(bytes),
+            _reservation: reservation,
+        }
+    }
+}
+
 /// Body of a response.
 pub enum ResponseBody {
     /// A body that is completely known.
-    Buffered(Full<Bytes>),
+    Buffered(BufferedBody),
     /// A body that is forwarded in chunks.
     Stream(StreamEvents),
 }
@@ -105,12 +145,17 @@
         context: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<body::Frame<Bytes>, StreamInterrupted>>> {
         match self.get_mut() {
-            Self::Buffered(buffered) => pin::Pin::new(buffered)
+            Self::Buffered(buffered) => pin::Pin::new(&mut buffered.bytes)
                 .poll_frame(context)
                 .map_err(|infallible: Infallible| match infallible {}),
             Self::Stream(stream) => stream.events.poll_recv(context).map(|event| match event {
-                Some(event) => Some(Ok(body::Frame::data(event))),
-                None if stream.is_complete.get() => None,
+                Some(event) => {
+                    let queued_bytes = &stream.progress.queued_bytes;
+                    queued_bytes.set(queued_bytes.get().saturating_sub(event.len()));
+                    stream.progress.event_read.notify_one();
+                    Some(Ok(body::Frame::data(event)))
+                }
+                None if stream.progress.is_complete.get() => None,
                 None => Some(Err(StreamInterrupted)),
             }),
         }
@@ -118,14 +163,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Buffered(buffered) => buffered.is_end_stream(),
+            Self::Buffered(buffered) => buffered.bytes.is_end_stream(),
             Self::Stream(_) => false,
         }
     }
 
     fn size_hint(&self) -> body::SizeHint {
         match self {
-            Self::Buffered(buffered) => buffered.size_hint(),
+            Self::Buffered(buffered) => buffered.bytes.size_hint(),
             Self::Stream(_) => body::SizeHint::default(),
         }
     }
@@ -136,8 +181,8 @@
 
 /// Returns a response with a short plain text.
 pub(super) fn text_response(status: StatusCode, text: &str) -> CallResponse {
-    let body = ResponseBody::Buffered(Full::new(Bytes::copy_from_slice(text.as_bytes())));
-    let mut response = Response::new(body);
+    let body = BufferedBody::new(Bytes::copy_from_slice(text.as_bytes()), None);
+    let mut response = Response::new(ResponseBody::Buffered(body));
     *response.status_mut() = status;
     let content_type = HeaderValue::from_static("text/plain; charset=utf-8");
     response
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -24,6 +24,7 @@
 use super::RelaySettings;
 use super::directory_feed;
 use super::limits;
+use super::memory;
 use super::prompt_parts;
 use super::routes;
 use super::stop;
@@ -34,9 +35,6 @@
 use crate::protocol;
 use crate::telemetry;
 
-/// Divisor of the process's memory that gives the limit for request bodies: one third.
-const BODY_MEMORY_DIVISOR: u64 = 3;
-
 /// Updates that may be queued for a slow link. A link that misses some catches up with the next
 /// heartbeat.
 const MAX_QUEUED_UPDATES: usize = 256;
@@ -127,7 +125,7 @@
     log: telemetry::DecisionLog,
     clock_origin: Instant,
     last_call_number: Cell<u64>,
-    body_bytes: Cell<u64>,
+    pub(super) memory: memory::MemoryAccounts,
     /// Reference to this state itself, for tasks that effects start.
     own: Weak<Self>,
     rng: RefCell<SmallRng>,
@@ -141,6 +139,7 @@
         members.add_seeds(&setup.settings.seeds);
         let mut targets = directory::TargetTable::default();
         targets.set_departure_time(setup.settings.departure_time);
+        let memory = memory::MemoryAccounts::new(setup.settings.memory_limit);
         Rc::new_cyclic(|own| Self {
             settings: RefCell::new(setup.settings),
             protocol: setup.protocol,
@@ -169,7 +168,7 @@
             log: setup.log,
             clock_origin: Instant::now(),
             last_call_number: Cell::new(0),
-            body_bytes: Cell::new(0),
+            memory,
             own: Weak::clone(own),
             rng: RefCell::new(SmallRng::seed_from_u64(setup.seed)),
         })
@@ -214,6 +213,7 @@
         self.targets
             .borrow_mut()
             .set_departure_time(settings.departure_time);
+        self.memory.set_limits(settings.memory_limit);
         *self.settings.borrow_mut() = settings;
     }
 
@@ -320,20 +320,6 @@
         self.rng.borrow_mut().random()
     }
 
-    /// Reserves memory for a request body; returns `None` if too little is left.
-    pub(super) fn reserve_body(self: &Rc<Self>, bytes: u64) -> Option<BodyReservation> {
-        let limit = self.settings.borrow().memory_limit.get() / BODY_MEMORY_DIVISOR;
-        let reserved = self.body_bytes.get() + bytes;
-        if reserved > limit {
-            return None;
-        }
-        self.body_bytes.set(reserved);
-        Some(BodyReservation {
-            state: Rc::clone(self),
-            bytes,
-        })
-    }
-
     /// Returns the current metrics in text format.
     pub(super) fn metrics_text(&self) -> String {
         let (waiting_calls, placed_calls) = self.dispatcher.borrow().call_counts();
@@ -352,6 +338,8 @@
             peers: self.peer_mailboxes.borrow().len(),
             waiting_calls,
             placed_calls,
+            request_bytes: self.memory.requests.reserved(),
+            response_bytes: self.memory.responses.reserved(),
         });
         self.metrics.encode().unwrap_or_else(|error| {
             log::error!("can't encode metrics, serving none: {error}");
@@ -469,18 +457,3 @@
         }
     }
 }
-
-/// Memory that is reserved for a request body until this is dropped.
-pub(super) struct BodyReservation {
-    state: Rc<RelayState>,
-    bytes: u64,
-}
-
-impl Drop for BodyReservation {
-    fn drop(&mut self) {
-        let reserved = self.state.body_bytes.get();
-        self.state
-            .body_bytes
-            .set(reserved.saturating_sub(self.bytes));
-    }
-}
--- a/crates/relay/src/shell/stream.rs
+++ b/crates/relay/src/shell/stream.rs
@@ -123,12 +123,11 @@
     if class == protocol::ResponseClass::Success {
         return OpenOutcome::Opened(response);
     }
-    let outcome = match tokio::time::timeout_at(deadline, response.read_buffered()).await {
-        Ok(Ok((parts, body))) => buffered::classify_attempt(state, call, parts, body),
-        Ok(Err(_)) if class == protocol::ResponseClass::NotRun => buffered::AttemptOutcome::NotRun,
-        Ok(Err(_)) | Err(_) => buffered::AttemptOutcome::Unknown(dispatch::AttemptResult::Broken),
-    };
-    OpenOutcome::Ended(outcome)
+    let read = buffered::read_response(state, call, response);
+    OpenOutcome::Ended(match tokio::time::timeout_at(deadline, read).await {
+        Ok(outcome) => outcome,
+        Err(_) => buffered::AttemptOutcome::Unknown(dispatch::AttemptResult::Broken),
+    })
 }
 
 /// Starts the response to the caller, and a task that forwards the events.
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -126,6 +126,8 @@
     peers: Gauge,
     waiting_calls: Gauge,
     placed_calls: Gauge,
+    request_bytes: Gauge,
+    response_bytes: Gauge,
     organisations: LabelSet,
     routes: LabelSet,
     services: LabelSet,
@@ -173,6 +175,8 @@
             peers: Gauge::default(),
             waiting_calls: Gauge::default(),
             placed_calls: Gauge::default(),
+            request_bytes: Gauge::default(),
+            response_bytes: Gauge::default(),
             organisations: LabelSet::default(),
             routes: LabelSet::default(),
             services: LabelSet::default(),
@@ -326,6 +330,16 @@
             "Calls at targets",
             self.placed_calls.clone(),
         );
+        registry.register(
+            "request_bytes",
+            "Memory reserved for callers' requests",
+            self.request_bytes.clone(),
+        );
+        registry.register(
+            "response_bytes",
+            "Memory reserved for targets' responses",
+            self.response_bytes.clone(),
+        );
     }
 
     /// Counts a call that ended, and records its duration by organisation, route and service.
@@ -463,6 +477,8 @@
         self.peers.set(signed(values.peers as u64));
         self.waiting_calls.set(signed(values.waiting_calls as u64));
         self.placed_calls.set(signed(values.placed_calls as u64));
+        self.request_bytes.set(signed(values.request_bytes));
+        self.response_bytes.set(signed(values.response_bytes));
     }
 
     /// Returns all metrics in the text format.
