Count the memory of bodies in chunks as they arrive

Cause: only the stated length was reserved, which is zero for chunks.

Change: the reservation grows with the buffer of the body, as long as as much is left for others; then the request is refused before anything of it is sent.

--- a/crates/relay/src/shell/intake.rs
+++ b/crates/relay/src/shell/intake.rs
@@ -12,8 +12,6 @@
 use http::Uri;
 use http::header;
 use http::request;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body;
 use kingcupfall_core::ids;
 use kingcupfall_core::time;
@@ -248,33 +246,31 @@
             StatusCode::PAYLOAD_TOO_LARGE,
         ));
     }
-    let Some(body_reservation) = state
-        .memory
-        .requests
-        .reserve(declared_bytes + REQUEST_OVERHEAD_BYTES)
-    else {
-        let reason = dispatch::RefusalReason::Overloaded;
-        let mut response = refuse_request(state, head, reason, MEMORY_RETRY_AFTER);
-        responses::close_connection_after(&mut response);
-        return Err(response);
+    let account = &state.memory.requests;
+    let Some(mut reservation) = account.reserve(declared_bytes + REQUEST_OVERHEAD_BYTES) else {
+        return Err(refuse_for_memory(state, head));
     };
 
     let max_bytes = usize::try_from(max_body_bytes).unwrap_or(usize::MAX);
-    let body_read = Limited::new(body, max_bytes).collect();
+    let declared_bytes = usize::try_from(declared_bytes).unwrap_or(usize::MAX);
+    let body_read = memory::read_body(body, max_bytes, declared_bytes, &mut reservation);
     let timeout = head
         .timeout
         .or(limits.map(|limits| limits.idle_timeout))
         .unwrap_or(ROUTES_RETRY_AFTER);
     let deadline = state.instant(arrived_at + timeout);
     match tokio::time::timeout_at(deadline, body_read).await {
-        Ok(Ok(body)) => Ok((body.to_bytes(), body_reservation)),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(reject_request(
+        Ok(Ok(body)) => Ok((body, reservation)),
+        Ok(Err(memory::BodyError::OutOfMemory)) => Err(refuse_for_memory(state, head)),
+        Ok(Err(memory::BodyError::TooLong(_))) => Err(reject_request(
             state,
             head,
             parts,
             StatusCode::PAYLOAD_TOO_LARGE,
         )),
-        Ok(Err(_)) => Err(reject_request(state, head, parts, StatusCode::BAD_REQUEST)),
+        Ok(Err(memory::BodyError::Broken(_))) => {
+            Err(reject_request(state, head, parts, StatusCode::BAD_REQUEST))
+        }
         Err(_) => Err(reject_request(
             state,
             head,
@@ -284,6 +280,17 @@
     }
 }
 
+/// Refuses a request for whose body no memory is left.
+fn refuse_for_memory(
+    state: &RelayState,
+    head: &protocol::CallHead,
+) -> Box<responses::CallResponse> {
+    let reason = dispatch::RefusalReason::Overloaded;
+    let mut response = refuse_request(state, head, reason, MEMORY_RETRY_AFTER);
+    responses::close_connection_after(&mut response);
+    response
+}
+
 fn find_route(
     state: &RelayState,
     table: &directory::RouteTable,
