Repeat requests to stop a run that a target has turned away

Cause: each 503 to a final migration was taken for a stopped run whose copy found no room, also the one of a server that turns the request away. Only the former includes the handle of the memory (PROTOCOL.md).

--- a/crates/relay/src/shell/former_runs.rs
+++ b/crates/relay/src/shell/former_runs.rs
@@ -160,16 +160,18 @@
             memory_migration::discard_copy(state, handle, &[source, destination]);
             StopReply::Ended(RunEnd::Stopped)
         }
-        protocol::MigrationResponse::Refused { handle } => {
-            if let Some(handle) = handle {
-                memory_migration::discard_copy(state, handle, &[source]);
-            }
+        protocol::MigrationResponse::Refused {
+            handle: Some(handle),
+        } => {
+            memory_migration::discard_copy(state, handle, &[source]);
             StopReply::Ended(RunEnd::Stopped)
         }
         protocol::MigrationResponse::NotRunning if run.has_begun => {
             StopReply::Ended(RunEnd::NotRunning)
         }
-        protocol::MigrationResponse::NotRunning
+        // Without the handle of the memory, the target has refused the request and stopped nothing.
+        protocol::MigrationResponse::Refused { handle: None }
+        | protocol::MigrationResponse::NotRunning
         | protocol::MigrationResponse::Busy
         | protocol::MigrationResponse::Unknown => StopReply::Pending,
     }
