Leave long bodies unread for any time at targets

Cause: TCP_USER_TIMEOUT also counts the time for which the window is closed, though the other end confirms that.

Change: no such timeout on connections whose request has a body of 16 kB or more. Probes of silent streams, keepalives and the deadline find a lost target.

--- a/crates/relay/src/shell/client.rs
+++ b/crates/relay/src/shell/client.rs
@@ -36,6 +36,11 @@
 /// Time after which a connection breaks if sent data is not acknowledged.
 const UNACKNOWLEDGED_DATA_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Length of a request body from which the target may leave a part of it unread for any time. The
+/// system counts the time for which the window is closed as time without acknowledgement, also if
+/// the target confirms that. Shorter bodies fit into the windows of a connection.
+const MIN_UNREAD_BODY_BYTES: u64 = 16 * 1024;
+
 /// Idle time before the first keepalive probe, and time between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -240,13 +245,22 @@
     }
 }
 
-/// Opens a connection for one request.
+/// Opens a connection for a request.
 ///
 /// # Errors
 ///
 /// [`SendError::Unreachable`] if no connection can be opened.
-pub(super) async fn open(address: net::SocketAddr) -> Result<OpenConnection> {
+pub(super) async fn open(
+    address: net::SocketAddr,
+    request: &Request<Full<Bytes>>,
+) -> Result<OpenConnection> {
     let stream = connect(address).await.map_err(SendError::Unreachable)?;
+    if body::Body::size_hint(request.body()).lower() >= MIN_UNREAD_BODY_BYTES {
+        // The deadline of the call and the probes of a silent target are left to detect a loss.
+        SockRef::from(&stream)
+            .set_tcp_user_timeout(None)
+            .map_err(SendError::Unreachable)?;
+    }
     let head_bytes_left = Rc::new(Cell::new(Some(MAX_BYTES_BEFORE_BODY)));
     let socket = HeadLimitSocket {
         inner: stream,
@@ -272,7 +286,7 @@
     address: net::SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Result<OpenResponse> {
-    open(address).await?.send(request).await
+    open(address, &request).await?.send(request).await
 }
 
 /// Sends a request of the relay itself and returns the buffered response, all within `timeout`.
--- a/crates/relay/src/shell/resumption.rs
+++ b/crates/relay/src/shell/resumption.rs
@@ -241,7 +241,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<client::OpenResponse> {
         let sent_at = self.state.now();
-        let outcome = match client::open(copy.holder.address).await {
+        let outcome = match client::open(copy.holder.address, &request).await {
             Ok(connection) => {
                 self.send_resumption(connection, request, &copy.holder)
                     .await
