Limit the connections to the readiness and metrics endpoints

What callers saw: nothing yet; the process had more descriptors and memory than its machine allows, with which all its calls end.

Cause: any number of connections was accepted on these two addresses, and heads of up to 400 kB each were read.

Change: each endpoint has 32 connections; the oldest is closed for a further one. Heads have 8 kB.

Evidence: connections_to_other_addresses_keep_to_the_limits, 1,400 connections with 1,300 descriptors.

--- a/crates/relay/src/shell/mod.rs
+++ b/crates/relay/src/shell/mod.rs
@@ -1,5 +1,6 @@
 //! Input and output: connections with callers, targets and peers, and the state that they share.
 
+mod bounded_tasks;
 mod budgets;
 mod buffered;
 mod client;
--- a/crates/relay/src/shell/server.rs
+++ b/crates/relay/src/shell/server.rs
@@ -21,6 +21,7 @@
 
 use super::Result;
 use super::ShellError;
+use super::bounded_tasks;
 use super::buffered;
 use super::client;
 use super::engine_reports;
@@ -40,6 +41,9 @@
 /// Smallest header buffer that the HTTP library accepts.
 const MIN_HEADER_BUFFER_BYTES: usize = 8_192;
 
+/// Connections of each endpoint for probes and metrics; few clients use them, and each keeps one.
+const MAX_ENDPOINT_CONNECTIONS: usize = 32;
+
 /// Idle timeout of readiness and metrics connections.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -249,6 +253,7 @@
 type EndpointHandler = fn(&RelayState, &Uri) -> responses::CallResponse;
 
 async fn serve_endpoint(state: Rc<RelayState>, listener: TcpListener, handler: EndpointHandler) {
+    let connections = bounded_tasks::BoundedTasks::new(MAX_ENDPOINT_CONNECTIONS);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -259,7 +264,8 @@
             }
         };
         let state = Rc::clone(&state);
-        task::spawn_local(async move {
+        connections.spawn(|place| async move {
+            let _place = place;
             let service = service::service_fn(move |request: Request<body::Incoming>| {
                 let response = handler(&state, request.uri());
                 async move { Ok::<_, Infallible>(response) }
@@ -268,6 +274,7 @@
             let _ = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
+                .max_buf_size(MIN_HEADER_BUFFER_BYTES)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
         });
