Limit links whose peer isn't known yet

What callers saw: nothing yet; the process had more descriptors and memory than its machine allows, with which all its calls end.

Cause: any number of links was accepted, and anybody could announce messages of 16 MB, for which the WebSocket library reserves the memory at once. Each link read into 128 kB.

Change: until its first heartbeat shows which peer is there, a link is one of 128 at most, of which the oldest yields; its frames have 512 kB, and what arrives beyond 16 kB counts in the account of requests. Links read 16 kB at a time. The socket with a limit on arriving bytes, so far for heads of responses only, is shared.

Not changed: a peer that is known may send messages of up to 16 MB.

--- a/crates/relay/src/shell/client.rs
+++ b/crates/relay/src/shell/client.rs
@@ -1,13 +1,9 @@
 //! Connections to targets, peers and the platform.
 
-use std::cell::Cell;
 use std::io;
 use std::net;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::result;
-use std::task::Context;
-use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,13 +16,11 @@
 use quick_error::quick_error;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio::task;
 use tokio::time;
 
+use super::limited_socket;
 use super::memory;
 
 /// Time limit for opening a connection: some ten round trips between regions, and less than the one
@@ -137,63 +131,6 @@
     pub(super) reservation: memory::MemoryReservation,
 }
 
-/// A socket whose reads fail when too many bytes arrive before the head of the response is complete.
-/// The HTTP library skips any number of informational responses.
-struct HeadLimitSocket {
-    inner: TcpStream,
-    /// Bytes that may still arrive; `None` once the head is complete.
-    bytes_left: Rc<Cell<Option<usize>>>,
-}
-
-impl AsyncRead for HeadLimitSocket {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let filled_before = buffer.filled().len();
-        let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
-        let Some(left) = self.bytes_left.get() else {
-            return polled;
-        };
-        match left.checked_sub(buffer.filled().len() - filled_before) {
-            Some(left) => self.bytes_left.set(Some(left)),
-            None => return Poll::Ready(Err(io::ErrorKind::InvalidData.into())),
-        }
-        polled
-    }
-}
-
-impl AsyncWrite for HeadLimitSocket {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(context)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(context, parts)
-    }
-}
-
 /// Opens a connection that detects the loss of the other end.
 ///
 /// # Errors
@@ -227,15 +164,16 @@
 pub(super) struct OpenConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: ConnectionTask,
-    /// Bytes that may arrive before the head of the response is complete.
-    head_bytes_left: Rc<Cell<Option<usize>>>,
+    /// Bytes that may arrive before the head of the response is complete. The HTTP library skips any
+    /// number of informational responses.
+    head_limit: limited_socket::ByteLimit,
 }
 
 impl OpenConnection {
     /// Sends a request and returns the response once its head has arrived.
     pub(super) async fn send(mut self, request: Request<Full<Bytes>>) -> Result<OpenResponse> {
         let response = self.sender.send_request(request).await?;
-        self.head_bytes_left.set(None);
+        self.head_limit.lift();
         let (parts, body) = response.into_parts();
         Ok(OpenResponse {
             parts,
@@ -261,11 +199,8 @@
             .set_tcp_user_timeout(None)
             .map_err(SendError::Unreachable)?;
     }
-    let head_bytes_left = Rc::new(Cell::new(Some(MAX_BYTES_BEFORE_BODY)));
-    let socket = HeadLimitSocket {
-        inner: stream,
-        bytes_left: Rc::clone(&head_bytes_left),
-    };
+    let head_limit = limited_socket::ByteLimit::new(MAX_BYTES_BEFORE_BODY);
+    let socket = limited_socket::LimitedSocket::new(stream, head_limit.clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake::<_, Full<Bytes>>(TokioIo::new(socket))
@@ -277,7 +212,7 @@
     Ok(OpenConnection {
         sender,
         task: ConnectionTask(task),
-        head_bytes_left,
+        head_limit,
     })
 }
 
--- a/crates/relay/src/shell/peer_exchange.rs
+++ b/crates/relay/src/shell/peer_exchange.rs
@@ -160,6 +160,7 @@
 ) {
     link.vm = Some(heartbeat.vm.clone());
     link.address = Some(heartbeat.address);
+    link.stranger = None;
     *link_table
         .borrow_mut()
         .link_counts
--- a/crates/relay/src/shell/peer_links.rs
+++ b/crates/relay/src/shell/peer_links.rs
@@ -18,13 +18,14 @@
 use kingcupfall_link::codec;
 use rand::Rng;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite;
 
+use super::bounded_tasks;
 use super::client;
+use super::limited_socket;
 use super::peer_exchange;
 use super::peer_messages;
 use super::state;
@@ -59,6 +60,17 @@
 /// Time for which an unused link is kept: several heartbeats, which name other relays.
 const UNUSED_LINK_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Links that other ends have opened and that have not shown yet which peer is there. Relays show it
+/// with their first message, so that these are few.
+const MAX_STRANGERS: usize = 128;
+
+/// Bytes that may arrive on such a link. A first heartbeat may be longer, if memory is left for it.
+const MAX_STRANGER_BYTES: usize = 16 * 1024;
+const MAX_STRANGER_FRAME_BYTES: u64 = 512 * 1024;
+
+/// Bytes that a link reads at a time.
+const READ_BUFFER_BYTES: usize = 16 * 1024;
+
 /// Links of this relay, by the address at which the peer accepts links.
 #[derive(Debug, Default)]
 pub(super) struct LinkTable {
@@ -68,14 +80,10 @@
     next_seed_at: time::Timestamp,
 }
 
-pub(super) type SharedLinkTable = Rc<std::cell::RefCell<LinkTable>>;
+/// A link, whose other end may be limited.
+type PeerSocket = WebSocketStream<limited_socket::LimitedSocket>;
 
-/// Which end opened a link.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum LinkDirection {
-    Outbound,
-    Inbound,
-}
+pub(super) type SharedLinkTable = Rc<std::cell::RefCell<LinkTable>>;
 
 /// What is known of the peer on a link, and what was sent to it.
 #[derive(Debug, Default)]
@@ -88,11 +96,26 @@
     pub(super) suspects_sent: u64,
     pub(super) prompt_crashes_sent: u64,
     unused_since: Option<time::Timestamp>,
+    /// Limits of a link whose peer is not known yet.
+    pub(super) stranger: Option<StrangerLimits>,
     /// Sender of messages to the peer on this link; moved to the shared state once the first
     /// heartbeat identifies the peer.
     pub(super) mailbox: Option<mpsc::UnboundedSender<bytes::Bytes>>,
 }
 
+/// Limits of a link that another end has opened, until its first heartbeat identifies it.
+#[derive(Debug)]
+pub(super) struct StrangerLimits {
+    bytes: limited_socket::ByteLimit,
+    _place: bounded_tasks::TaskPlace,
+}
+
+impl Drop for StrangerLimits {
+    fn drop(&mut self) {
+        self.bytes.lift();
+    }
+}
+
 /// Accepts links from peers, and opens links to known addresses.
 pub(super) fn start(state: &Rc<RelayState>, listener: TcpListener) {
     let link_table = SharedLinkTable::default();
@@ -105,6 +128,7 @@
 }
 
 async fn accept_links(state: Rc<RelayState>, link_table: SharedLinkTable, listener: TcpListener) {
+    let strangers = bounded_tasks::BoundedTasks::new(MAX_STRANGERS);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -116,15 +140,25 @@
         };
         let state = Rc::clone(&state);
         let link_table = Rc::clone(&link_table);
-        task::spawn_local(async move {
+        strangers.spawn(|place| async move {
+            let reservation = state.memory.requests.reserve_nothing();
+            let bytes =
+                limited_socket::ByteLimit::with_reservation(MAX_STRANGER_BYTES, reservation);
+            let limits = StrangerLimits {
+                bytes: bytes.clone(),
+                _place: place,
+            };
             let upgraded = async {
                 client::enable_loss_detection(&stream)?;
-                let socket = tokio_tungstenite::accept_async(stream).await;
+                let stream = limited_socket::LimitedSocket::new(stream, bytes);
+                let socket =
+                    tokio_tungstenite::accept_async_with_config(stream, Some(link_config())).await;
                 socket.map_err(std::io::Error::other)
             };
             match tokio::time::timeout(LINK_TIMEOUT, upgraded).await {
                 Ok(Ok(socket)) => {
-                    run_link(&state, &link_table, socket, LinkDirection::Inbound).await
+                    limits.bytes.limit_frames(MAX_STRANGER_FRAME_BYTES);
+                    run_link(&state, &link_table, socket, Some(limits)).await;
                 }
                 Ok(Err(error)) => log::debug!("can't open an inbound link, closing it: {error}"),
                 Err(_) => log::debug!("can't open an inbound link, closing it: timed out"),
@@ -141,9 +175,7 @@
             let link_table = Rc::clone(&link_table);
             task::spawn_local(async move {
                 match open_link(address).await {
-                    Ok(socket) => {
-                        run_link(&state, &link_table, socket, LinkDirection::Outbound).await
-                    }
+                    Ok(socket) => run_link(&state, &link_table, socket, None).await,
                     Err(error) => log::debug!("can't open a link to {address}: {error}"),
                 }
                 link_table.borrow_mut().dialing.remove(&address);
@@ -182,10 +214,12 @@
         .collect()
 }
 
-async fn open_link(address: net::SocketAddr) -> std::io::Result<WebSocketStream<TcpStream>> {
+async fn open_link(address: net::SocketAddr) -> std::io::Result<PeerSocket> {
     let stream = client::connect(address).await?;
+    let limit = limited_socket::ByteLimit::unlimited();
+    let stream = limited_socket::LimitedSocket::new(stream, limit);
     let url = format!("ws://{address}/");
-    let upgrade = tokio_tungstenite::client_async(url, stream);
+    let upgrade = tokio_tungstenite::client_async_with_config(url, stream, Some(link_config()));
     match tokio::time::timeout(LINK_TIMEOUT, upgrade).await {
         Ok(Ok((socket, _))) => Ok(socket),
         Ok(Err(error)) => Err(std::io::Error::other(error)),
@@ -193,17 +227,25 @@
     }
 }
 
-/// Exchanges messages with a peer until the link breaks, times out or is unused.
+/// Returns the configuration of a link. Each link has a buffer of this size, also when it is idle.
+fn link_config() -> tungstenite::protocol::WebSocketConfig {
+    tungstenite::protocol::WebSocketConfig::default().read_buffer_size(READ_BUFFER_BYTES)
+}
+
+/// Exchanges messages with a peer until the link breaks, times out or is unused. Links that the other
+/// end has opened have the limits of a stranger at first.
 async fn run_link(
     state: &Rc<RelayState>,
     link_table: &SharedLinkTable,
-    socket: WebSocketStream<TcpStream>,
-    direction: LinkDirection,
+    socket: PeerSocket,
+    stranger: Option<StrangerLimits>,
 ) {
+    let is_outbound = stranger.is_none();
     let (mut sink, mut stream) = socket.split();
     let (mailbox, mut direct_messages) = mpsc::unbounded_channel();
     let mut link = LinkState {
         mailbox: Some(mailbox),
+        stranger,
         ..LinkState::default()
     };
     let mut next_heartbeat = tokio::time::Instant::now();
@@ -233,7 +275,7 @@
                 if state.now().since(last_received_at) > LINK_TIMEOUT {
                     break "silent";
                 }
-                if direction == LinkDirection::Outbound && is_unused(state, link_table, &mut link) {
+                if is_outbound && is_unused(state, link_table, &mut link) {
                     break "not needed";
                 }
                 let heartbeat = peer_exchange::build_heartbeat(state, &mut link);
