Limit the system's buffers of connections with callers and targets

What callers saw: the process ran out of memory beside callers that read nothing or send requests ahead.

Cause: bytes that wait in sockets belong to the machine's memory. The system's buffers grew to megabytes for each connection, both of callers that don't read and of targets whose streams wait for them.

Change: connections of clients have 16 kB each way, those to targets 32 kB (the system doubles that). Listeners pass their sizes on to what they accept.

--- a/crates/relay/src/shell/client.rs
+++ b/crates/relay/src/shell/client.rs
@@ -16,6 +16,7 @@
 use quick_error::quick_error;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task;
 use tokio::time;
@@ -35,6 +36,10 @@
 /// the target confirms that. Shorter bodies fit into the windows of a connection.
 const MIN_UNREAD_BODY_BYTES: u64 = 16 * 1024;
 
+/// Size of the buffers that the system has for a connection to a target, each way. The system doubles
+/// it for its own records. A stream whose caller doesn't read fills them.
+const TARGET_BUFFER_BYTES: u32 = 32 * 1024;
+
 /// Idle time before the first keepalive probe, and time between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -137,7 +142,27 @@
 ///
 /// The error of the system, or `TimedOut` if the connection is not open in time.
 pub async fn connect(address: net::SocketAddr) -> io::Result<TcpStream> {
-    let stream = match time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+    connect_socket(new_socket(address)?, address).await
+}
+
+/// Opens a connection to a target, whose unread bytes take little memory.
+async fn connect_target(address: net::SocketAddr) -> io::Result<TcpStream> {
+    let socket = new_socket(address)?;
+    // The window is agreed on when the connection is opened.
+    socket.set_recv_buffer_size(TARGET_BUFFER_BYTES)?;
+    socket.set_send_buffer_size(TARGET_BUFFER_BYTES)?;
+    connect_socket(socket, address).await
+}
+
+fn new_socket(address: net::SocketAddr) -> io::Result<TcpSocket> {
+    match address {
+        net::SocketAddr::V4(_) => TcpSocket::new_v4(),
+        net::SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }
+}
+
+async fn connect_socket(socket: TcpSocket, address: net::SocketAddr) -> io::Result<TcpStream> {
+    let stream = match time::timeout(CONNECT_TIMEOUT, socket.connect(address)).await {
         Ok(stream) => stream?,
         Err(_) => return Err(io::ErrorKind::TimedOut.into()),
     };
@@ -192,7 +217,9 @@
     address: net::SocketAddr,
     request: &Request<Full<Bytes>>,
 ) -> Result<OpenConnection> {
-    let stream = connect(address).await.map_err(SendError::Unreachable)?;
+    let stream = connect_target(address)
+        .await
+        .map_err(SendError::Unreachable)?;
     if body::Body::size_hint(request.body()).lower() >= MIN_UNREAD_BODY_BYTES {
         // The deadline of the call and the probes of a silent target are left to detect a loss.
         SockRef::from(&stream)
--- a/crates/relay/src/shell/server.rs
+++ b/crates/relay/src/shell/server.rs
@@ -14,6 +14,7 @@
 use hyper::service;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task;
@@ -38,6 +39,10 @@
 /// File descriptors that are reserved for targets, peers and files.
 const RESERVED_DESCRIPTORS: u32 = 1_000;
 
+/// Size of the buffers that the system has for each connection of a client, each way. The system
+/// doubles it for its own records.
+const CLIENT_BUFFER_BYTES: usize = 16 * 1024;
+
 /// Smallest header buffer that the HTTP library accepts.
 const MIN_HEADER_BUFFER_BYTES: usize = 8_192;
 
@@ -61,10 +66,10 @@
 /// [`ShellError::Bind`] if an address can't be bound.
 pub async fn start(state: &Rc<RelayState>) -> Result<()> {
     let settings = state.settings.borrow().clone();
-    let caller_listener = bind(settings.caller_address).await?;
-    let readiness_listener = bind(settings.readiness_address).await?;
+    let caller_listener = bind_for_clients(settings.caller_address).await?;
+    let readiness_listener = bind_for_clients(settings.readiness_address).await?;
     let peer_listener = bind(settings.peer_address).await?;
-    let metrics_listener = bind(settings.metrics_address).await?;
+    let metrics_listener = bind_for_clients(settings.metrics_address).await?;
 
     let caller_server = task::spawn_local(serve_callers(Rc::clone(state), caller_listener));
     state.caller_server.set(Some(caller_server));
@@ -89,6 +94,20 @@
         .map_err(|error| ShellError::Bind(address, error))
 }
 
+/// Binds an address for clients, whose unread bytes take little memory.
+async fn bind_for_clients(address: net::SocketAddr) -> Result<TcpListener> {
+    let listener = bind(address).await?;
+    limit_buffers(&listener).map_err(|error| ShellError::Bind(address, error))?;
+    Ok(listener)
+}
+
+/// Limits the buffers of the connections that are accepted, which inherit the sizes of the listener.
+fn limit_buffers(listener: &TcpListener) -> io::Result<()> {
+    let socket = SockRef::from(listener);
+    socket.set_recv_buffer_size(CLIENT_BUFFER_BYTES)?;
+    socket.set_send_buffer_size(CLIENT_BUFFER_BYTES)
+}
+
 /// Stops accepting callers' connections. Returns once the connections that had been opened by then
 /// are counted and the listener is closed.
 pub(super) async fn close_caller_listener(state: &RelayState) {
