Bound what clients make the process hold, and let the costliest yield

What callers saw: the process was ended for its memory beside callers that read long answers slowly or never, or that send heads, bodies and requests ahead without end; or, for as long as such callers liked, ordinary callers got 503, or could not connect.

Cause: only bodies were counted. The memory of a response was returned when the HTTP library had taken its body, which it then held until the caller read it. Connections, heads, requests sent ahead, queues of streams and the buffers of a stalled stream were in no account. Nobody yielded: unfinished bodies kept the account, and idle connections the descriptors.

Change: one account for all that clients make the process hold: connections, heads, bodies, what was sent and may be unread, and stalled streams; responses keep theirs until they are written. When it binds, or descriptors run out, the connection closes whose client has kept the process waiting and has held the most memory for the longest time: at once for a request, after 2 s for a body or an unread response. Calls at work never yield. A request waits up to 0.5 s for memory that is returned, before further connections are accepted; if nobody yields, it is refused with 503, as before. New: record client_yielded, counter client_yields; gauge request_bytes is client_bytes.

--- a/crates/relay/src/shell/buffered.rs
+++ b/crates/relay/src/shell/buffered.rs
@@ -366,9 +366,10 @@
         }
         protocol::ResponseClass::Success | protocol::ResponseClass::Failure => {}
     }
-    let account = &state.memory.responses;
+    let reservation = state.memory.responses.reserve_nothing_for(&call.held);
+    let clients = Some(&state.clients);
     match response
-        .read_buffered(client::MAX_RESPONSE_BYTES, account)
+        .read_buffered(client::MAX_RESPONSE_BYTES, reservation, clients)
         .await
     {
         Ok(response) => AttemptOutcome::Responded(response, class),
--- a/crates/relay/src/shell/client.rs
+++ b/crates/relay/src/shell/client.rs
@@ -21,6 +21,7 @@
 use tokio::task;
 use tokio::time;
 
+use super::clients;
 use super::limited_socket;
 use super::memory;
 
@@ -104,7 +105,8 @@
 }
 
 impl OpenResponse {
-    /// Reads the body to its end. Returns it with the memory that is reserved for it.
+    /// Reads the body to its end. Returns it with the memory that is reserved for it, for which
+    /// clients may yield.
     ///
     /// # Errors
     ///
@@ -113,11 +115,16 @@
     pub(super) async fn read_buffered(
         self,
         max_bytes: usize,
-        account: &Rc<memory::MemoryAccount>,
+        mut reservation: memory::MemoryReservation,
+        clients: Option<&Rc<clients::ClientTable>>,
     ) -> Result<BufferedResponse> {
-        let mut reservation = account.reserve_nothing();
-        let read = memory::read_body(self.body, max_bytes, 0, &mut reservation);
-        match read.await {
+        let limits = memory::BodyLimits {
+            max_bytes,
+            reserved_bytes: 0,
+            standstill: None,
+            clients,
+        };
+        match memory::read_body(self.body, limits, &mut reservation).await {
             Ok(body) => Ok(BufferedResponse {
                 parts: self.parts,
                 body,
@@ -260,7 +267,10 @@
 ) -> Result<(response::Parts, Bytes)> {
     let exchanged = async {
         let response = send(address, request).await?;
-        response.read_buffered(MAX_REPLY_BYTES, account).await
+        let reservation = account.reserve_nothing();
+        response
+            .read_buffered(MAX_REPLY_BYTES, reservation, None)
+            .await
     };
     match time::timeout(timeout, exchanged).await {
         Ok(response) => response.map(|response| (response.parts, response.body)),
--- a/crates/relay/src/shell/forwarder.rs
+++ b/crates/relay/src/shell/forwarder.rs
@@ -70,21 +70,25 @@
 }
 
 impl EventMemory {
-    fn new(state: &RelayState) -> Self {
+    fn new(state: &RelayState, call: &intake::AcceptedCall) -> Self {
         Self {
-            reservation: state.memory.responses.reserve_nothing(),
+            reservation: state.memory.responses.reserve_nothing_for(&call.held),
             bytes: memory::UNCOUNTED_BYTES,
         }
     }
 
     /// Returns whether memory is reserved for a partial event of this length, now at the latest.
-    fn covers(&mut self, length: usize) -> bool {
+    async fn covers(&mut self, state: &RelayState, length: usize) -> bool {
         if length <= self.bytes {
             return true;
         }
         // The parser's buffer doubles as it grows.
         let more = 2 * length - self.bytes;
-        let is_reserved = self.reservation.grow_fairly(more as u64);
+        let rule = memory::GrowthRule::Fair;
+        let reserved = self
+            .reservation
+            .grow_or_reclaim(more as u64, rule, &state.clients);
+        let is_reserved = reserved.await;
         if is_reserved {
             self.bytes += more;
         }
@@ -136,7 +140,7 @@
         let now = state.now();
         counts.may_have_run += 1;
         Self {
-            event_memory: EventMemory::new(&state),
+            event_memory: EventMemory::new(&state, &call),
             last_event_id: call.resumed_after(),
             state,
             call,
@@ -251,8 +255,8 @@
                 return Some(end);
             }
         }
-        if self.parser.has_overlong_event()
-            || !self.event_memory.covers(self.parser.buffered_bytes())
+        let length = self.parser.buffered_bytes();
+        if self.parser.has_overlong_event() || !self.event_memory.covers(&self.state, length).await
         {
             return self.recover("an event is too long").await;
         }
--- a/crates/relay/src/shell/intake.rs
+++ b/crates/relay/src/shell/intake.rs
@@ -18,6 +18,7 @@
 use kingcupfall_core::work;
 use tokio::sync::mpsc;
 
+use super::caller_socket;
 use super::former_runs;
 use super::memory;
 use super::responses;
@@ -63,6 +64,8 @@
     pub(super) demand: dispatch::CallDemand,
     pub(super) guard: CallGuard,
     pub(super) pending_stops: former_runs::PendingStops,
+    /// Memory that is held for the caller.
+    pub(super) held: Rc<memory::HeldMemory>,
     _body_reservation: memory::MemoryReservation,
 }
 
@@ -161,6 +164,7 @@
 /// The response to a request that is refused or rejected.
 pub(super) async fn accept(
     state: &Rc<RelayState>,
+    tracker: &caller_socket::ConnectionTracker,
     request: Request<body::Incoming>,
 ) -> Result<Box<AcceptedCall>> {
     let arrived_at = state.now();
@@ -168,7 +172,7 @@
     let head = state.protocol.read_call_head(&parts.headers);
     let limits = state.routes().map(|routes| routes.table.limits());
     let (body, body_reservation) =
-        read_body(state, &parts, body, limits, &head, arrived_at).await?;
+        read_body(state, tracker, &parts, body, limits, &head, arrived_at).await?;
     // The routes may have changed while the body was received; the active ones decide.
     let Some(routes) = state.routes() else {
         let reason = dispatch::RefusalReason::NotConfigured;
@@ -196,6 +200,7 @@
         } = refusal;
         return Err(refuse_request(state, &head, reason, retry_after));
     }
+    tracker.record_request();
     let (call_id, inbox) = state.open_call();
     state.count_request(service);
     let guard = CallGuard {
@@ -224,12 +229,14 @@
         organisation,
         guard,
         pending_stops: former_runs::PendingStops::default(),
+        held: Rc::clone(tracker.held()),
         _body_reservation: body_reservation,
     }))
 }
 
 async fn read_body(
     state: &Rc<RelayState>,
+    tracker: &caller_socket::ConnectionTracker,
     parts: &request::Parts,
     body: body::Incoming,
     limits: Option<directory::CallerLimits>,
@@ -246,14 +253,21 @@
             StatusCode::PAYLOAD_TOO_LARGE,
         ));
     }
-    let account = &state.memory.requests;
-    let Some(mut reservation) = account.reserve(declared_bytes + REQUEST_OVERHEAD_BYTES) else {
+    let clients = &state.clients;
+    let mut reservation = state.memory.clients.reserve_nothing_for(tracker.held());
+    let needed = declared_bytes + REQUEST_OVERHEAD_BYTES;
+    let reserved = reservation.grow_or_reclaim(needed, memory::GrowthRule::Any, clients);
+    if !reserved.await {
         return Err(refuse_for_memory(state, head));
-    };
+    }
 
-    let max_bytes = usize::try_from(max_body_bytes).unwrap_or(usize::MAX);
-    let declared_bytes = usize::try_from(declared_bytes).unwrap_or(usize::MAX);
-    let body_read = memory::read_body(body, max_bytes, declared_bytes, &mut reservation);
+    let body_limits = memory::BodyLimits {
+        max_bytes: usize::try_from(max_body_bytes).unwrap_or(usize::MAX),
+        reserved_bytes: usize::try_from(declared_bytes).unwrap_or(usize::MAX),
+        standstill: None,
+        clients: Some(clients),
+    };
+    let body_read = memory::read_body(body, body_limits, &mut reservation);
     let timeout = head
         .timeout
         .or(limits.map(|limits| limits.idle_timeout))
@@ -271,7 +285,7 @@
         Ok(Err(memory::BodyError::Broken(_))) => {
             Err(reject_request(state, head, parts, StatusCode::BAD_REQUEST))
         }
-        Err(_) => Err(reject_request(
+        Ok(Err(memory::BodyError::StoodStill(_))) | Err(_) => Err(reject_request(
             state,
             head,
             parts,
@@ -280,7 +294,16 @@
     }
 }
 
-/// Refuses a request for whose body no memory is left.
+fn request_host(parts: &request::Parts) -> &str {
+    parts
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .or(parts.uri.host())
+        .unwrap_or_default()
+}
+
+/// Refuses a request for which no memory is left.
 fn refuse_for_memory(
     state: &RelayState,
     head: &protocol::CallHead,
@@ -297,14 +320,8 @@
     parts: &request::Parts,
     head: &protocol::CallHead,
 ) -> Result<Rc<directory::RouteRule>> {
-    let host = parts
-        .headers
-        .get(header::HOST)
-        .and_then(|host| host.to_str().ok())
-        .or(parts.uri.host())
-        .unwrap_or_default();
     table
-        .route(host, parts.uri.path())
+        .route(request_host(parts), parts.uri.path())
         .map(Rc::clone)
         .ok_or_else(|| reject_request(state, head, parts, StatusCode::NOT_FOUND))
 }
--- a/crates/relay/src/shell/limited_socket.rs
+++ b/crates/relay/src/shell/limited_socket.rs
@@ -89,7 +89,7 @@
         excess == 0
             || beyond
                 .as_mut()
-                .is_some_and(|beyond| beyond.grow_fairly(excess as u64))
+                .is_some_and(|beyond| beyond.grow(excess as u64, memory::GrowthRule::Fair))
     }
 }
 
--- a/crates/relay/src/shell/mod.rs
+++ b/crates/relay/src/shell/mod.rs
@@ -3,7 +3,9 @@
 mod bounded_tasks;
 mod budgets;
 mod buffered;
+mod caller_socket;
 mod client;
+mod clients;
 mod directory_events;
 mod directory_feed;
 mod engine_reports;
@@ -12,7 +14,6 @@
 mod former_runs;
 mod forwarder;
 mod frame_limit;
-mod head_timeout;
 mod intake;
 mod limited_socket;
 mod limits;
--- a/crates/relay/src/shell/peer_links.rs
+++ b/crates/relay/src/shell/peer_links.rs
@@ -141,7 +141,7 @@
         let state = Rc::clone(&state);
         let link_table = Rc::clone(&link_table);
         strangers.spawn(|place| async move {
-            let reservation = state.memory.requests.reserve_nothing();
+            let reservation = state.memory.clients.reserve_nothing();
             let bytes =
                 limited_socket::ByteLimit::with_reservation(MAX_STRANGER_BYTES, reservation);
             let limits = StrangerLimits {
--- a/crates/relay/src/shell/server.rs
+++ b/crates/relay/src/shell/server.rs
@@ -24,10 +24,11 @@
 use super::ShellError;
 use super::bounded_tasks;
 use super::buffered;
+use super::caller_socket;
 use super::client;
+use super::clients;
 use super::engine_reports;
 use super::explanations;
-use super::head_timeout;
 use super::intake;
 use super::peer_links;
 use super::responses;
@@ -35,13 +36,11 @@
 use super::state::StopPhase;
 use super::stream;
 use crate::directory;
-
-/// File descriptors that are reserved for targets, peers and files.
-const RESERVED_DESCRIPTORS: u32 = 1_000;
+use crate::telemetry;
 
 /// Size of the buffers that the system has for each connection of a client, each way. The system
 /// doubles it for its own records.
-const CLIENT_BUFFER_BYTES: usize = 16 * 1024;
+pub(super) const CLIENT_BUFFER_BYTES: usize = 16 * 1024;
 
 /// Smallest header buffer that the HTTP library accepts.
 const MIN_HEADER_BUFFER_BYTES: usize = 8_192;
@@ -56,6 +55,11 @@
 /// closes idle connections, as its first request may be on its way.
 const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
 
+/// Connections, and memory for them, beyond the limits when none yields, so that callers get a
+/// refusal.
+const MAX_REFUSED_CONNECTIONS: i64 = 64;
+const MAX_REFUSED_BYTES: u64 = 1024 * 1024;
+
 /// Delay after a connection could not be accepted, most often because file descriptors ran out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -133,12 +137,17 @@
 /// Accepts connections until it is cancelled.
 async fn accept_callers(state: &Rc<RelayState>, listener: &TcpListener) {
     loop {
-        if !can_accept(state) {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        }
         match listener.accept().await {
-            Ok((stream, _)) => spawn_connection(state, stream),
+            Ok((stream, _)) => {
+                while !make_room(state) {
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+                spawn_connection(state, stream);
+                if state.clients.has_yielding() {
+                    // The connection that yields is closed before a further one is accepted.
+                    task::yield_now().await;
+                }
+            }
             Err(error) => {
                 log::warn!("can't accept a caller's connection, trying again: {error}");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -151,7 +160,7 @@
 fn accept_queued_callers(state: &Rc<RelayState>, listener: TcpListener) -> io::Result<()> {
     // The runtime may not have noticed the latest connections yet, so the system is asked directly.
     let listener = listener.into_std()?;
-    while can_accept(state) {
+    while make_room(state) {
         let stream = match listener.accept() {
             Ok((stream, _)) => stream,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
@@ -163,21 +172,60 @@
     Ok(())
 }
 
-/// Returns whether file descriptors are left for a further connection of a caller.
-fn can_accept(state: &RelayState) -> bool {
-    let max_connections = state.settings.borrow().descriptor_limit;
-    let max_connections = max_connections.saturating_sub(RESERVED_DESCRIPTORS).max(1) as usize;
-    state.open_connections.get() < max_connections
+/// Makes room for a further connection of a caller, for which another yields if there are too many.
+/// Returns whether there is room.
+fn make_room(state: &RelayState) -> bool {
+    let descriptors = state.free_descriptors();
+    let excess_bytes = state.memory.clients.excess();
+    if state.clients.has_claims() {
+        return false;
+    }
+    if descriptors > 0 && excess_bytes == 0 {
+        return true;
+    }
+    match state.clients.reclaim_connection() {
+        clients::ReclaimOutcome::Yields => true,
+        clients::ReclaimOutcome::YieldsSoon => false,
+        clients::ReclaimOutcome::Busy => {
+            descriptors > -MAX_REFUSED_CONNECTIONS && excess_bytes < MAX_REFUSED_BYTES
+        }
+    }
 }
 
 /// Starts serving a connection, which counts as open at once.
 fn spawn_connection(state: &Rc<RelayState>, stream: TcpStream) {
-    let guard = ConnectionGuard::new(Rc::clone(state));
-    task::spawn_local(serve_connection(guard, stream));
+    let guard = state.clients.open();
+    task::spawn_local(serve_connection(Rc::clone(state), guard, stream));
+}
+
+async fn serve_connection(state: Rc<RelayState>, guard: clients::ClientGuard, stream: TcpStream) {
+    let client = Rc::clone(&guard.connection);
+    tokio::select! {
+        biased;
+        () = client.yielded() => record_yield(&state, &client),
+        () = serve_client(&state, &client, stream) => {}
+    }
+}
+
+/// Writes to the log that a connection was closed for others.
+fn record_yield(state: &RelayState, client: &clients::ClientConnection) {
+    let record = telemetry::DecisionRecord::new(telemetry::RecordKind::ClientYielded)
+        .count(client.held().total());
+    let record = match client.wait() {
+        Some(wait) => record
+            .outcome(wait.input.label())
+            .after(wait.since.elapsed()),
+        None => record,
+    };
+    state.record(&record);
+    state.metrics.record_yield();
 }
 
-async fn serve_connection(guard: ConnectionGuard, stream: TcpStream) {
-    let state = &guard.0;
+async fn serve_client(
+    state: &Rc<RelayState>,
+    client: &Rc<clients::ClientConnection>,
+    stream: TcpStream,
+) {
     let opened_at = Instant::now();
     if client::enable_loss_detection(&stream).is_err() {
         // The caller has already left.
@@ -187,8 +235,8 @@
     let max_header_bytes = state.routes().map_or(0, |routes| {
         usize::try_from(routes.table.limits().header.get()).unwrap_or(usize::MAX)
     });
-    let tracker = head_timeout::HeadTracker::new();
-    let socket = head_timeout::HeadTimeoutSocket::new(stream, tracker.clone(), Rc::clone(state));
+    let tracker = caller_socket::ConnectionTracker::new(Rc::clone(state), Rc::clone(client));
+    let socket = caller_socket::CallerSocket::new(stream, tracker.clone());
     let service_state = Rc::clone(state);
     let service_tracker = tracker.clone();
     let service = service::service_fn(move |request| {
@@ -197,7 +245,7 @@
         // Not in the future: the connection is read again before that runs.
         tracker.record_head();
         async move {
-            let response = handle_request(state, request).await;
+            let response = handle_request(state, &tracker, request).await;
             response.map(|response| response.map(|body| tracker.track_body(body)))
         }
     });
@@ -222,7 +270,7 @@
 /// Waits until a connection is to be closed as soon as it is idle.
 async fn wait_until_closable(
     state: &RelayState,
-    tracker: &head_timeout::HeadTracker,
+    tracker: &caller_socket::ConnectionTracker,
     opened_at: Instant,
 ) {
     let mut phase = state.stop_phase.subscribe();
@@ -233,28 +281,12 @@
     }
 }
 
-/// Counts a connection as long as it is open.
-struct ConnectionGuard(Rc<RelayState>);
-
-impl ConnectionGuard {
-    fn new(state: Rc<RelayState>) -> Self {
-        state.open_connections.set(state.open_connections.get() + 1);
-        Self(state)
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        let open_connections = &self.0.open_connections;
-        open_connections.set(open_connections.get() - 1);
-    }
-}
-
 async fn handle_request(
     state: Rc<RelayState>,
+    tracker: &caller_socket::ConnectionTracker,
     request: Request<body::Incoming>,
 ) -> std::result::Result<responses::CallResponse, Infallible> {
-    let mut response = match intake::accept(&state, request).await {
+    let mut response = match intake::accept(&state, tracker, request).await {
         Ok(call) => match call.route.kind {
             directory::CallKind::Stream => stream::serve(&state, call).await,
             directory::CallKind::Idempotent | directory::CallKind::AtMostOnce => {
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -22,6 +22,7 @@
 use tokio::time::Instant;
 
 use super::RelaySettings;
+use super::clients;
 use super::directory_feed;
 use super::limits;
 use super::memory;
@@ -39,6 +40,9 @@
 /// heartbeat.
 const MAX_QUEUED_UPDATES: usize = 256;
 
+/// File descriptors that are reserved for targets, peers and files.
+const RESERVED_DESCRIPTORS: u32 = 1_000;
+
 /// How far the process has come with stopping.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopPhase {
@@ -102,8 +106,8 @@
     pub(super) stop_phase: watch::Sender<StopPhase>,
     /// Set once the process has been requested to stop.
     pub(super) stop_plan: Cell<Option<stop::StopPlan>>,
-    /// Number of callers' connections from their acceptance on.
-    pub(super) open_connections: Cell<usize>,
+    /// Callers' connections from their acceptance on.
+    pub(super) clients: Rc<clients::ClientTable>,
     /// The task that accepts callers' connections; it ends once it has closed its listener.
     pub(super) caller_server: Cell<Option<JoinHandle<()>>>,
     pub(super) open_calls: Cell<usize>,
@@ -149,7 +153,7 @@
             evacuations: RefCell::default(),
             stop_phase,
             stop_plan: Cell::new(None),
-            open_connections: Cell::new(0),
+            clients: Rc::default(),
             caller_server: Cell::new(None),
             open_calls: Cell::new(0),
             peer_mailboxes: RefCell::new(BTreeMap::new()),
@@ -217,6 +221,19 @@
         *self.settings.borrow_mut() = settings;
     }
 
+    /// Returns how many descriptors are left for further connections of callers. Negative if more are
+    /// in use.
+    pub(super) fn free_descriptors(&self) -> i64 {
+        let limit = self.settings.borrow().descriptor_limit;
+        let limit = limit.saturating_sub(RESERVED_DESCRIPTORS).max(1);
+        i64::from(limit) - self.clients.lasting() as i64
+    }
+
+    /// Lets callers yield if they make the process hold more than its limit.
+    pub(super) fn enforce_client_memory(&self) {
+        self.clients.enforce(&self.memory.clients);
+    }
+
     /// Returns whether the process has been requested to stop.
     pub fn is_stopping(&self) -> bool {
         *self.stop_phase.borrow() > StopPhase::Serving
@@ -338,7 +355,7 @@
             peers: self.peer_mailboxes.borrow().len(),
             waiting_calls,
             placed_calls,
-            request_bytes: self.memory.requests.reserved(),
+            client_bytes: self.memory.clients.reserved(),
             response_bytes: self.memory.responses.reserved(),
         });
         self.metrics.encode().unwrap_or_else(|error| {
--- a/crates/relay/src/shell/stop.rs
+++ b/crates/relay/src/shell/stop.rs
@@ -95,7 +95,7 @@
 
 /// Waits until no caller's connection is open, at most until `until`.
 async fn wait_for_connections(state: &RelayState, until: time::Timestamp) {
-    while state.open_connections.get() > 0 && state.now() < until {
+    while state.clients.len() > 0 && state.now() < until {
         let next_check_at = until.min(state.now() + POLL_INTERVAL);
         tokio::time::sleep_until(state.instant(next_check_at)).await;
     }
--- a/crates/relay/src/shell/stream.rs
+++ b/crates/relay/src/shell/stream.rs
@@ -138,7 +138,7 @@
     placement: dispatch::CallPlacement,
     upstream: client::OpenResponse,
 ) -> responses::CallResponse {
-    let (sender, body) = responses::stream_channel(MAX_QUEUED_EVENTS);
+    let (sender, body) = responses::stream_channel(MAX_QUEUED_EVENTS, state, &call.held);
     let mut response = Response::new(body);
     *response.status_mut() = upstream.parts.status;
     *response.headers_mut() = state.protocol.response_headers(&upstream.parts.headers);
--- a/crates/relay/src/telemetry/gauges.rs
+++ b/crates/relay/src/telemetry/gauges.rs
@@ -31,8 +31,8 @@
     pub waiting_calls: usize,
     /// Number of calls that run at a target.
     pub placed_calls: usize,
-    /// Bytes of memory that are reserved for requests.
-    pub request_bytes: u64,
+    /// Bytes of memory that clients make the process hold.
+    pub client_bytes: u64,
     /// Bytes of memory that are reserved for responses.
     pub response_bytes: u64,
 }
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -98,6 +98,7 @@
     calls: Family<CallLabels, Counter>,
     refusals: Family<ReasonLabels, Counter>,
     attempt_failures: Family<ReasonLabels, Counter>,
+    yields: Counter,
     suspected_crashes: Counter,
     prompt_crashes: Counter,
     part_changes: Family<ReasonLabels, Counter>,
@@ -126,7 +127,7 @@
     peers: Gauge,
     waiting_calls: Gauge,
     placed_calls: Gauge,
-    request_bytes: Gauge,
+    client_bytes: Gauge,
     response_bytes: Gauge,
     organisations: LabelSet,
     routes: LabelSet,
@@ -147,6 +148,7 @@
             calls: Family::default(),
             refusals: Family::default(),
             attempt_failures: Family::default(),
+            yields: Counter::default(),
             suspected_crashes: Counter::default(),
             prompt_crashes: Counter::default(),
             part_changes: Family::default(),
@@ -175,7 +177,7 @@
             peers: Gauge::default(),
             waiting_calls: Gauge::default(),
             placed_calls: Gauge::default(),
-            request_bytes: Gauge::default(),
+            client_bytes: Gauge::default(),
             response_bytes: Gauge::default(),
             organisations: LabelSet::default(),
             routes: LabelSet::default(),
@@ -198,6 +200,11 @@
             "Attempts at targets that failed",
             self.attempt_failures.clone(),
         );
+        registry.register(
+            "client_yields",
+            "Connections of callers that were closed for others",
+            self.yields.clone(),
+        );
         registry.register(
             "suspected_crashes",
             "Requests that ran at a target when it crashed, one count for each target",
@@ -331,9 +338,9 @@
             self.placed_calls.clone(),
         );
         registry.register(
-            "request_bytes",
-            "Memory reserved for callers' requests",
-            self.request_bytes.clone(),
+            "client_bytes",
+            "Memory that clients make the process hold",
+            self.client_bytes.clone(),
         );
         registry.register(
             "response_bytes",
@@ -372,6 +379,11 @@
         self.refusals.get_or_create(&ReasonLabels { reason }).inc();
     }
 
+    /// Counts a connection that was closed for others.
+    pub fn record_yield(&self) {
+        self.yields.inc();
+    }
+
     /// Counts a failed attempt at a target.
     pub fn record_attempt_failure(&self, reason: &'static str) {
         self.attempt_failures
@@ -477,7 +489,7 @@
         self.peers.set(signed(values.peers as u64));
         self.waiting_calls.set(signed(values.waiting_calls as u64));
         self.placed_calls.set(signed(values.placed_calls as u64));
-        self.request_bytes.set(signed(values.request_bytes));
+        self.client_bytes.set(signed(values.client_bytes));
         self.response_bytes.set(signed(values.response_bytes));
     }
 
--- a/crates/relay/src/telemetry/records.rs
+++ b/crates/relay/src/telemetry/records.rs
@@ -111,6 +111,8 @@
     MigrationFailed,
     /// A call ended.
     Ended,
+    /// A connection was closed for others, as its client kept the process waiting.
+    ClientYielded,
     /// A caller disconnected before it received its response.
     CallerLeft,
     /// Records of one kind were omitted because they exceeded the limit per second.
@@ -168,6 +170,7 @@
             | Self::Resumed
             | Self::FormerRun
             | Self::Ended
+            | Self::ClientYielded
             | Self::CallerLeft => false,
         }
     }
