Count the connections to targets among the descriptors

What callers saw: nothing yet; with as many calls as connections the process had more descriptors than its machine allows, so that neither callers nor targets nor the platform could be connected.

Cause: the limit counted the connections of callers only. Each call needs one to a target, too.

Change: calls count as well.

--- a/crates/relay/src/shell/intake.rs
+++ b/crates/relay/src/shell/intake.rs
@@ -19,6 +19,7 @@
 use tokio::sync::mpsc;
 
 use super::caller_socket;
+use super::clients;
 use super::former_runs;
 use super::memory;
 use super::responses;
@@ -200,6 +201,11 @@
         } = refusal;
         return Err(refuse_request(state, &head, reason, retry_after));
     }
+    if state.free_descriptors() <= 0
+        && state.clients.reclaim_connection() != clients::ReclaimOutcome::Yields
+    {
+        return Err(refuse_for_memory(state, &head));
+    }
     tracker.record_request();
     let (call_id, inbox) = state.open_call();
     state.count_request(service);
@@ -303,7 +309,7 @@
         .unwrap_or_default()
 }
 
-/// Refuses a request for which no memory is left.
+/// Refuses a request for which no memory or no descriptor is left.
 fn refuse_for_memory(
     state: &RelayState,
     head: &protocol::CallHead,
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -40,7 +40,8 @@
 /// heartbeat.
 const MAX_QUEUED_UPDATES: usize = 256;
 
-/// File descriptors that are reserved for targets, peers and files.
+/// File descriptors that are reserved for peers, the platform, files, and what serves a call beside
+/// its two connections.
 const RESERVED_DESCRIPTORS: u32 = 1_000;
 
 /// How far the process has come with stopping.
@@ -221,12 +222,13 @@
         *self.settings.borrow_mut() = settings;
     }
 
-    /// Returns how many descriptors are left for further connections of callers. Negative if more are
-    /// in use.
+    /// Returns how many descriptors are left for further connections of callers and for calls, each
+    /// of which needs one to a target. Negative if more are in use.
     pub(super) fn free_descriptors(&self) -> i64 {
         let limit = self.settings.borrow().descriptor_limit;
-        let limit = limit.saturating_sub(RESERVED_DESCRIPTORS).max(1);
-        i64::from(limit) - self.clients.lasting() as i64
+        let limit = limit.saturating_sub(RESERVED_DESCRIPTORS).max(2);
+        let used = self.clients.lasting() + self.open_calls.get();
+        i64::from(limit) - used as i64
     }
 
     /// Lets callers yield if they make the process hold more than its limit.
