End bodies and responses that stand still for longer than callers may be idle

What callers saw: others that stated a long time limit kept connections, and the memory of their bodies or responses, for as long as they liked.

Cause: a body had until the time limit that its caller stated, and a response could stay unread for ever.

Change: a body of which nothing arrives for `idleTimeoutMs` is rejected with 408, which is true as nothing of it was sent; so is one that isn't complete by its route's timeout, when the call could not be placed any more. A response of which nothing is read for `idleTimeoutMs` is given up, but not before the end of the time that the caller has for it.

Evidence: slow_callers over sockets, 8 cases: 6 failed on (bodies were kept, the unread response was delivered whole a minute later), 2 are guards (a slow body that goes on, a response read within the limit). All pass now.

--- a/crates/relay/src/shell/caller_socket.rs
+++ b/crates/relay/src/shell/caller_socket.rs
@@ -1,5 +1,5 @@
-//! The socket of a caller's connection: limits on the time for which it may be idle and that the head
-//! of a request may take; and the memory that it takes.
+//! The socket of a caller's connection: limits on the time for which it may be idle, that the head of
+//! a request may take, and for which a response may stay unread; and the memory that it takes.
 //!
 //! The times are those in force at present, not at the opening of the connection, as callers reuse
 //! connections by the limits that they know. The HTTP library can't change its own timeout on an
@@ -85,11 +85,17 @@
         }
     }
 
-    /// Returns whether the wait has taken longer than the limit.
-    fn poll_expired(&mut self, context: &mut Context<'_>, limit: Duration) -> bool {
+    /// Returns whether the wait has taken longer than the limit, and goes on after `earliest_end`.
+    fn poll_expired(
+        &mut self,
+        context: &mut Context<'_>,
+        limit: Duration,
+        earliest_end: Option<time::Instant>,
+    ) -> bool {
         while self.timer.as_mut().poll(context).is_ready() {
             // The limit may have been raised in the meantime.
             let ends_at = self.started_at + limit;
+            let ends_at = earliest_end.map_or(ends_at, |earliest| earliest.max(ends_at));
             if ends_at <= time::Instant::now() {
                 return true;
             }
@@ -126,6 +132,10 @@
     phase: HeadPhase,
     /// The wait for bytes of the caller, once it has begun.
     read_wait: Option<TimedWait>,
+    /// The wait until the caller reads more of a response, once it has begun.
+    write_wait: Option<TimedWait>,
+    /// Time before which a response may stay unread: the end of the time that its caller gave it.
+    response_due: Option<time::Instant>,
     /// Whether the HTTP library has all of the response that there is by now.
     is_drained: bool,
     bytes: ConnectionBytes,
@@ -152,6 +162,8 @@
         let tracked = TrackedConnection {
             phase: HeadPhase::Unused,
             read_wait: None,
+            write_wait: None,
+            response_due: None,
             is_drained: true,
             bytes,
             reservation,
@@ -178,11 +190,13 @@
     /// Records that a head is complete.
     pub(super) fn record_head(&self) {
         self.enter(HeadPhase::ReceivingBody);
+        self.tracked.borrow_mut().response_due = None;
     }
 
-    /// Records that a request is complete.
-    pub(super) fn record_request(&self) {
+    /// Records that a request is complete, and until when its caller waits for the response.
+    pub(super) fn record_request(&self, response_due: time::Instant) {
         self.enter(HeadPhase::Responding);
+        self.tracked.borrow_mut().response_due = Some(response_due);
     }
 
     /// Returns the body of a response. When it is dropped, the HTTP library has all of it.
@@ -250,6 +264,7 @@
     }
 
     fn record_sent(&self, count: usize) {
+        self.tracked.borrow_mut().write_wait = None;
         self.count(|bytes| bytes.sent = bytes.sent.saturating_add(count as u64).min(SOCKET_BYTES));
     }
 
@@ -278,14 +293,23 @@
         let wait = tracked
             .read_wait
             .get_or_insert_with(|| TimedWait::new(limit));
-        wait.poll_expired(context, limit)
+        wait.poll_expired(context, limit, None)
     }
 
-    /// Records that the caller has to read before more can be sent.
-    fn record_unread(&self) {
+    /// Begins or continues to wait until the caller reads, and returns whether that has taken too
+    /// long. Callers may read late as long as they could still wait for the response.
+    fn poll_write_expired(&self, context: &mut Context<'_>) -> bool {
         if self.client.wait().is_none() {
             self.client.await_input(clients::AwaitedInput::Reading);
         }
+        let limits = self.state.routes().map(|routes| routes.table.limits());
+        let limit = limits.map_or(DEFAULT_TIMEOUT, |limits| limits.idle_timeout);
+        let mut tracked = self.tracked.borrow_mut();
+        let response_due = tracked.response_due;
+        let wait = tracked
+            .write_wait
+            .get_or_insert_with(|| TimedWait::new(limit));
+        wait.poll_expired(context, limit, response_due)
     }
 }
 
@@ -325,7 +349,7 @@
 }
 
 /// A socket that reports the end of its input when a connection is idle for too long, and whose
-/// reads fail with `TimedOut` when a head takes too long.
+/// reads and writes fail with `TimedOut` when a head, or the reading of a response, takes too long.
 pub(super) struct CallerSocket {
     inner: TcpStream,
     tracker: ConnectionTracker,
@@ -348,11 +372,19 @@
     }
 
     /// Handles the result of a write.
-    fn finish_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+    fn finish_write(
+        &self,
+        context: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
         match &written {
             Poll::Ready(Ok(count)) => self.tracker.record_sent(*count),
             Poll::Ready(Err(_)) => {}
-            Poll::Pending => self.tracker.record_unread(),
+            Poll::Pending => {
+                if self.tracker.poll_write_expired(context) {
+                    return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+                }
+            }
         }
         written
     }
@@ -384,7 +416,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.inner).poll_write(context, bytes);
-        self.finish_write(written)
+        self.finish_write(context, written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -412,6 +444,6 @@
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.inner).poll_write_vectored(context, parts);
-        self.finish_write(written)
+        self.finish_write(context, written)
     }
 }
--- a/crates/relay/src/shell/intake.rs
+++ b/crates/relay/src/shell/intake.rs
@@ -206,7 +206,7 @@
     {
         return Err(refuse_for_memory(state, &head));
     }
-    tracker.record_request();
+    tracker.record_request(state.instant(demand.deadline));
     let (call_id, inbox) = state.open_call();
     state.count_request(service);
     let guard = CallGuard {
@@ -267,15 +267,15 @@
         return Err(refuse_for_memory(state, head));
     }
 
+    let standstill = limits.map_or(caller_socket::DEFAULT_TIMEOUT, |limits| limits.idle_timeout);
     let body_limits = memory::BodyLimits {
         max_bytes: usize::try_from(max_body_bytes).unwrap_or(usize::MAX),
         reserved_bytes: usize::try_from(declared_bytes).unwrap_or(usize::MAX),
-        standstill: None,
+        standstill: Some(standstill),
         clients: Some(clients),
     };
     let body_read = memory::read_body(body, body_limits, &mut reservation);
-    let timeout = head
-        .timeout
+    let timeout = body_timeout(state, parts, head)
         .or(limits.map(|limits| limits.idle_timeout))
         .unwrap_or(ROUTES_RETRY_AFTER);
     let deadline = state.instant(arrived_at + timeout);
@@ -300,6 +300,21 @@
     }
 }
 
+/// Returns the time that a request has until its body is complete: no longer than its route allows
+/// for all of it.
+fn body_timeout(
+    state: &RelayState,
+    parts: &request::Parts,
+    head: &protocol::CallHead,
+) -> Option<Duration> {
+    let routes = state.routes();
+    let route = routes
+        .as_ref()
+        .and_then(|routes| routes.table.route(request_host(parts), parts.uri.path()));
+    let limits = [head.timeout, route.map(|route| route.timeout)];
+    limits.into_iter().flatten().min()
+}
+
 fn request_host(parts: &request::Parts) -> &str {
     parts
         .headers
