Leave room for requests beside stalled streams

What callers saw: 503 for a booking beside 120 streams whose callers don't read, at 110 MB.

Those within their first 2 s yield only when the limit is exceeded, so that up to the limit nothing was left for requests. Streams often stall before their connection is known to wait, and weren't looked at again.

Change: stalled streams leave an eighth of the account free, and are looked at again when their connection begins to wait.

--- a/crates/relay/src/shell/caller_socket.rs
+++ b/crates/relay/src/shell/caller_socket.rs
@@ -302,6 +302,8 @@
     fn poll_write_expired(&self, context: &mut Context<'_>) -> bool {
         if self.client.wait().is_none() {
             self.client.await_input(clients::AwaitedInput::Reading);
+            // The stream may have stalled before the connection was known to wait.
+            self.state.enforce_stalled_memory();
         }
         let limits = self.state.routes().map(|routes| routes.table.limits());
         let limit = limits.map_or(DEFAULT_TIMEOUT, |limits| limits.idle_timeout);
--- a/crates/relay/src/shell/clients.rs
+++ b/crates/relay/src/shell/clients.rs
@@ -23,7 +23,7 @@
 const REQUEST_GRACE: Duration = Duration::from_millis(100);
 
 /// Interval between attempts to get below the limit of memory, when no client yields.
-const ENFORCEMENT_INTERVAL: Duration = Duration::from_millis(20);
+const ENFORCEMENT_INTERVAL: Duration = Duration::from_millis(1);
 
 /// What the process waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -265,14 +265,13 @@
         self.claims.get() > 0
     }
 
-    /// Closes connections until an account is within its limit, first those that yield anyway.
-    pub(super) fn enforce(&self, account: &memory::MemoryAccount) {
-        let excess = account.excess();
+    /// Closes connections that hold at least the excess of an account, first those that yield anyway.
+    pub(super) fn enforce(&self, account: memory::AccountKind, excess: u64) {
         let now = Instant::now();
         if excess == 0 || self.next_enforcement_at.get().is_some_and(|at| now < at) {
             return;
         }
-        let (yielding, sum) = self.select(account.kind(), excess, |_, _| true);
+        let (yielding, sum) = self.select(account, excess, |_, _| true);
         yielding
             .iter()
             .for_each(|connection| self.close(connection));
--- a/crates/relay/src/shell/memory.rs
+++ b/crates/relay/src/shell/memory.rs
@@ -28,6 +28,9 @@
 const CLIENT_MEMORY_PERCENT: u64 = 34;
 const RESPONSE_MEMORY_PERCENT: u64 = 20;
 
+/// Part of the limit that stalled streams leave free, as a divisor.
+const STALL_SPARE_DIVISOR: u64 = 8;
+
 /// Capacity that each body has without a reservation, so that small ones need none. Also the least
 /// that a buffer grows by.
 pub(super) const UNCOUNTED_BYTES: usize = 8 * 1024;
@@ -146,11 +149,6 @@
         })
     }
 
-    /// Returns what the account counts.
-    pub(super) const fn kind(&self) -> AccountKind {
-        self.kind
-    }
-
     /// Returns how many bytes are reserved.
     pub(super) fn reserved(&self) -> u64 {
         self.reserved.get()
@@ -161,6 +159,14 @@
         self.reserved.get().saturating_sub(self.limit.get())
     }
 
+    /// Returns by how many bytes the reservations exceed what stalled streams may fill: they leave an
+    /// eighth of the limit to requests.
+    pub(super) fn excess_of_stalls(&self) -> u64 {
+        let limit = self.limit.get();
+        let limit = limit - limit / STALL_SPARE_DIVISOR;
+        self.reserved.get().saturating_sub(limit)
+    }
+
     /// Returns an empty reservation for data that no client holds, which may grow.
     pub(super) fn reserve_nothing(self: &Rc<Self>) -> MemoryReservation {
         self.reserve_nothing_for(&Rc::default())
--- a/crates/relay/src/shell/responses.rs
+++ b/crates/relay/src/shell/responses.rs
@@ -138,7 +138,7 @@
         match is_stalled {
             true => {
                 self.connection.resize(STALLED_STREAM_BYTES);
-                self.state.enforce_client_memory();
+                self.state.enforce_stalled_memory();
             }
             false => self.connection.resize(0),
         }
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -233,7 +233,15 @@
 
     /// Lets callers yield if they make the process hold more than its limit.
     pub(super) fn enforce_client_memory(&self) {
-        self.clients.enforce(&self.memory.clients);
+        let account = memory::AccountKind::Clients;
+        self.clients.enforce(account, self.memory.clients.excess());
+    }
+
+    /// Does the same for a stream that stalls, before requests find no memory.
+    pub(super) fn enforce_stalled_memory(&self) {
+        let account = memory::AccountKind::Clients;
+        let excess = self.memory.clients.excess_of_stalls();
+        self.clients.enforce(account, excess);
     }
 
     /// Returns whether the process has been requested to stop.
