--- /dev/null
+++ b/review/rig-3/store.rs
@@ -0,0 +1,242 @@
+//! The platform's store: items with revisions, lists and watches. Leases expire as the pages say.
+
+use std::collections::BTreeMap;
+use std::io::BufReader;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::http;
+
+struct Item {
+    data: Vec<u8>,
+    revision: u64,
+    created: u64,
+    expires_at: Option<Instant>,
+}
+
+struct Change {
+    revision: u64,
+    key: String,
+    /// Data and creation; `None` if the item was removed.
+    written: Option<(Vec<u8>, u64)>,
+}
+
+#[derive(Default)]
+struct Contents {
+    items: BTreeMap<String, Item>,
+    changes: Vec<Change>,
+    revision: u64,
+}
+
+pub struct Store {
+    /// The first address at which the store is served.
+    pub address: SocketAddr,
+    contents: Mutex<Contents>,
+    changed: Condvar,
+    /// Open connections, with the address that they were opened at.
+    connections: Mutex<Vec<(SocketAddr, TcpStream)>>,
+    /// Addresses at which the store is no longer served.
+    closed: Mutex<Vec<SocketAddr>>,
+}
+
+impl Store {
+    pub fn start() -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let store = Arc::new(Self {
+            address: listener.local_addr().expect("a bound address"),
+            contents: Mutex::default(),
+            changed: Condvar::new(),
+            connections: Mutex::default(),
+            closed: Mutex::default(),
+        });
+        store.accept(listener);
+        let sweeper = Arc::clone(&store);
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(20));
+                sweeper.remove_expired();
+            }
+        });
+        store
+    }
+
+    /// Serves the store at a further address.
+    pub fn serve_also(self: &Arc<Self>) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        self.accept(listener);
+        address
+    }
+
+    /// Ends the service at an address: its port has no listener any more.
+    pub fn close(&self, address: SocketAddr) {
+        self.closed.lock().unwrap().push(address);
+        // Wakes the task that accepts, which then drops the listener.
+        drop(TcpStream::connect(address));
+        for (opened_at, stream) in self.connections.lock().unwrap().iter() {
+            if *opened_at == address {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    fn accept(self: &Arc<Self>, listener: TcpListener) {
+        let address = listener.local_addr().expect("a bound address");
+        let store = Arc::clone(self);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if store.closed.lock().unwrap().contains(&address) {
+                    return;
+                }
+                if let Ok(copy) = stream.try_clone() {
+                    store.connections.lock().unwrap().push((address, copy));
+                }
+                let store = Arc::clone(&store);
+                thread::spawn(move || store.serve(stream));
+            }
+        });
+    }
+
+    /// Writes an item, which expires after `lease` unless it is written again.
+    pub fn write(&self, key: &str, data: &str, lease: Option<Duration>) -> u64 {
+        let mut contents = self.contents.lock().unwrap();
+        contents.revision += 1;
+        let revision = contents.revision;
+        let known = contents.items.get(key);
+        let created = known.map_or(revision, |item| item.created);
+        let data = data.as_bytes().to_vec();
+        contents.changes.push(Change {
+            revision,
+            key: key.to_string(),
+            written: Some((data.clone(), created)),
+        });
+        let item = Item {
+            data,
+            revision,
+            created,
+            expires_at: lease.map(|lease| Instant::now() + lease),
+        };
+        contents.items.insert(key.to_string(), item);
+        self.changed.notify_all();
+        revision
+    }
+
+    pub fn has(&self, key: &str) -> bool {
+        self.contents.lock().unwrap().items.contains_key(key)
+    }
+
+    fn remove_expired(&self) {
+        let now = Instant::now();
+        let mut contents = self.contents.lock().unwrap();
+        let expired = |item: &Item| item.expires_at.is_some_and(|at| at <= now);
+        let items = contents.items.iter();
+        let keys = items.filter(|(_, item)| expired(item));
+        let keys: Vec<_> = keys.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            contents.items.remove(&key);
+            contents.revision += 1;
+            let revision = contents.revision;
+            contents.changes.push(Change {
+                revision,
+                key,
+                written: None,
+            });
+            self.changed.notify_all();
+        }
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
+        let mut reader = BufReader::new(stream);
+        while let Ok(Some(request)) = http::read_request(&mut reader) {
+            let body = match request.path() {
+                "/kv-range" => self.range(&request),
+                "/kv-watch" => self.watch(&request),
+                _ => String::new(),
+            };
+            let status = if body.is_empty() { 404 } else { 200 };
+            let headers = [("Content-Type", "application/json")];
+            if http::respond(&mut writer, status, &headers, body.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn range(&self, request: &http::Request) -> String {
+        let prefix = request.parameter("pathPrefix").unwrap_or_default();
+        let contents = self.contents.lock().unwrap();
+        let items = contents.items.iter();
+        let entries = items.filter(|(key, _)| key.starts_with(&prefix));
+        let entries = entries.map(|(key, item)| {
+            format_item(key, item.revision, Some((&item.data, item.created)))
+        });
+        let entries: Vec<_> = entries.collect();
+        let at = contents.revision;
+        let entries = entries.join(",");
+        format!("{{\"entries\":[{entries}],\"hasMore\":false,\"at\":{at}}}")
+    }
+
+    fn watch(&self, request: &http::Request) -> String {
+        let prefix = request.parameter("pathPrefix").unwrap_or_default();
+        let number = |name| request.parameter(name).and_then(|text| text.parse().ok());
+        let after: u64 = number("after").unwrap_or_default();
+        let wait = Duration::from_millis(number("waitMs").unwrap_or_default());
+        let ends_at = Instant::now() + wait;
+        let mut contents = self.contents.lock().unwrap();
+        loop {
+            let changes = contents.changes.iter();
+            let events = changes
+                .filter(|change| change.revision > after && change.key.starts_with(&prefix))
+                .map(|change| {
+                    let written = change.written.as_ref();
+                    let written = written.map(|(data, created)| (data, *created));
+                    format_item(&change.key, change.revision, written)
+                });
+            let events: Vec<_> = events.collect();
+            let now = Instant::now();
+            if !events.is_empty() || now >= ends_at {
+                let at = contents.revision;
+                return format!("{{\"events\":[{}],\"at\":{at}}}", events.join(","));
+            }
+            let (next, _) = self.changed.wait_timeout(contents, ends_at - now).unwrap();
+            contents = next;
+        }
+    }
+}
+
+fn format_item(key: &str, revision: u64, written: Option<(&Vec<u8>, u64)>) -> String {
+    match written {
+        Some((data, created)) => format!(
+            "{{\"key\":\"{key}\",\"data\":\"{}\",\"revision\":{revision},\"createdRevision\":{created},\"leaseId\":0}}",
+            encode_base64(data)
+        ),
+        None => format!("{{\"key\":\"{key}\",\"revision\":{revision},\"compacted\":true}}"),
+    }
+}
+
+fn encode_base64(data: &[u8]) -> String {
+    const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut text = String::new();
+    for group in data.chunks(3) {
+        let byte = |index: usize| u32::from(group.get(index).copied().unwrap_or(0));
+        let bits = byte(0) << 16 | byte(1) << 8 | byte(2);
+        for digit in 0..4 {
+            let value = bits >> (18 - 6 * digit) & 63;
+            text.push(match digit <= group.len() {
+                true => DIGITS[value as usize] as char,
+                false => '=',
+            });
+        }
+    }
+    text
+}
