--- a/review/rig-3/cut_server.rs
+++ b/review/rig-3/cut_server.rs
@@ -1,16 +1,11 @@
 //! A model server is behind a partition for five seconds and goes on with its streams.
 
-use std::io::BufReader;
-use std::net::SocketAddr;
-use std::net::TcpStream;
 use std::path::Path;
-use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::Verdict;
-use crate::http;
 use crate::record::Record;
 use crate::relay;
 use crate::relay::Relay;
@@ -18,6 +13,7 @@
 use crate::servers::Run;
 use crate::servers::Server;
 use crate::store::Store;
+use crate::streams;
 
 const SERVERS: usize = 5;
 const LONG_STREAMS: usize = 8;
@@ -25,6 +21,7 @@
 /// Tokens of a long stream: 551 events, the most in the site file.
 const LONG_TOKENS: u64 = 551 * 4;
 const SHORT_TOKENS: u64 = 4 * 4;
+const EVENT_GAP: Duration = Duration::from_millis(40);
 
 /// `for_s` of a partition that names none.
 const CUT_TIME: Duration = Duration::from_secs(5);
@@ -35,12 +32,10 @@
 /// Overlap beyond what the rule allows from which on it counts as broken here.
 const MARGIN: Duration = Duration::from_millis(300);
 
-const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-long","host":"a.example","pathPrefix":"/long/","routeKind":"streaming","timeoutMs":39000,"targetLatencyMs":1800,"priority":0,"service":"model","maxAttempts":1,"anonymous":false,"sessionAffinity":true,"streamResume":false,"targetItlMs":180}],"services":[{"name":"model","healthPath":"/healthz","maxConnections":272,"protocol":"h1","tlsEnabled":false,"runtime":{"slotCount":24,"kvCapacity":34371,"kvTokenBytes":163840,"linkMbps":24000.0,"migrations":true,"replicas":true,"stepSize":4,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleTtlS":5.0,"modelList":[{"name":"m"}]}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"t1","apiKeys":["key-1"],"priority":1}]}"#;
-
 pub fn play(record: &Record, scratch: &Path, has_trouble: bool) -> Verdict {
     let store = Store::start();
-    store.write("op/config", CONFIG, None);
-    let ledger = Arc::<Ledger>::default();
+    store.write("op/config", streams::CONFIG, None);
+    let ledger = Ledger::new(0, EVENT_GAP);
     // Most servers drop a request when its channel closes; the first one does not.
     let servers = (0..SERVERS).map(|number| {
         Server::start(&format!("i-{number}"), "model", true, number > 0, &ledger, &store)
@@ -57,7 +52,7 @@
     let callers = (0..LONG_STREAMS).map(|number| {
         let address = relays[0].callers;
         thread::sleep(Duration::from_millis(60));
-        thread::spawn(move || call(address, &format!("long-{number}"), LONG_TOKENS))
+        thread::spawn(move || streams::call(address, &format!("long-{number}"), LONG_TOKENS))
     });
     let callers: Vec<_> = callers.collect();
     thread::sleep(Duration::from_secs(2));
@@ -95,7 +90,7 @@
         short += 1;
         let address = relays[0].callers;
         let name = format!("short-{short}");
-        thread::spawn(move || call(address, &name, SHORT_TOKENS));
+        thread::spawn(move || streams::call(address, &name, SHORT_TOKENS));
         thread::sleep(Duration::from_millis(150));
     }
     for (number, caller) in callers.into_iter().enumerate() {
@@ -112,50 +107,6 @@
     judge(record, &ledger.runs(), &first.id, healed_at)
 }
 
-/// Sends a stream request. Returns its status, the number of its events and whether it ended as
-/// complete.
-fn call(address: SocketAddr, id: &str, tokens: u64) -> (u16, usize, bool) {
-    let headers = [
-        ("Host", "a.example".to_string()),
-        ("Attempt-Id", id.to_string()),
-        ("Model", "m".to_string()),
-        ("Token-Count", format!("1000,{tokens}")),
-        ("Length-Hint", tokens.to_string()),
-        ("Prompt-Prefix", format!("5c1e07a2:79,{:x}:921", hash(id))),
-        ("Deadline-Ms", "39000".to_string()),
-        ("Api-Key", "key-1".to_string()),
-    ];
-    let body = format!("prompt of {id}");
-    let timeout = Duration::from_secs(39);
-    let opened = http::open(address, "POST", "/long/1", &headers, body.as_bytes(), timeout);
-    let Ok((status, _, mut reader)) = opened else {
-        return (0, 0, false);
-    };
-    if status != 200 {
-        return (status, 0, false);
-    }
-    let (events, is_complete) = read_events(&mut reader);
-    (status, events, is_complete)
-}
-
-fn read_events(reader: &mut BufReader<TcpStream>) -> (usize, bool) {
-    let mut events = 0;
-    loop {
-        match http::next_chunk(reader) {
-            Ok(chunk) if chunk.is_empty() => return (events, true),
-            Ok(chunk) => events += String::from_utf8_lossy(&chunk).matches("\n\n").count(),
-            Err(_) => return (events, false),
-        }
-    }
-}
-
-fn hash(text: &str) -> u32 {
-    let bytes = text.bytes();
-    bytes.fold(0x811c_9dc5, |hash, byte| {
-        (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
-    })
-}
-
 /// Checks that no request runs at two servers for longer than the rule allows, from the time on at
 /// which the relay has been in touch with the server again.
 fn judge(record: &Record, runs: &[Run], first: &str, healed_at: Instant) -> Verdict {
--- a/review/rig-3/http.rs
+++ b/review/rig-3/http.rs
@@ -174,11 +174,16 @@
     bytes.extend_from_slice(body);
     stream.write_all(&bytes)?;
     let mut reader = BufReader::new(stream);
-    let line = read_line(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
+    let (status, headers) = read_head(&mut reader)?;
+    Ok((status, headers, reader))
+}
+
+/// Reads the head of a response.
+pub fn read_head(reader: &mut BufReader<TcpStream>) -> io::Result<(u16, Headers)> {
+    let line = read_line(reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
     let status = line.split(' ').nth(1).and_then(|word| word.parse().ok());
     let status = status.ok_or(io::ErrorKind::InvalidData)?;
-    let headers = read_headers(&mut reader)?;
-    Ok((status, headers, reader))
+    Ok((status, read_headers(reader)?))
 }
 
 /// Sends a request on a connection of its own and returns the complete response.
--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -8,8 +8,9 @@
 mod record;
 mod relay;
 mod servers;
+mod slow_reader;
 mod store;
-mod store_address;
+mod streams;
 mod tenant_name;
 
 use std::path::PathBuf;
@@ -39,7 +40,7 @@
     let verdict = match name.as_str() {
         "cut-server" => cut_server::play(&record, &scratch, has_trouble),
         "foreign-entry" => foreign_entry::play(&record, &scratch, has_trouble),
-        "store-address" => store_address::play(&record, &scratch, has_trouble),
+        "slow-reader" => slow_reader::play(&record, &scratch, has_trouble),
         "tenant-name" => tenant_name::play(&record, &scratch, has_trouble),
         _ => Verdict::NotRun,
     };
--- a/review/rig-3/relay.rs
+++ b/review/rig-3/relay.rs
@@ -1,7 +1,6 @@
 //! The program of the deploy file, started as separate processes.
 
 use std::fs;
-use std::io;
 use std::io::Write;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -18,12 +17,6 @@
 
 use crate::http;
 
-const SIGHUP: i32 = 1;
-
-unsafe extern "C" {
-    fn kill(process: i32, signal: i32) -> i32;
-}
-
 const PORTS: [u16; 4] = [8_740, 8_748, 8_749, 9_464];
 
 pub struct Relay {
@@ -31,7 +24,6 @@
     pub callers: SocketAddr,
     pub ready: SocketAddr,
     pub log: PathBuf,
-    settings: PathBuf,
     child: Child,
 }
 
@@ -158,23 +150,10 @@
             callers: SocketAddr::new(IpAddr::V4(ip), 8_740),
             ready: SocketAddr::new(IpAddr::V4(ip), 8_749),
             log,
-            settings: path,
             child,
         }
     }
 
-    /// Replaces a text in the settings file, and tells the process with SIGHUP.
-    pub fn change_settings(&self, from: &str, to: &str) {
-        let text = fs::read_to_string(&self.settings).expect("the settings");
-        assert!(text.contains(from), "the settings lack {from}");
-        let next = self.settings.with_extension("next");
-        fs::write(&next, text.replace(from, to)).expect("a writable folder");
-        fs::rename(&next, &self.settings).expect("a writable folder");
-        // SAFETY: the process was started by this one and has not been waited for.
-        let result = unsafe { kill(self.child.id() as i32, SIGHUP) };
-        assert_eq!(result, 0, "{}", io::Error::last_os_error());
-    }
-
     /// Waits until the relay says that it is ready.
     pub fn wait_until_ready(&self, timeout: Duration) -> bool {
         let ends_at = Instant::now() + timeout;
--- a/review/rig-3/servers.rs
+++ b/review/rig-3/servers.rs
@@ -23,9 +23,6 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 pub const LEASE: Duration = Duration::from_millis(3_600);
 
-/// Time between two events of a stream.
-const EVENT_GAP: Duration = Duration::from_millis(40);
-
 /// Time until the first event of a stream.
 const FIRST_EVENT: Duration = Duration::from_millis(200);
 
@@ -61,9 +58,22 @@
     /// Copies by the address in `Kv-From`, a slash and the handle, with the address of their holder.
     copies: Mutex<BTreeMap<String, SocketAddr>>,
     last_handle: AtomicU64,
+    /// Least size of an event.
+    event_bytes: usize,
+    /// Time between two events of a stream.
+    event_gap: Duration,
 }
 
 impl Ledger {
+    /// Creates the ledger of servers whose events have at least this size, and this time between them.
+    pub fn new(event_bytes: usize, event_gap: Duration) -> Arc<Self> {
+        Arc::new(Self {
+            event_bytes,
+            event_gap,
+            ..Self::default()
+        })
+    }
+
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().unwrap().clone()
     }
@@ -276,7 +286,9 @@
             }
             self.ledger.runs.lock().unwrap()[index].events.1 = event;
             if is_open {
-                let data = format!("id: {event}\ndata: event {event} of {attempt}\n\n");
+                let text = format!("event {event} of {attempt}");
+                let width = self.ledger.event_bytes;
+                let data = format!("id: {event}\ndata: {text:width$}\n\n");
                 let chunk = format!("{:x}\r\n{data}\r\n", data.len());
                 is_open = writer.write_all(chunk.as_bytes()).is_ok();
             }
@@ -286,7 +298,7 @@
                 let name = format!("{holder}/{attempt}");
                 self.ledger.copies.lock().unwrap().insert(name, address);
             }
-            thread::sleep(EVENT_GAP);
+            thread::sleep(self.ledger.event_gap);
         }
         if !self.ledger.is_open(index) {
             return false;
--- a/review/rig-3/store.rs
+++ b/review/rig-3/store.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::io::BufReader;
-use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -37,14 +36,9 @@
 }
 
 pub struct Store {
-    /// The first address at which the store is served.
     pub address: SocketAddr,
     contents: Mutex<Contents>,
     changed: Condvar,
-    /// Open connections, with the address that they were opened at.
-    connections: Mutex<Vec<(SocketAddr, TcpStream)>>,
-    /// Addresses at which the store is no longer served.
-    closed: Mutex<Vec<SocketAddr>>,
 }
 
 impl Store {
@@ -54,10 +48,14 @@
             address: listener.local_addr().expect("a bound address"),
             contents: Mutex::default(),
             changed: Condvar::new(),
-            connections: Mutex::default(),
-            closed: Mutex::default(),
         });
-        store.accept(listener);
+        let server = Arc::clone(&store);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = Arc::clone(&server);
+                thread::spawn(move || store.serve(stream));
+            }
+        });
         let sweeper = Arc::clone(&store);
         thread::spawn(move || {
             loop {
@@ -68,43 +66,6 @@
         store
     }
 
-    /// Serves the store at a further address.
-    pub fn serve_also(self: &Arc<Self>) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("a bound address");
-        self.accept(listener);
-        address
-    }
-
-    /// Ends the service at an address: its port has no listener any more.
-    pub fn close(&self, address: SocketAddr) {
-        self.closed.lock().unwrap().push(address);
-        // Wakes the task that accepts, which then drops the listener.
-        drop(TcpStream::connect(address));
-        for (opened_at, stream) in self.connections.lock().unwrap().iter() {
-            if *opened_at == address {
-                let _ = stream.shutdown(Shutdown::Both);
-            }
-        }
-    }
-
-    fn accept(self: &Arc<Self>, listener: TcpListener) {
-        let address = listener.local_addr().expect("a bound address");
-        let store = Arc::clone(self);
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                if store.closed.lock().unwrap().contains(&address) {
-                    return;
-                }
-                if let Ok(copy) = stream.try_clone() {
-                    store.connections.lock().unwrap().push((address, copy));
-                }
-                let store = Arc::clone(&store);
-                thread::spawn(move || store.serve(stream));
-            }
-        });
-    }
-
     /// Writes an item, which expires after `lease` unless it is written again.
     pub fn write(&self, key: &str, data: &str, lease: Option<Duration>) -> u64 {
         let mut contents = self.contents.lock().unwrap();
