--- a/review/rig-3/play.sh
+++ b/review/rig-3/play.sh
@@ -15,8 +15,11 @@
     rm -rf "$scratch"
 }
 trap end_all EXIT
-trap 'exit 2' INT TERM
-timeout -k 2 110 target/review-3/rig "$1" "$folder" "$scratch"
+# A shell handles a signal while it waits, but not while it runs a program.
+timeout -k 2 110 target/review-3/rig "$1" "$folder" "$scratch" &
+rig=$!
+trap 'kill "$rig" 2>/dev/null; exit 2' INT TERM
+wait "$rig"
 case $? in
 0) exit 0 ;;
 1) exit 1 ;;
