--- a/review/rig-3/relay.rs
+++ b/review/rig-3/relay.rs
@@ -21,9 +21,6 @@
 
 const SIGHUP: i32 = 1;
 
-/// Size of a page of memory.
-const PAGE_BYTES: u64 = 4_096;
-
 /// Held while the list of processes to end is changed.
 static PIDS: Mutex<()> = Mutex::new(());
 
@@ -169,13 +166,12 @@
 
     /// Returns the resident memory of the process; 0 if it has ended.
     pub fn resident_bytes(&self) -> u64 {
-        let path = format!("/proc/{}/statm", self.child.id());
-        let pages = fs::read_to_string(path).unwrap_or_default();
-        let pages = pages
-            .split(' ')
-            .nth(1)
-            .and_then(|text| text.parse::<u64>().ok());
-        pages.unwrap_or_default() * PAGE_BYTES
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
+        let kilobytes = kilobytes.and_then(|text| text.parse::<u64>().ok());
+        kilobytes.unwrap_or_default() * 1_024
     }
 
     /// Sends SIGHUP, as when the settings file has changed.
