--- a/crates/relay/src/directory/evacuations.rs
+++ b/crates/relay/src/directory/evacuations.rs
@@ -58,6 +58,11 @@
         zones.map(|(zone, state)| entry(zone, *state)).collect()
     }
 
+    /// Returns whether a zone is evacuated.
+    pub fn is_evacuated(&self, zone: &ids::ZoneName) -> bool {
+        self.zones.get(zone).is_some_and(|state| state.is_evacuated)
+    }
+
     /// Returns the zones that are evacuated.
     pub fn evacuated_zones(&self) -> BTreeSet<ids::ZoneName> {
         let evacuated = self.zones.iter().filter(|(_, state)| state.is_evacuated);
--- a/crates/relay/src/directory/routes.rs
+++ b/crates/relay/src/directory/routes.rs
@@ -1,6 +1,7 @@
 //! Routes, services and organisations of one published version.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
@@ -244,6 +245,14 @@
         self.services.get(name)
     }
 
+    /// Returns the services that are declared, and those that routes name.
+    pub fn service_names(&self) -> BTreeSet<ids::ServiceName> {
+        let routes = self.routes.values().flatten();
+        let routed = routes.flat_map(|route| &route.services);
+        let routed = routed.map(|share| &share.service);
+        routed.chain(self.services.keys()).cloned().collect()
+    }
+
     /// Returns the limits on the requests to cold targets, by service.
     pub fn cold_rules(&self) -> BTreeMap<ids::ServiceName, ColdRule> {
         let rules = self.services.values().filter_map(|service| {
--- a/crates/relay/src/directory/table.rs
+++ b/crates/relay/src/directory/table.rs
@@ -33,6 +33,9 @@
 /// usable again.
 const MAX_KNOWN_DEPARTURES: usize = 4_096;
 
+/// Maximum number of records unless another one is set.
+const DEFAULT_MAX_RECORDS: usize = 1_024;
+
 /// A change in which targets may be used.
 #[derive(Debug, Clone, PartialEq)]
 pub enum TargetChange {
@@ -112,9 +115,19 @@
 }
 
 /// Targets by name. An incarnation whose departure is final never becomes usable again.
-#[derive(Debug, Default)]
+///
+/// Any program may write records to the directory, so their number is limited. Known ones stay, except
+/// that targets of routed services replace those of other services.
+#[derive(Debug)]
 pub struct TargetTable {
     entries: BTreeMap<ids::TargetName, TargetEntry>,
+    max_records: usize,
+    /// Services to which requests may be routed.
+    routed_services: BTreeSet<ids::ServiceName>,
+    /// Names of the targets of other services.
+    unrouted: BTreeSet<ids::TargetName>,
+    /// Number of records that were not added since the last call of `take_dropped_count`.
+    dropped_count: u64,
     departures: BTreeMap<TargetKey, TargetDeparture>,
     departure_order: VecDeque<TargetKey>,
     /// Number of departures that were ever added.
@@ -130,7 +143,68 @@
     departure_time: Duration,
 }
 
+impl Default for TargetTable {
+    fn default() -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            max_records: DEFAULT_MAX_RECORDS,
+            routed_services: BTreeSet::new(),
+            unrouted: BTreeSet::new(),
+            dropped_count: 0,
+            departures: BTreeMap::new(),
+            departure_order: VecDeque::new(),
+            departure_count: 0,
+            evicted_revision: DirectoryRevision::default(),
+            revision: DirectoryRevision::default(),
+            is_directory_lost: false,
+            directory_regained_at: None,
+            directory_disturbed_at: None,
+            departure_time: Duration::ZERO,
+        }
+    }
+}
+
 impl TargetTable {
+    /// Sets the maximum number of records. Records that are known already stay.
+    pub const fn set_max_records(&mut self, max_records: usize) {
+        self.max_records = max_records;
+    }
+
+    /// Returns the maximum number of records.
+    pub const fn max_records(&self) -> usize {
+        self.max_records
+    }
+
+    /// Sets the services to which requests may be routed.
+    pub fn set_routed_services(&mut self, services: BTreeSet<ids::ServiceName>) {
+        self.routed_services = services;
+        let entries = self.entries.iter();
+        self.unrouted = entries
+            .filter(|(_, entry)| !self.routed_services.contains(&entry.record.service))
+            .map(|(name, _)| name.clone())
+            .collect();
+    }
+
+    /// Returns whether requests may be routed to a service.
+    pub fn is_routed(&self, service: &ids::ServiceName) -> bool {
+        self.routed_services.contains(service)
+    }
+
+    /// Returns the record of the target with this name.
+    pub fn record(&self, name: &ids::TargetName) -> Option<&Rc<TargetRecord>> {
+        self.entries.get(name).map(|entry| &entry.record)
+    }
+
+    /// Returns whether there is a record of the target with this name.
+    pub fn has_record(&self, name: &ids::TargetName) -> bool {
+        self.entries.contains_key(name)
+    }
+
+    /// Returns how many records were not added for want of room since the last call.
+    pub const fn take_dropped_count(&mut self) -> u64 {
+        std::mem::replace(&mut self.dropped_count, 0)
+    }
+
     /// Sets the time for which a target serves on after its record was removed; zero if it is not
     /// known.
     pub const fn set_departure_time(&mut self, time: Duration) {
@@ -478,6 +552,15 @@
             }
         }
 
+        if !self.make_room(&record, changes) {
+            self.dropped_count += 1;
+            return;
+        }
+        if self.is_routed(&record.service) {
+            self.unrouted.remove(&record.key.name);
+        } else {
+            self.unrouted.insert(record.key.name.clone());
+        }
         let is_draining = record.state == TargetState::Draining;
         let record = Rc::new(record);
         let key = record.key.clone();
@@ -500,6 +583,21 @@
         }
     }
 
+    /// Makes room for a record, if there has to be. Returns whether there is room.
+    fn make_room(&mut self, record: &TargetRecord, changes: &mut Vec<TargetChange>) -> bool {
+        if self.entries.len() < self.max_records || self.has_record(&record.key.name) {
+            return true;
+        }
+        if !self.is_routed(&record.service) {
+            return false;
+        }
+        let Some(replaced) = self.unrouted.pop_first() else {
+            return false;
+        };
+        self.remove_record(&replaced, changes);
+        self.entries.len() < self.max_records
+    }
+
     /// Handles a target that the directory lacks: removes its record, or keeps it for the grace
     /// period if there is a cause for which the registration may have expired.
     fn handle_missing(
@@ -522,6 +620,7 @@
     }
 
     fn remove_record(&mut self, name: &ids::TargetName, changes: &mut Vec<TargetChange>) {
+        self.unrouted.remove(name);
         if let Some(entry) = self.entries.remove(name) {
             let key = entry.record.key.clone();
             let departure = TargetDeparture {
--- a/crates/relay/src/shell/directory_events.rs
+++ b/crates/relay/src/shell/directory_events.rs
@@ -1,5 +1,6 @@
 //! Applies events from the reader of the platform's directory to the shared state.
 
+use std::cell::Ref;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,6 +21,9 @@
 /// Outcome that the decision log names for records that are kept without a sign of an outage.
 const UNEXPLAINED: &str = "most records at once";
 
+/// Outcome that the decision log names for records of targets that exceed their number.
+const NO_ROOM: &str = "too many targets";
+
 /// Interval at which the dispatcher reviews waiting calls and expired target records are removed.
 const DISPATCHER_TICK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -156,6 +160,21 @@
     state.submit(dispatch::DispatchEvent::ColdRulesChanged(cold_rules));
 }
 
+impl RelayState {
+    /// Returns the known targets.
+    pub fn targets(&self) -> Ref<'_, directory::TargetTable> {
+        self.targets.borrow()
+    }
+
+    /// Records that there is no room for the records of some targets.
+    pub fn record_dropped_targets(&self, count: u64) {
+        let record = telemetry::DecisionRecord::new(telemetry::RecordKind::TargetRejected)
+            .outcome(NO_ROOM)
+            .count(count);
+        self.record(&record);
+    }
+}
+
 /// Reports changed targets to the decision log, to peers and to the dispatcher. Changes that came
 /// from a peer are not sent on.
 pub(super) fn apply_target_changes(
@@ -163,6 +182,10 @@
     changes: Vec<directory::TargetChange>,
     source: &str,
 ) {
+    let dropped_count = state.targets.borrow_mut().take_dropped_count();
+    if dropped_count > 0 {
+        state.record_dropped_targets(dropped_count);
+    }
     if changes.is_empty() {
         return;
     }
--- a/crates/relay/src/shell/evacuations.rs
+++ b/crates/relay/src/shell/evacuations.rs
@@ -21,6 +21,11 @@
         self.settings.borrow().follows_evacuations
     }
 
+    /// Returns whether a zone is evacuated as far as this relay knows.
+    pub fn is_evacuated(&self, zone: &ids::ZoneName) -> bool {
+        self.evacuations.borrow().is_evacuated(zone)
+    }
+
     /// Returns the zones that are evacuated as far as this relay knows.
     pub fn evacuated_zones(&self) -> Vec<ids::ZoneName> {
         let zones = self.evacuations.borrow().evacuated_zones();
--- a/crates/relay/src/shell/memory.rs
+++ b/crates/relay/src/shell/memory.rs
@@ -28,6 +28,16 @@
 const CLIENT_MEMORY_PERCENT: u64 = 34;
 const RESPONSE_MEMORY_PERCENT: u64 = 20;
 
+/// Share of the remaining memory for the records of targets, in hundredths.
+const TARGET_MEMORY_PERCENT: u64 = 10;
+
+/// Memory that the record of one target takes in all tables, and in messages to peers.
+const TARGET_RECORD_BYTES: u64 = 2 * 1024;
+
+/// Most records of targets, however much memory there is: peers with less receive them all in one
+/// message.
+const MAX_TARGET_RECORDS: usize = 8_192;
+
 /// Part of the limit that stalled streams leave free, as a divisor.
 const STALL_SPARE_DIVISOR: u64 = 8;
 
@@ -129,6 +139,15 @@
     }
 }
 
+/// Returns how many records of targets a process with this memory limit keeps.
+pub(super) fn max_target_records(memory_limit: measures::ByteSize) -> usize {
+    let percent = memory_limit.get().saturating_sub(PROGRAM_BYTES) / 100;
+    let records = percent * TARGET_MEMORY_PERCENT / TARGET_RECORD_BYTES;
+    usize::try_from(records).map_or(MAX_TARGET_RECORDS, |records| {
+        records.min(MAX_TARGET_RECORDS)
+    })
+}
+
 /// Memory that one kind of data may take in sum.
 #[derive(Debug)]
 pub(super) struct MemoryAccount {
--- a/crates/relay/src/shell/routes.rs
+++ b/crates/relay/src/shell/routes.rs
@@ -22,6 +22,11 @@
         self.routes.borrow().clone()
     }
 
+    /// Returns whether any routes are known.
+    pub fn has_routes(&self) -> bool {
+        self.routes.borrow().is_some()
+    }
+
     /// Returns the version of the active routes; the default version before the first ones are
     /// known.
     pub fn routes_version(&self) -> directory::RouteTableVersion {
@@ -83,6 +88,8 @@
             .as_ref()
             .is_none_or(|known| known.table.version() < table.version());
         if is_newer {
+            let services = table.service_names();
+            self.targets.borrow_mut().set_routed_services(services);
             *routes = Some(ActiveRoutes { table, text });
             self.routes_activated_at.set(self.now());
         }
--- a/crates/relay/src/shell/state.rs
+++ b/crates/relay/src/shell/state.rs
@@ -144,6 +144,7 @@
         members.add_seeds(&setup.settings.seeds);
         let mut targets = directory::TargetTable::default();
         targets.set_departure_time(setup.settings.departure_time);
+        targets.set_max_records(memory::max_target_records(setup.settings.memory_limit));
         let memory = memory::MemoryAccounts::new(setup.settings.memory_limit);
         Rc::new_cyclic(|own| Self {
             settings: RefCell::new(setup.settings),
@@ -215,9 +216,11 @@
 
     /// Replaces the settings. Addresses stay bound as they were at the start.
     pub fn replace_settings(&self, settings: RelaySettings) {
-        self.targets
-            .borrow_mut()
-            .set_departure_time(settings.departure_time);
+        {
+            let mut targets = self.targets.borrow_mut();
+            targets.set_departure_time(settings.departure_time);
+            targets.set_max_records(memory::max_target_records(settings.memory_limit));
+        }
         self.memory.set_limits(settings.memory_limit);
         *self.settings.borrow_mut() = settings;
     }
--- a/crates/relay/src/telemetry/records.rs
+++ b/crates/relay/src/telemetry/records.rs
@@ -8,6 +8,9 @@
 use serde::Serialize;
 use serde_with::skip_serializing_none;
 
+/// Longest text in a record. Texts of other programs, as in errors, have any length.
+const MAX_TEXT_BYTES: usize = 512;
+
 /// Kind of a decision or an observed change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -231,6 +234,11 @@
     pub longest_pause_ms: Option<u64>,
 }
 
+/// Shortens a text that may come from elsewhere.
+fn shorten(text: &str) -> &str {
+    &text[..text.floor_char_boundary(MAX_TEXT_BYTES)]
+}
+
 impl DecisionRecord {
     /// Creates a record with all fields but the kind unset.
     pub const fn new(event: RecordKind) -> Self {
@@ -305,7 +313,7 @@
 
     /// Sets the target to any text: the VM of a peer, or an id whose record can't be decoded.
     pub fn target_text(mut self, name: &str) -> Self {
-        self.target = Some(name.into());
+        self.target = Some(shorten(name).into());
         self
     }
 
@@ -323,7 +331,7 @@
 
     /// Sets the result, source or reason of the decision.
     pub fn outcome(mut self, outcome: &str) -> Self {
-        self.outcome = Some(outcome.into());
+        self.outcome = Some(shorten(outcome).into());
         self
     }
 
