--- a/crates/relay/src/shell/former_runs.rs
+++ b/crates/relay/src/shell/former_runs.rs
@@ -54,10 +54,9 @@
     Stopped,
     /// The target did not run it any more.
     NotRunning,
-    /// The target's process has ended.
+    /// The target has started again since: the directory shows it, and nothing is left at the address of
+    /// the former run.
     TargetEnded,
-    /// The target could not be reached until the directory lacked it.
-    Unreachable,
     /// The deadline of the call passed before the end was confirmed.
     Unconfirmed,
 }
@@ -69,7 +68,6 @@
             Self::Stopped => "stopped",
             Self::NotRunning => "not_running",
             Self::TargetEnded => "target_ended",
-            Self::Unreachable => "unreachable",
             Self::Unconfirmed => "unconfirmed",
         }
     }
@@ -78,12 +76,15 @@
 /// Result of one request to stop a run.
 enum StopReply {
     Ended(RunEnd),
+    /// Nothing listens at the address, or what listens there does not know the run. A target behind a
+    /// partition may refuse connections too, and a request that waits is not known either.
+    NotFound {
+        max_delay: Duration,
+    },
     /// The run may go on; the target responded.
     Pending,
-    /// The target accepted the connection at most.
+    /// There was no response. A target that has too many connections resets further ones, and goes on.
     Unanswered,
-    /// The target can't be reached.
-    Unreachable,
 }
 
 /// Stops a run in the background, unless its target has no migrations.
@@ -96,7 +97,7 @@
     let deadline = call.demand.deadline;
     let kind = telemetry::RecordKind::FormerRun;
     let record = stream::migration_record(call, kind, &run.target, "");
-    let key = run.target.key.clone();
+    let followed = run.clone();
     let task = task::spawn_local(async move {
         let started_at = state.now();
         let end = stop_until(&state, &request_id, &run, deadline).await;
@@ -104,11 +105,12 @@
         state.record(&record.outcome(end.label()).after(took));
         state.metrics.record_former_run(end.label());
     });
-    call.pending_stops.add(key, task);
+    call.pending_stops.add(followed, task);
 }
 
 /// Repeats the request to stop a run until its end is known or the deadline has passed, at which
-/// targets end their work by themselves.
+/// targets end their work by themselves. That the directory lacks the target shows nothing: its
+/// registration may have lapsed behind a partition.
 async fn stop_until(
     state: &Rc<RelayState>,
     request_id: &str,
@@ -117,14 +119,13 @@
 ) -> RunEnd {
     let mut delay = MIN_RETRY_DELAY;
     loop {
-        let is_known = || {
-            let targets = state.targets.borrow();
-            targets.records().any(|record| record.key == run.target.key)
-        };
         let max_delay = match request_stop(state, request_id, run).await {
             StopReply::Ended(end) => return end,
-            StopReply::Unreachable if !is_known() => return RunEnd::Unreachable,
-            StopReply::Unreachable | StopReply::Unanswered => MAX_UNANSWERED_DELAY,
+            StopReply::NotFound { .. } if has_started_again(state, &run.target.key) => {
+                return RunEnd::TargetEnded;
+            }
+            StopReply::NotFound { max_delay } => max_delay,
+            StopReply::Unanswered => MAX_UNANSWERED_DELAY,
             StopReply::Pending => MAX_RETRY_DELAY,
         };
         delay = delay.min(max_delay);
@@ -136,6 +137,14 @@
     }
 }
 
+/// Returns whether a later incarnation of a target has registered.
+fn has_started_again(state: &RelayState, key: &directory::TargetKey) -> bool {
+    let targets = state.targets.borrow();
+    targets
+        .record(&key.name)
+        .is_some_and(|record| record.key.started_ms > key.started_ms)
+}
+
 async fn request_stop(state: &Rc<RelayState>, request_id: &str, run: &FormerRun) -> StopReply {
     let (source, destination) = (run.target.address, run.next.address);
     let request = state.protocol.migration_request(
@@ -169,24 +178,28 @@
         protocol::MigrationResponse::NotRunning if run.has_begun => {
             StopReply::Ended(RunEnd::NotRunning)
         }
+        protocol::MigrationResponse::NotRunning => StopReply::NotFound {
+            max_delay: MAX_RETRY_DELAY,
+        },
         // Without the handle of the memory, the target has refused the request and stopped nothing.
         protocol::MigrationResponse::Refused { handle: None }
-        | protocol::MigrationResponse::NotRunning
         | protocol::MigrationResponse::Busy
         | protocol::MigrationResponse::Unknown => StopReply::Pending,
     }
 }
 
-/// Returns what an error shows of the run. A target that has too many connections resets further
-/// ones, and may go on.
+/// Returns what an error shows of the run.
 fn unanswered_stop(error: &client::SendError) -> StopReply {
     match error {
-        client::SendError::Unreachable(error) => match error.kind() {
-            io::ErrorKind::ConnectionRefused => StopReply::Ended(RunEnd::TargetEnded),
-            io::ErrorKind::ConnectionReset => StopReply::Unanswered,
-            _ => StopReply::Unreachable,
-        },
-        client::SendError::Broken(_)
+        client::SendError::Unreachable(error)
+            if error.kind() == io::ErrorKind::ConnectionRefused =>
+        {
+            StopReply::NotFound {
+                max_delay: MAX_UNANSWERED_DELAY,
+            }
+        }
+        client::SendError::Unreachable(_)
+        | client::SendError::Broken(_)
         | client::SendError::Incomplete(_)
         | client::SendError::TimedOut => StopReply::Unanswered,
     }
@@ -194,23 +207,31 @@
 
 /// Stops of a stream's former runs that are not confirmed yet. They go on when the call has ended.
 #[derive(Default)]
-pub(super) struct PendingStops(Vec<(directory::TargetKey, task::JoinHandle<()>)>);
+pub(super) struct PendingStops(Vec<(FormerRun, task::JoinHandle<()>)>);
 
 impl PendingStops {
-    fn add(&mut self, target: directory::TargetKey, task: task::JoinHandle<()>) {
+    fn add(&mut self, run: FormerRun, task: task::JoinHandle<()>) {
         self.0.retain(|(_, task)| !task.is_finished());
-        self.0.push((target, task));
+        self.0.push((run, task));
     }
 
-    /// Gives up stopping the former run at a target that is to run the stream again: the same
-    /// request would stop the new run as well.
-    pub(super) fn cancel(&mut self, target: &directory::TargetKey) {
-        self.0.retain(|(key, task)| {
-            if key == target {
-                task.abort();
+    /// Gives up stopping the former run at a target that is to run the stream again, or at its
+    /// address: the same request would stop the new run as well. Returns the run at the target if it
+    /// may go on, for the case that the target refuses to run the stream.
+    pub(super) fn cancel(&mut self, target: &directory::TargetRecord) -> Option<FormerRun> {
+        let mut cancelled = None;
+        self.0.retain(|(run, task)| {
+            let is_same = run.target.key == target.key;
+            if !is_same && run.target.address != target.address {
+                return true;
+            }
+            if is_same && !task.is_finished() {
+                cancelled = Some(run.clone());
             }
-            key != target
+            task.abort();
+            false
         });
+        cancelled
     }
 }
 
--- a/crates/relay/src/shell/rerun.rs
+++ b/crates/relay/src/shell/rerun.rs
@@ -56,7 +56,7 @@
                 return RerunOutcome::Abandoned;
             }
         };
-        self.call.pending_stops.cancel(&placement.target.key);
+        let earlier_run = self.call.pending_stops.cancel(&placement.target);
         self.stop_current_run(&placement.target);
         self.set_target(Rc::clone(&placement.target));
         let started_at = self.state.now();
@@ -82,7 +82,9 @@
             }
             stream::OpenOutcome::Ended(outcome) => {
                 let target = &placement.target;
-                self.is_run_stopped = !outcome.may_run_on();
+                self.is_run_stopped = !outcome.may_run_on() && earlier_run.is_none();
+                self.has_run_begun =
+                    !outcome.may_run_on() && earlier_run.is_some_and(|run| run.has_begun);
                 buffered::report_attempt(&self.state, &self.call, target, &outcome, started_at);
                 RerunOutcome::Failed
             }
--- a/crates/relay/src/shell/resumption.rs
+++ b/crates/relay/src/shell/resumption.rs
@@ -95,7 +95,7 @@
                 _ => None,
             });
         let request = self.resumption_request(&copy, next_holder.as_ref());
-        self.call.pending_stops.cancel(&copy.holder.key);
+        let earlier_run = self.call.pending_stops.cancel(&copy.holder);
         if self.upstream.is_none() {
             self.stop_current_run(&copy.holder);
         }
@@ -111,12 +111,15 @@
                 self.replace_copy_holder(None);
                 self.state.metrics.record_resumption("refused");
                 self.record_migration_failure("the copy is of no use");
-                if result.may_run_on() {
-                    let run = former_runs::FormerRun {
+                let run = match result.may_run_on() {
+                    true => Some(former_runs::FormerRun {
                         target: copy.holder,
                         next: Rc::clone(&self.target),
                         has_begun: false,
-                    };
+                    }),
+                    false => earlier_run,
+                };
+                if let Some(run) = run {
                     former_runs::stop(&self.state, &mut self.call, run);
                 }
                 return false;
--- a/crates/relay/src/shell/stream.rs
+++ b/crates/relay/src/shell/stream.rs
@@ -41,20 +41,19 @@
     mut call: Box<intake::AcceptedCall>,
 ) -> responses::CallResponse {
     let mut counts = buffered::AttemptCounts::default();
-    let mut former_target = None;
+    let mut former_run: Option<former_runs::FormerRun> = None;
     loop {
         let placement = match buffered::place_call(state, &mut call).await {
             Ok(placement) => placement,
             Err(refusal) => return buffered::end_unplaced(state, &mut call, &counts, &refusal),
         };
-        call.pending_stops.cancel(&placement.target.key);
-        if let Some(target) = former_target.take() {
-            let run = former_runs::FormerRun {
-                target,
-                next: Rc::clone(&placement.target),
-                has_begun: false,
-            };
-            former_runs::stop(state, &mut call, run);
+        let earlier_run = call
+            .pending_stops
+            .cancel(&placement.target)
+            .or_else(|| former_run.take_if(|run| run.target.key == placement.target.key));
+        if let Some(run) = former_run.take() {
+            let next = Rc::clone(&placement.target);
+            former_runs::stop(state, &mut call, former_runs::FormerRun { next, ..run });
         }
         let target = Rc::clone(&placement.target);
         let started_at = state.now();
@@ -66,7 +65,14 @@
             OpenOutcome::Ended(outcome) => outcome,
         };
         buffered::report_attempt(state, &call, &target, &outcome, started_at);
-        former_target = outcome.may_run_on().then(|| Rc::clone(&target));
+        former_run = match outcome.may_run_on() {
+            true => Some(former_runs::FormerRun {
+                target: Rc::clone(&target),
+                next: Rc::clone(&target),
+                has_begun: false,
+            }),
+            false => earlier_run,
+        };
         if let Some(response) =
             buffered::conclude_attempt(state, &mut call, &mut counts, &target, outcome)
         {
