--- a/crates/relay/src/shell/caller_socket.rs
+++ b/crates/relay/src/shell/caller_socket.rs
@@ -15,7 +15,6 @@
 use std::time::Duration;
 
 use hyper::body;
-use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -356,17 +355,11 @@
 pub(super) struct CallerSocket {
     inner: TcpStream,
     tracker: ConnectionTracker,
-    /// Whether the caller has let a response wait.
-    has_waited: bool,
 }
 
 impl CallerSocket {
     pub(super) const fn new(inner: TcpStream, tracker: ConnectionTracker) -> Self {
-        Self {
-            inner,
-            tracker,
-            has_waited: false,
-        }
+        Self { inner, tracker }
     }
 
     /// Returns the end of a read for which no bytes have arrived.
@@ -382,7 +375,7 @@
 
     /// Handles the result of a write.
     fn finish_write(
-        &mut self,
+        &self,
         context: &mut Context<'_>,
         written: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
@@ -390,10 +383,6 @@
             Poll::Ready(Ok(count)) => self.tracker.record_sent(*count),
             Poll::Ready(Err(_)) => {}
             Poll::Pending => {
-                if !std::mem::replace(&mut self.has_waited, true) {
-                    // The system would take a caller that reads late for one that is lost.
-                    SockRef::from(&self.inner).set_tcp_user_timeout(None)?;
-                }
                 if self.tracker.poll_write_expired(context) {
                     return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
                 }
--- a/crates/relay/src/shell/client.rs
+++ b/crates/relay/src/shell/client.rs
@@ -177,16 +177,22 @@
     Ok(stream)
 }
 
-/// Configures a socket to detect the loss of the other end within seconds.
+/// Configures a socket to detect the loss of the other end within seconds. An end that reads nothing for
+/// as long counts as lost, too.
 pub(super) fn enable_loss_detection(stream: &TcpStream) -> io::Result<()> {
+    enable_keepalive(stream)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_DATA_TIMEOUT))
+}
+
+/// Configures a socket to detect the loss of the other end within seconds while no data that was sent is
+/// unacknowledged. The other end may read as late as it wants.
+pub(super) fn enable_keepalive(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_DATA_TIMEOUT))?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive)
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
 
 /// A new connection on which nothing has been sent yet.
--- a/crates/relay/src/shell/server.rs
+++ b/crates/relay/src/shell/server.rs
@@ -227,7 +227,8 @@
     stream: TcpStream,
 ) {
     let opened_at = Instant::now();
-    if client::enable_loss_detection(&stream).is_err() {
+    // The system would take a caller that reads late for one that is lost.
+    if client::enable_keepalive(&stream).is_err() {
         // The caller has already left.
         return;
     }
